--- /dev/null
+++ b/fireflyquay/checks/__init__.py
@@ -0,0 +1,19 @@
+"""Checks of operators' files, with every fault in one go."""
+
+from ._document import (
+    SettingsFault,
+    describe_type,
+    join_faults,
+    make_fault,
+    parse_document,
+    read_text,
+)
+
+__all__ = [
+    "SettingsFault",
+    "describe_type",
+    "join_faults",
+    "make_fault",
+    "parse_document",
+    "read_text",
+]
--- a/fireflyquay/daemons/_checks.py
+++ b/fireflyquay/checks/_document.py
@@ -4,11 +4,14 @@
 
 import tomllib
 from dataclasses import dataclass
+from pathlib import Path
 from typing import Annotated, Any, TypeVar
 
 import msgspec
 from msgspec import inspect
 
+from fireflyquay.world import Code, FireflyquayError
+
 T = TypeVar("T")
 HIDDEN = "(hidden)"
 MAX_SHOWN = 60
@@ -55,6 +58,19 @@
     return SettingsFault(path, shown, allowed, sentence)
 
 
+def read_text(path: str | Path, code: Code) -> str:
+    """Read a text file; raise the code when it can't be read."""
+    try:
+        return Path(path).read_text(encoding="utf-8")
+    except (OSError, ValueError) as error:
+        raise FireflyquayError(code, f"Cannot read {path}: {error}.") from error
+
+
+def join_faults(faults: tuple[SettingsFault, ...]) -> str:
+    """Write all faults as one text."""
+    return "\n".join(fault.sentence for fault in faults)
+
+
 def _check_value(path: str, value: Any, kind: inspect.Type) -> list[SettingsFault]:
     if isinstance(kind, inspect.DataclassType):
         return _check_table(path, value, kind)
--- a/fireflyquay/daemons/__init__.py
+++ b/fireflyquay/daemons/__init__.py
@@ -1,6 +1,7 @@
 """The thin daemons and the command line."""
 
-from ._checks import SettingsFault
+from fireflyquay.checks import SettingsFault
+
 from ._cli import main
 from ._settings import (
     BrokerSettings,
--- a/fireflyquay/daemons/_contract_file.py
+++ b/fireflyquay/daemons/_contract_file.py
@@ -9,6 +9,7 @@
 
 from msgspec import Meta
 
+from fireflyquay.checks import SettingsFault, parse_document
 from fireflyquay.world import (
     BackendKind,
     BackendServer,
@@ -25,7 +26,6 @@
     ZoneId,
 )
 
-from ._checks import SettingsFault, parse_document
 from ._settings import Count, Host, Name, Port, join_faults, read_text
 
 Rate = Annotated[float, Meta(gt=0, le=1e9)]
--- a/fireflyquay/daemons/_replies.py
+++ b/fireflyquay/daemons/_replies.py
@@ -9,12 +9,11 @@
 import msgspec
 
 from fireflyquay.decisions import Redirect, Refuse, refuse_untaken
-from fireflyquay.links import HttpResponder, RunChunk, RunFinished
+from fireflyquay.links import HttpResponder, RunChunk, RunFinished, read_status
 from fireflyquay.world import Code, FireflyquayError, RequestKey, Verdict
 
 from ._answer import Answer, Reader
 from ._parser import CopyFault
-from ._statuses import read_status
 
 JSON_HEADERS = {"content-type": "application/json"}
 SSE_HEADERS = {"content-type": "text/event-stream", "cache-control": "no-store"}
--- a/fireflyquay/daemons/_settings.py
+++ b/fireflyquay/daemons/_settings.py
@@ -10,10 +10,15 @@
 from msgspec import Meta
 
 from fireflyquay import decisions
+from fireflyquay.checks import (
+    SettingsFault,
+    join_faults,
+    make_fault,
+    parse_document,
+    read_text,
+)
 from fireflyquay.world import Code, FireflyquayError, PoolId, WorkKind
 
-from ._checks import SettingsFault, make_fault, parse_document
-
 Port = Annotated[int, Meta(ge=1, le=65535)]
 # A port to listen on; 0 takes any that is free.
 ListenPort = Annotated[int, Meta(ge=0, le=65535)]
@@ -208,19 +213,6 @@
     return settings
 
 
-def read_text(path: str | Path, code: Code) -> str:
-    """Read a text file; raise the code when it can't be read."""
-    try:
-        return Path(path).read_text(encoding="utf-8")
-    except (OSError, ValueError) as error:
-        raise FireflyquayError(code, f"Cannot read {path}: {error}.") from error
-
-
-def join_faults(faults: tuple[SettingsFault, ...]) -> str:
-    """Write all faults as one text."""
-    return "\n".join(fault.sentence for fault in faults)
-
-
 def _check_together(settings: EntrySettings) -> list[SettingsFault]:
     faults = []
     seen: set[str] = set()
--- /dev/null
+++ b/fireflyquay/dispatch/_backend_book.py
@@ -0,0 +1,109 @@
+"""The backend servers that are registered, with the age of that knowledge."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from fireflyquay.world import BackendEntry, BackendPhase, BackendServerId, ServiceId
+
+from ._proof import Proof
+
+# Seconds in which a live backend server registers again after the store was away,
+# as the platform states.
+RETURN_SECONDS = 2.0
+
+
+class BackendBook:
+    """Keep the registered backend servers; older lists and events change nothing."""
+
+    def __init__(self) -> None:
+        self._entries: dict[BackendServerId, BackendEntry] = {}
+        self._lapsed: dict[BackendServerId, float] = {}
+        self.proof = Proof(0, float("-inf"))
+
+    def replace_all(
+        self, entries: Iterable[BackendEntry], proof: Proof, after_outage: bool = False
+    ) -> list[str]:
+        """Take a whole list and describe the changes.
+
+        After an outage of the store, entries that are missing stay for as long as a
+        live backend server may need to register again.
+        """
+        if proof.revision < self.proof.revision:
+            return []
+        fresh = {entry.id: entry for entry in entries}
+        changes = self._keep_lapsed(fresh, proof, after_outage)
+        changes += _compare(self._entries, fresh)
+        self._entries = fresh
+        self.proof = proof
+        return changes
+
+    def apply(
+        self, entry: BackendEntry | None, name: BackendServerId, revision: int
+    ) -> list[str]:
+        """Take one change; None removes the entry."""
+        if revision <= self.proof.revision:
+            return []
+        fresh = dict(self._entries)
+        fresh.pop(name, None)
+        if entry is not None:
+            fresh[name] = entry
+        changes = _compare(self._entries, fresh)
+        self._entries = fresh
+        self._lapsed.pop(name, None)
+        self.proof = Proof(revision, self.proof.proven_at)
+        return changes
+
+    def get(self, name: BackendServerId) -> BackendEntry | None:
+        """Return an entry, None if the backend server is gone."""
+        return self._entries.get(name)
+
+    def takes_requests(self, name: BackendServerId) -> bool:
+        """Tell whether a backend server may be given new requests."""
+        entry = self._entries.get(name)
+        return entry is not None and entry.phase is BackendPhase.READY
+
+    def list_ready(self, service: ServiceId) -> list[BackendEntry]:
+        """Return the service's backend servers that may be given new requests."""
+        return [
+            entry
+            for entry in self._entries.values()
+            if entry.service == service and entry.phase is BackendPhase.READY
+        ]
+
+    def list_all(self) -> list[BackendEntry]:
+        """Return all registered backend servers."""
+        return list(self._entries.values())
+
+    def _keep_lapsed(
+        self,
+        fresh: dict[BackendServerId, BackendEntry],
+        proof: Proof,
+        after_outage: bool,
+    ) -> list[str]:
+        now = proof.proven_at
+        if after_outage:
+            for name in self._entries.keys() - fresh.keys() - self._lapsed.keys():
+                self._lapsed[name] = now + RETURN_SECONDS
+        changes = []
+        for name, until in list(self._lapsed.items()):
+            known = self._entries.get(name)
+            if name in fresh or known is None or now >= until:
+                del self._lapsed[name]
+                continue
+            fresh[name] = known
+            changes.append(f"{name} is missing since the outage and kept a while")
+        return changes
+
+
+def _compare(
+    old: dict[BackendServerId, BackendEntry], new: dict[BackendServerId, BackendEntry]
+) -> list[str]:
+    changes = [f"{name} gone" for name in old.keys() - new.keys()]
+    for name, entry in new.items():
+        before = old.get(name)
+        if before is None or before.phase is not entry.phase:
+            changes.append(f"{name} {entry.phase.value}")
+        elif before.address != entry.address:
+            changes.append(f"{name} moved")
+    return changes
--- /dev/null
+++ b/fireflyquay/dispatch/_grant.py
@@ -0,0 +1,68 @@
+"""What entry VMs ask of a grantor, and what it answers."""
+
+from __future__ import annotations
+
+import msgspec
+
+from fireflyquay.world import (
+    AttemptId,
+    BackendServerId,
+    ClientAccountId,
+    Code,
+    Incarnation,
+    ServiceId,
+    ZoneId,
+)
+
+
+class Ask(msgspec.Struct, frozen=True, array_like=True, tag="ask"):
+    """Ask for a place at a backend server of a service."""
+
+    # Entry VM and its number of the ask; together they are unique.
+    owner: Incarnation
+    number: int
+    attempt: AttemptId
+    service: ServiceId
+    account: ClientAccountId
+    # Ranks of the client account and the route; lower goes first.
+    rank: tuple[int, int]
+    zone: ZoneId
+    prompt_tokens: int
+    output_tokens: int
+    # Units of the client account's quota that the request takes.
+    units: float
+    # Seconds from now to the objective, and to when the client leaves or the route's
+    # timeout ends; the objective may have passed.
+    to_objective: float
+    to_give_up: float
+    # Whether the request was sent to a backend server before.
+    is_repeat: bool = False
+    # Backend servers that are not to be chosen.
+    excluded: tuple[BackendServerId, ...] = ()
+
+
+class Grant(msgspec.Struct, frozen=True, array_like=True, tag="grant"):
+    """Give an ask a place."""
+
+    owner: Incarnation
+    number: int
+    backend: BackendServerId
+    # Seconds that the ask waited.
+    waited: float
+    # Seconds to the first output that the grantor expects.
+    forecast: float
+
+
+class Refusal(msgspec.Struct, frozen=True, array_like=True, tag="refusal"):
+    """Refuse an ask for good."""
+
+    owner: Incarnation
+    number: int
+    code: Code
+    # Seconds after which the client should come back.
+    retry_after: float
+    # What decided it, for the log.
+    reason: str
+
+
+Decision = Grant | Refusal
--- /dev/null
+++ b/fireflyquay/dispatch/_grantor.py
@@ -0,0 +1,221 @@
+"""Gives requests places at backend servers, urgent ones first."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+
+from fireflyquay.world import (
+    BackendEntry,
+    BackendServerId,
+    Code,
+    Incarnation,
+    ServiceId,
+)
+
+from ._backend_load import TRIAL_SECONDS, AskKey, BackendLoad, Run
+from ._grant import Ask, Decision, Grant, Refusal
+
+
+@dataclass(frozen=True, slots=True)
+class GrantorSettings:
+    """Tune how requests wait."""
+
+    # Runs granted per slot of a backend server.
+    window: float = 1.0
+    # Part of its patience that a request may wait for a place; the rest is for its run.
+    wait_share: float = 0.6
+    # Bounds of what a refused client is told, in seconds: not so soon that the same
+    # queue meets it, and within what clients honour.
+    min_retry_after: float = 0.3
+    max_retry_after: float = 4.0
+
+
+@dataclass(slots=True)
+class _Waiting:
+    ask: Ask
+    asked_at: float
+
+    @property
+    def key(self) -> AskKey:
+        return self.ask.owner, self.ask.number
+
+
+class _ServiceQueue:
+    """Hold the backend servers and waiting requests of one service."""
+
+    def __init__(self) -> None:
+        self.loads: dict[BackendServerId, BackendLoad] = {}
+        self.waiting: list[_Waiting] = []
+
+
+class Grantor:
+    """Decide who runs where, for all entry VMs that ask it.
+
+    Answers load beyond the slots: engines admit in order of arrival, so requests wait
+    here, in order of rank, then of those still on time, then of arrival.
+    """
+
+    def __init__(self, settings: GrantorSettings, rng: random.Random) -> None:
+        self._settings = settings
+        self._rng = rng
+        self._services: dict[ServiceId, _ServiceQueue] = {}
+        self._where: dict[BackendServerId, ServiceId] = {}
+        # Part of each backend server's slots that this grantor may give out.
+        self.share = 1.0
+
+    def set_backends(self, entries: Iterable[BackendEntry]) -> None:
+        """Take the backend servers that may be given requests."""
+        fresh = {entry.id: entry for entry in entries}
+        for name in self._where.keys() - fresh.keys():
+            service = self._services[self._where.pop(name)]
+            service.loads.pop(name, None)
+        for name, entry in fresh.items():
+            queue = self._services.setdefault(entry.service, _ServiceQueue())
+            load = queue.loads.get(name)
+            if load is None or load.entry.born_ms != entry.born_ms:
+                queue.loads[name] = BackendLoad(entry)
+            else:
+                load.entry = entry
+            self._where[name] = entry.service
+
+    def ask(self, ask: Ask, now: float) -> list[Decision]:
+        """Let a request wait for a place; return all decisions that follow."""
+        queue = self._services.get(ask.service)
+        if queue is None or not queue.loads:
+            return [self._refuse(ask, Code.NO_BACKEND_SERVER, 1.0, "no backend server")]
+        queue.waiting.append(_Waiting(ask, now))
+        return self._advance(queue, now)
+
+    def withdraw(self, key: AskKey, now: float) -> list[Decision]:
+        """Drop a request whose client left, waiting or running."""
+        for queue in self._services.values():
+            queue.waiting = [item for item in queue.waiting if item.key != key]
+            for load in queue.loads.values():
+                if load.runs.pop(key, None) is not None:
+                    return self._advance(queue, now)
+        return []
+
+    def note_first_output(self, key: AskKey, backend: BackendServerId, now: float):
+        """Learn that a run has begun to give output."""
+        load = self._find(backend)
+        if load is not None:
+            load.note_first_output(key, now)
+
+    def release(
+        self,
+        key: AskKey,
+        backend: BackendServerId,
+        output_tokens: int,
+        failed: bool,
+        now: float,
+    ) -> list[Decision]:
+        """End a run and give its place to the next."""
+        load = self._find(backend)
+        if load is None:
+            return []
+        load.note_end(key, now, output_tokens, failed)
+        if failed:
+            load.pause(now + TRIAL_SECONDS * load.failure_share)
+        return self._advance(self._services[self._where[backend]], now)
+
+    def pause(self, backend: BackendServerId, until: float) -> None:
+        """Grant nothing at a backend server for a while."""
+        load = self._find(backend)
+        if load is not None:
+            load.pause(until)
+
+    def adopt(self, backend: BackendServerId, ask: Ask, granted_at: float) -> None:
+        """Count a run that was granted elsewhere."""
+        load = self._find(backend)
+        if load is not None:
+            load.runs[ask.owner, ask.number] = Run(ask, granted_at)
+
+    def forget(self, owner: Incarnation, now: float) -> list[Decision]:
+        """Drop all requests of an entry VM that is gone."""
+        decisions: list[Decision] = []
+        for queue in self._services.values():
+            queue.waiting = [it for it in queue.waiting if it.ask.owner != owner]
+            for load in queue.loads.values():
+                for key in [key for key in load.runs if key[0] == owner]:
+                    del load.runs[key]
+            decisions += self._advance(queue, now)
+        return decisions
+
+    def advance(self, now: float) -> list[Decision]:
+        """Grant what fits and refuse what waits in vain."""
+        decisions: list[Decision] = []
+        for queue in self._services.values():
+            decisions += self._advance(queue, now)
+        return decisions
+
+    def count_waiting(self, service: ServiceId) -> int:
+        """Return how many requests wait for a service."""
+        queue = self._services.get(service)
+        return 0 if queue is None else len(queue.waiting)
+
+    def _find(self, backend: BackendServerId) -> BackendLoad | None:
+        service = self._where.get(backend)
+        return None if service is None else self._services[service].loads.get(backend)
+
+    def _advance(self, queue: _ServiceQueue, now: float) -> list[Decision]:
+        if not queue.waiting:
+            return []
+        decisions: list[Decision] = []
+        kept: list[_Waiting] = []
+        for item in self._order(queue.waiting, now):
+            load = self._place(queue, item, now)
+            if load is not None:
+                decisions.append(self._grant(load, item, now))
+                continue
+            if now - item.asked_at >= self._settings.wait_share * item.ask.to_give_up:
+                decisions.append(self._give_up(queue, item, now))
+                continue
+            kept.append(item)
+        queue.waiting = kept
+        return decisions
+
+    def _order(self, waiting: Sequence[_Waiting], now: float) -> list[_Waiting]:
+        def sort_key(item: _Waiting) -> tuple[tuple[int, int], bool, float]:
+            is_late = now - item.asked_at > item.ask.to_objective
+            return item.ask.rank, is_late, item.asked_at
+
+        return sorted(waiting, key=sort_key)
+
+    def _place(
+        self, queue: _ServiceQueue, item: _Waiting, now: float
+    ) -> BackendLoad | None:
+        ask = item.ask
+        best: BackendLoad | None = None
+        best_score = (0.0, False, 0.0)
+        for name, load in queue.loads.items():
+            places = max(1.0, load.entry.slots * self._settings.window * self.share)
+            if name in ask.excluded or not load.is_open(places, now):
+                continue
+            score = (
+                round(load.forecast_end(ask), 2),
+                load.entry.zone != ask.zone,
+                self._rng.random(),
+            )
+            if best is None or score < best_score:
+                best, best_score = load, score
+        return best
+
+    def _grant(self, load: BackendLoad, item: _Waiting, now: float) -> Grant:
+        ask = item.ask
+        forecast = load.forecast_first_output(ask)
+        load.runs[item.key] = Run(ask, now)
+        waited = now - item.asked_at
+        return Grant(ask.owner, ask.number, load.entry.id, waited, forecast)
+
+    def _give_up(self, queue: _ServiceQueue, item: _Waiting, now: float) -> Refusal:
+        waited = now - item.asked_at
+        reason = f"waited {waited:.2f} s among {len(queue.waiting)}"
+        spread = self._rng.uniform(1.0, 2.0)
+        return self._refuse(item.ask, Code.OVERLOADED, spread, reason)
+
+    def _refuse(self, ask: Ask, code: Code, seconds: float, reason: str) -> Refusal:
+        settings = self._settings
+        bounded = min(settings.max_retry_after, max(settings.min_retry_after, seconds))
+        return Refusal(ask.owner, ask.number, code, bounded, reason)
--- /dev/null
+++ b/fireflyquay/gateway/_beliefs.py
@@ -0,0 +1,112 @@
+"""Keeps what a gateway believes of configuration and backend servers up to date."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import logbook
+
+from fireflyquay.dispatch import BackendBook, ConfigBook, Proof
+from fireflyquay.links import HttpFailure
+
+from ._clock import AgeClock
+from ._dialect import FleetSource
+
+LOG = logbook.Logger("beliefs")
+
+# Seconds after a failed read until the next.
+RETRY_SECONDS = 0.25
+# Seconds without a successful read after which the store counts as having been away.
+OUTAGE_SECONDS = 2.5
+
+
+class Beliefs:
+    """Read configuration and registry again and again, and tell of changes."""
+
+    def __init__(
+        self, source: FleetSource, clock: AgeClock, read_period: float
+    ) -> None:
+        self.config = ConfigBook()
+        self.backends = BackendBook()
+        self._source = source
+        self._clock = clock
+        self._read_period = read_period
+        self._store_answers = True
+        self._after_outage_until = float("-inf")
+        # Called after any change.
+        self.on_change: Callable[[], None] = lambda: None
+
+    @property
+    def is_complete(self) -> bool:
+        """Tell whether configuration and registry are known."""
+        return self.config.config is not None and self.backends.proof.revision > 0
+
+    def measure_config_age(self) -> float:
+        """Return the seconds since the configuration was proven current."""
+        return self.config.measure_age(self._clock.read())
+
+    async def follow_config(self) -> None:
+        """Keep the configuration current until cancelled."""
+        while True:
+            await asyncio.sleep(await self._try(self._read_config))
+
+    async def follow_backends(self) -> None:
+        """Keep the registry current until cancelled."""
+        while True:
+            await asyncio.sleep(await self._try(self._read_backends))
+
+    async def _try(self, read: Callable[[], asyncio.Future]) -> float:
+        try:
+            await read()
+        except HttpFailure as failure:
+            self._note_store(False, failure.sentence)
+            return RETRY_SECONDS
+        self._note_store(True, "")
+        return self._read_period
+
+    async def _read_config(self) -> None:
+        sent_at = self._clock.read()
+        read = await self._source.read_config()
+        if read.config is None:
+            return
+        proof = Proof(read.revision, sent_at)
+        if not self.config.offer(read.config, proof):
+            return
+        LOG.info(
+            "configuration in force",
+            extra={
+                "version": read.config.version,
+                "revision": read.revision,
+                "routes": len(read.config.routes),
+                "accounts": len(read.config.accounts),
+            },
+        )
+        self.on_change()
+
+    async def _read_backends(self) -> None:
+        sent_at = self._clock.read()
+        read = await self._source.list_backends()
+        was_away = sent_at - self.backends.proof.proven_at > OUTAGE_SECONDS
+        if was_away and self.backends.proof.revision:
+            self._after_outage_until = self._clock.read() + OUTAGE_SECONDS
+        proof = Proof(read.revision, sent_at)
+        is_after = self._clock.read() < self._after_outage_until
+        changes = self.backends.replace_all(read.entries, proof, is_after)
+        if not changes:
+            return
+        LOG.info(
+            "backend servers changed",
+            extra={"revision": read.revision, "changes": changes},
+        )
+        self.on_change()
+
+    def _note_store(self, answers: bool, sentence: str) -> None:
+        if answers == self._store_answers:
+            return
+        self._store_answers = answers
+        age = round(self.measure_config_age(), 2)
+        if answers:
+            LOG.info("store regained", extra={"config_age": age})
+            return
+        LOG.warning("store lost", extra={"config_age": age, "cause": sentence})
--- /dev/null
+++ b/fireflyquay/gateway/_call.py
@@ -0,0 +1,65 @@
+"""One client request in progress."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from fireflyquay.links import HttpRequest, HttpResponder
+from fireflyquay.world import BackendServerId, ServiceId
+
+from ._admission import Admission
+from ._dialect import RequestFacts
+
+# What clients of streams bear between events and before the first one, as the platform
+# states: the longest of a fixed time, a multiple of the objective and one of the gap.
+STREAM_PATIENCE_SECONDS = 2.0
+STREAM_PATIENCE_TARGETS = 4.0
+STREAM_PATIENCE_GAPS = 8.0
+
+
+class Outcome(Enum):
+    """Say how sending a request to a backend server ended."""
+
+    DELIVERED = "DELIVERED"
+    # The backend server did not run it and never will.
+    NOT_RUN = "NOT_RUN"
+    # Nothing was sent to the backend server.
+    NOT_SENT = "NOT_SENT"
+    # It may have run; the client has no byte of a response.
+    LOST = "LOST"
+    # A stream broke off after the client got a part of it.
+    CUT = "CUT"
+
+
+@dataclass(slots=True)
+class Call:
+    """Track a request from its arrival to its response."""
+
+    request: HttpRequest
+    facts: RequestFacts
+    responder: HttpResponder
+    admission: Admission
+    service: ServiceId
+    # Loop times: arrival, and when the route or the client ends it.
+    arrived: float
+    ends_at: float
+    # Backend servers that it was sent to, the last one last.
+    tried: list[BackendServerId] = field(default_factory=list)
+    # Id of the last event that the client got.
+    last_event: str = ""
+
+    @property
+    def patience(self) -> float:
+        """Return the seconds from arrival in which the client awaits output."""
+        route = self.admission.route
+        whole = self.ends_at - self.arrived
+        if not route.is_stream:
+            return whole
+        gap = route.max_gap or 0.0
+        silence = max(
+            STREAM_PATIENCE_SECONDS,
+            STREAM_PATIENCE_TARGETS * route.target_latency,
+            STREAM_PATIENCE_GAPS * gap,
+        )
+        return min(whole, silence)
--- /dev/null
+++ b/fireflyquay/gateway/_event_splitter.py
@@ -0,0 +1,43 @@
+"""Cuts a byte stream of events at their ends."""
+
+from __future__ import annotations
+
+# Bytes of one event, beyond which the stream is passed on uncut.
+MAX_EVENT_BYTES = 256 * 1024
+
+
+class EventSplitter:
+    """Pass on whole events and remember the id of the last one."""
+
+    def __init__(self) -> None:
+        self._rest = b""
+        self.last_id = ""
+        self.events = 0
+
+    def feed(self, data: bytes) -> bytes:
+        """Return the bytes up to the end of the last whole event."""
+        data = self._rest + data
+        end = data.rfind(b"\n\n")
+        end = end + 2 if end >= 0 else 0
+        crlf = data.rfind(b"\r\n\r\n")
+        end = max(end, crlf + 4 if crlf >= 0 else 0)
+        if not end and len(data) > MAX_EVENT_BYTES:
+            end = len(data)
+        whole, self._rest = data[:end], data[end:]
+        self._note(whole)
+        return whole
+
+    def take_rest(self) -> bytes:
+        """Return the bytes after the last whole event."""
+        rest, self._rest = self._rest, b""
+        return rest
+
+    def drop_rest(self) -> None:
+        """Forget the start of an event that will not be completed."""
+        self._rest = b""
+
+    def _note(self, whole: bytes) -> None:
+        for line in whole.split(b"\n"):
+            if line.startswith(b"id:"):
+                self.last_id = line[3:].strip().decode("latin-1")
+                self.events += 1
--- /dev/null
+++ b/fireflyquay/gateway/_forwarder.py
@@ -0,0 +1,214 @@
+"""Sends a request to one backend server and passes the response on."""
+
+from __future__ import annotations
+
+import asyncio
+
+import logbook
+
+from fireflyquay.dispatch import Ask
+from fireflyquay.links import (
+    ExchangeTerms,
+    HttpClient,
+    HttpFailure,
+    HttpStream,
+)
+from fireflyquay.world import BackendEntry, RepeatRule
+
+from ._call import Call, Outcome
+from ._dialect import AnswerFacts, Dialect
+from ._event_splitter import EventSplitter
+from ._slot_desk import SlotDesk
+
+LOG = logbook.Logger("forwarder")
+
+# Seconds to a backend server's acceptance of a connection. A lost opening packet is
+# sent again after a second; another backend server is sooner.
+CONNECT_SECONDS = 0.6
+# Seconds that a kept connection may have been idle. Requests that may run only once
+# get fresher ones, since a connection that the peer closes meanwhile loses them.
+MAX_IDLE_SECONDS = 3.0
+MAX_IDLE_ONCE_SECONDS = 1.0
+# Bytes of a response that are held back until it is whole.
+MAX_HELD_BYTES = 256 * 1024
+# Statuses that promise that a request has not run.
+PROMISING_STATUSES = (408, 421, 429, 503)
+BAD_GATEWAY = 502
+# Seconds for which a backend server that refuses connections or is full is left alone.
+REFUSED_PAUSE_SECONDS = 0.5
+FULL_PAUSE_SECONDS = 0.1
+
+
+class _BrokenResponse(Exception):  # noqa: N818
+    """Tell that a response can't be the backend server's whole one."""
+
+
+class Forwarder:
+    """Run attempts at backend servers."""
+
+    def __init__(self, client: HttpClient, dialect: Dialect, desk: SlotDesk) -> None:
+        self._client = client
+        self._dialect = dialect
+        self._desk = desk
+
+    async def attempt(self, call: Call, ask: Ask, backend: BackendEntry) -> Outcome:
+        """Send a call to a backend server; the place is released at the end."""
+        run = _Attempt(self._client, self._dialect, self._desk, call, ask, backend)
+        failed = True
+        try:
+            outcome = await run.carry_out()
+            failed = outcome not in (Outcome.DELIVERED, Outcome.NOT_RUN)
+            failed = failed or run.status >= 500
+            return outcome
+        except asyncio.CancelledError:
+            failed = False
+            raise
+        finally:
+            self._desk.release(ask, backend.id, run.output_tokens, failed)
+
+
+class _Attempt:
+    def __init__(
+        self,
+        client: HttpClient,
+        dialect: Dialect,
+        desk: SlotDesk,
+        call: Call,
+        ask: Ask,
+        backend: BackendEntry,
+    ) -> None:
+        self._client = client
+        self._dialect = dialect
+        self._desk = desk
+        self._call = call
+        self._ask = ask
+        self._backend = backend
+        self._splitter = EventSplitter()
+        self.status = 0
+        self.output_tokens = 0
+
+    async def carry_out(self) -> Outcome:
+        """Send the request and pass the response on."""
+        call = self._call
+        loop = asyncio.get_running_loop()
+        account = call.admission.account
+        head = self._dialect.make_head(
+            call.request,
+            self._backend.id,
+            None if account is None else account.id,
+            call.ends_at - loop.time(),
+            call.last_event,
+        )
+        exchange = self._client.forward(
+            self._backend.address,
+            call.request.method,
+            call.request.target,
+            head,
+            call.request.body,
+            max(0.0, call.ends_at - loop.time()),
+            self._make_terms(),
+        )
+        try:
+            async with exchange as stream:
+                return await self._pass_on(stream)
+        except HttpFailure as failure:
+            return self._judge(failure.sentence, failure.sent)
+        except _BrokenResponse as broken:
+            return self._judge(str(broken), True)
+
+    def _make_terms(self) -> ExchangeTerms:
+        rule = self._call.admission.route.repeat_rule
+        is_safe = rule is RepeatRule.IDEMPOTENT
+        idle = MAX_IDLE_SECONDS if is_safe else MAX_IDLE_ONCE_SECONDS
+        return ExchangeTerms(CONNECT_SECONDS, idle, self._is_own)
+
+    def _is_own(self, headers: dict[str, str]) -> bool:
+        attempt = self._dialect.read_answer(headers).attempt
+        return not attempt or attempt == self._call.facts.attempt
+
+    def _judge(self, sentence: str, sent: bool) -> Outcome:
+        outcome = Outcome.LOST if sent else Outcome.NOT_SENT
+        if self._call.responder.started:
+            outcome = Outcome.CUT
+        if not sent:
+            self._desk.pause(self._backend.id, REFUSED_PAUSE_SECONDS)
+        LOG.warning(
+            "attempt failed",
+            extra={
+                "id": self._call.facts.attempt,
+                "backend": self._backend.id,
+                "outcome": outcome.value,
+                "cause": sentence,
+                "events": self._splitter.events,
+            },
+        )
+        return outcome
+
+    async def _pass_on(self, stream: HttpStream) -> Outcome:
+        answer = self._dialect.read_answer(stream.headers)
+        self.status = stream.status
+        if answer.is_not_run or stream.status == 421:
+            self._desk.pause(self._backend.id, FULL_PAUSE_SECONDS)
+            LOG.info(
+                "backend server declined",
+                extra={
+                    "id": self._call.facts.attempt,
+                    "backend": self._backend.id,
+                    "status": stream.status,
+                },
+            )
+            return Outcome.NOT_RUN
+        is_success = 200 <= stream.status < 300
+        if is_success and not answer.is_sealed:
+            raise _BrokenResponse("A success without proof of its origin.")
+        if is_success and self._call.admission.route.is_stream:
+            await self._pass_events(stream)
+            return Outcome.DELIVERED
+        await self._pass_whole(stream, answer)
+        return Outcome.DELIVERED
+
+    async def _pass_whole(self, stream: HttpStream, answer: AnswerFacts) -> None:
+        body = bytearray()
+        async for chunk in stream:
+            body += chunk
+            if len(body) > MAX_HELD_BYTES:
+                await self._pass_large(stream, body)
+                return
+        self._desk.note_first_output(self._ask, self._backend.id)
+        status, is_genuine = stream.status, True
+        if status in PROMISING_STATUSES:
+            # The backend server does not say that it has not run.
+            status, is_genuine = BAD_GATEWAY, False
+        headers = self._dialect.pass_answer(stream.raw_headers, is_genuine)
+        await self._call.responder.send(status, headers, bytes(body))
+
+    async def _pass_large(self, stream: HttpStream, start: bytearray) -> None:
+        headers = self._dialect.pass_answer(stream.raw_headers, True)
+        responder = self._call.responder
+        await responder.start(stream.status, headers)
+        await responder.write(bytes(start))
+        async for chunk in stream:
+            await responder.write(chunk)
+        await responder.finish()
+
+    async def _pass_events(self, stream: HttpStream) -> None:
+        responder, splitter = self._call.responder, self._splitter
+        async for chunk in stream:
+            whole = splitter.feed(chunk)
+            if not whole:
+                continue
+            if not self.output_tokens:
+                self._desk.note_first_output(self._ask, self._backend.id)
+            self.output_tokens = splitter.events
+            if not responder.started:
+                headers = self._dialect.pass_answer(stream.raw_headers, True)
+                await responder.start(stream.status, headers)
+            await responder.write(whole)
+            self._call.last_event = splitter.last_id
+        if not responder.started:
+            headers = self._dialect.pass_answer(stream.raw_headers, True)
+            await responder.start(stream.status, headers)
+        rest = splitter.take_rest()
+        if rest:
+            await responder.write(rest)
+        await responder.finish()
--- /dev/null
+++ b/fireflyquay/gateway/_ingress.py
@@ -0,0 +1,303 @@
+"""Takes clients' requests through admission, waiting, attempts and the response."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+
+import logbook
+
+from fireflyquay.dispatch import Ask, Grant, QuotaBook, Refusal, RepeatBudget
+from fireflyquay.links import (
+    CallerGoneError,
+    HttpRequest,
+    HttpResponder,
+    read_status,
+)
+from fireflyquay.world import (
+    ClientAccount,
+    ClientAccountId,
+    Code,
+    Incarnation,
+    RepeatRule,
+    ServiceShare,
+    ZoneId,
+)
+
+from ._admission import Admission, Rejected, admit
+from ._beliefs import Beliefs
+from ._call import Call, Outcome
+from ._clock import AgeClock
+from ._dialect import Dialect, RequestFacts
+from ._forwarder import Forwarder
+from ._slot_desk import SlotDesk
+
+LOG = logbook.Logger("requests")
+
+# Seconds before the promised bound at which a configuration counts as stale: requests
+# on their way to a backend server must arrive within the bound.
+STALE_MARGIN_SECONDS = 0.6
+# Seconds that a request of an unnamed patience may take.
+DEFAULT_PATIENCE_SECONDS = 30.0
+# Least seconds before a refused client comes back when there is no forecast.
+RETRY_SECONDS = 0.5
+# Seconds for which a client whose quota is used up stays away at most.
+MAX_QUOTA_RETRY_SECONDS = 4.0
+NO_ACCOUNT = ClientAccountId("")
+
+
+class Ingress:
+    """Serve clients' requests."""
+
+    def __init__(
+        self,
+        own: Incarnation,
+        zone: ZoneId,
+        dialect: Dialect,
+        beliefs: Beliefs,
+        clock: AgeClock,
+        desk: SlotDesk,
+        forwarder: Forwarder,
+        repeats: RepeatBudget,
+        revoke_seconds: float,
+        rng: random.Random,
+    ) -> None:
+        self._own = own
+        self._zone = zone
+        self._dialect = dialect
+        self._beliefs = beliefs
+        self._clock = clock
+        self._desk = desk
+        self._forwarder = forwarder
+        self._repeats = repeats
+        self._max_config_age = revoke_seconds - STALE_MARGIN_SECONDS
+        self._rng = rng
+        self._numbers = itertools.count(1)
+        self._quotas = QuotaBook()
+        self.in_progress = 0
+        # Part of quotas and repeats that this VM may give out.
+        self.share = 1.0
+
+    async def handle(self, request: HttpRequest, responder: HttpResponder) -> None:
+        """Serve one request."""
+        self.in_progress += 1
+        serving = asyncio.ensure_future(self._serve(request, responder))
+        leaving = asyncio.ensure_future(responder.disconnected.wait())
+        try:
+            await asyncio.wait({serving, leaving}, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            self.in_progress -= 1
+            leaving.cancel()
+            if not serving.done():
+                serving.cancel()
+                await asyncio.gather(serving, return_exceptions=True)
+        if serving.cancelled():
+            raise CallerGoneError
+        serving.result()
+
+    async def _serve(self, request: HttpRequest, responder: HttpResponder) -> None:
+        loop = asyncio.get_running_loop()
+        arrived = loop.time()
+        facts = self._dialect.read_request(request)
+        outcome = "served"
+        call: Call | None = None
+        try:
+            call = self._open(request, responder, facts, arrived)
+            async with asyncio.timeout_at(call.ends_at):
+                await self._run(call)
+        except Rejected as rejected:
+            outcome = rejected.code.value
+            await self._refuse(facts, responder, rejected)
+        except TimeoutError:
+            outcome = Code.BACKEND_TIMEOUT.value
+            await self._end_late(call, facts, responder)
+        except asyncio.CancelledError:
+            outcome = Code.CALLER_GONE.value
+            raise
+        finally:
+            self._log_end(facts, call, outcome, loop.time() - arrived)
+
+    def _open(
+        self,
+        request: HttpRequest,
+        responder: HttpResponder,
+        facts: RequestFacts,
+        arrived: float,
+    ) -> Call:
+        if not facts.attempt:
+            raise Rejected(Code.BAD_REQUEST, "The request has no id.")
+        admission = self._admit(request, facts)
+        route = admission.route
+        patience = min(facts.patience or DEFAULT_PATIENCE_SECONDS, route.timeout)
+        service = self._choose_service(route.shares).service
+        self._repeats.note_request(service, arrived)
+        call = Call(
+            request,
+            facts,
+            responder,
+            admission,
+            service,
+            arrived,
+            arrived + patience,
+            last_event=facts.last_event,
+        )
+        self._charge(call)
+        return call
+
+    def _admit(self, request: HttpRequest, facts: RequestFacts) -> Admission:
+        path = request.target.partition(b"?")[0].decode("latin-1")
+        now = self._clock.read()
+        return admit(self._beliefs.config, facts, path, now, self._max_config_age)
+
+    def _choose_service(self, shares: tuple[ServiceShare, ...]) -> ServiceShare:
+        if len(shares) == 1:
+            return shares[0]
+        weights = [share.weight for share in shares]
+        return self._rng.choices(shares, weights)[0]
+
+    def _charge(self, call: Call) -> None:
+        account = call.admission.account
+        if account is None:
+            return
+        units = _count_units(account, call.facts)
+        missing = self._quotas.charge(account, units, self.share, call.arrived)
+        if missing > 0:
+            sentence = f"The quota lacks {units:.0f} units for {missing:.1f} s."
+            retry = min(MAX_QUOTA_RETRY_SECONDS, missing)
+            raise Rejected(Code.QUOTA_EXCEEDED, sentence, retry)
+
+    async def _run(self, call: Call) -> None:
+        """Make attempts until the response is complete; raise Rejected otherwise."""
+        while True:
+            grant, ask = await self._acquire(call)
+            backend = self._beliefs.backends.get(grant.backend)
+            if backend is None or not self._beliefs.backends.takes_requests(backend.id):
+                self._desk.release(ask, grant.backend, 0, False)
+                continue
+            self._check_again(call, ask, grant)
+            call.tried.append(backend.id)
+            outcome = await self._forwarder.attempt(call, ask, backend)
+            if outcome is Outcome.DELIVERED:
+                return
+            if outcome is Outcome.NOT_SENT:
+                call.tried.pop()
+            if not self._may_go_on(call, outcome):
+                self._give_up(call, outcome)
+
+    def _check_again(self, call: Call, ask: Ask, grant: Grant) -> None:
+        """Judge the call by what is known now; waiting may have taken long."""
+        try:
+            call.admission = self._admit(call.request, call.facts)
+        except Rejected:
+            self._desk.release(ask, grant.backend, 0, False)
+            raise
+
+    async def _acquire(self, call: Call) -> tuple[Grant, Ask]:
+        ask = self._make_ask(call)
+        decision = await self._desk.acquire(ask)
+        if isinstance(decision, Refusal):
+            raise Rejected(decision.code, decision.reason, decision.retry_after)
+        LOG.info(
+            "granted",
+            extra={
+                "id": call.facts.attempt,
+                "rank": ask.rank,
+                "service": call.service,
+                "backend": decision.backend,
+                "waited": round(decision.waited, 3),
+                "forecast": round(decision.forecast, 3),
+                "config_version": call.admission.version,
+                "config_age": round(call.admission.config_age, 2),
+            },
+        )
+        return decision, ask
+
+    def _make_ask(self, call: Call) -> Ask:
+        now = asyncio.get_running_loop().time()
+        route, account = call.admission.route, call.admission.account
+        rank = route.rank if account is None or account.rank is None else account.rank
+        waited = now - call.arrived
+        return Ask(
+            self._own,
+            next(self._numbers),
+            call.facts.attempt,
+            call.service,
+            NO_ACCOUNT if account is None else account.id,
+            (rank, route.rank),
+            self._zone,
+            call.facts.prompt_tokens,
+            call.facts.output_tokens,
+            0.0 if account is None else _count_units(account, call.facts),
+            route.target_latency - waited,
+            call.patience - waited,
+            bool(call.tried),
+            tuple(call.tried),
+        )
+
+    def _may_go_on(self, call: Call, outcome: Outcome) -> bool:
+        rule = call.admission.route.repeat_rule
+        if outcome is Outcome.CUT and rule is not RepeatRule.RESUMABLE:
+            return False
+        if outcome is Outcome.LOST and rule is RepeatRule.AT_MOST_ONCE:
+            return False
+        if outcome is Outcome.NOT_SENT:
+            return True
+        if len(call.tried) >= call.admission.route.max_attempts:
+            return False
+        now = asyncio.get_running_loop().time()
+        return self._repeats.take(call.service, self.share, now)
+
+    def _give_up(self, call: Call, outcome: Outcome) -> None:
+        if outcome is Outcome.CUT:
+            call.responder.abort()
+            raise CallerGoneError
+        if outcome is Outcome.NOT_RUN:
+            raise Rejected(
+                Code.OVERLOADED, "The backend server declined.", RETRY_SECONDS
+            )
+        raise Rejected(Code.BACKEND_FAILED, "The backend server gave no response.")
+
+    async def _refuse(
+        self, facts: RequestFacts, responder: HttpResponder, rejected: Rejected
+    ) -> None:
+        if responder.started:
+            responder.abort()
+            return
+        headers, body = self._dialect.make_refusal(
+            facts.attempt, rejected.code, rejected.sentence, rejected.retry_after
+        )
+        await responder.send(read_status(rejected.code), headers, body)
+
+    async def _end_late(
+        self, call: Call | None, facts: RequestFacts, responder: HttpResponder
+    ) -> None:
+        code = Code.BACKEND_TIMEOUT
+        if call is not None and not call.tried:
+            code = Code.DEADLINE_UNREACHABLE
+        await self._refuse(facts, responder, Rejected(code, "The time is up."))
+
+    def _log_end(
+        self, facts: RequestFacts, call: Call | None, outcome: str, taken: float
+    ) -> None:
+        age = round(self._beliefs.measure_config_age(), 2)
+        LOG.info(
+            "ended",
+            extra={
+                "id": facts.attempt,
+                "outcome": outcome,
+                "taken": round(taken, 3),
+                "route": "" if call is None else call.admission.route.name,
+                "tried": [] if call is None else call.tried,
+                "config_version": self._beliefs.config.version,
+                "config_age": age if age < 1e6 else None,
+            },
+        )
+
+
+def _count_units(account: ClientAccount, facts: RequestFacts) -> float:
+    if not account.counts_tokens:
+        return 1.0
+    if not facts.has_token_counts:
+        return account.plain_units
+    return float(facts.prompt_tokens + facts.output_tokens)
--- a/fireflyquay/links/__init__.py
+++ b/fireflyquay/links/__init__.py
@@ -10,7 +10,7 @@
     RunStarted,
 )
 from ._engine_adapter import EngineAdapter
-from ._http_client import HttpClient, HttpExchange
+from ._http_client import ExchangeTerms, HttpClient, HttpExchange
 from ._http_message import (
     CallerGoneError,
     HttpFailure,
@@ -18,14 +18,17 @@
     HttpRequest,
     HttpResponse,
     HttpStream,
+    RawHeaders,
 )
 from ._http_responder import HttpResponder
 from ._http_server import HttpServer
+from ._line_log import LineHandler
 from ._logs import get_logger, make_handler
 from ._metrics import Metrics
 from ._peer import Envelope, PeerAddress, PeerLink, PeerTraffic
 from ._service_adapter import ServiceAdapter
 from ._sse import SseEvent, SseParser, encode_sse
+from ._statuses import read_status
 from ._store import HttpStore, HttpVmList, Store, VmList
 
 __all__ = [
@@ -35,6 +38,7 @@
     "BackendLoad",
     "CallerGoneError",
     "EngineAdapter",
+    "ExchangeTerms",
     "HttpClient",
     "HttpExchange",
     "HttpFailure",
@@ -46,6 +50,7 @@
     "HttpStore",
     "HttpStream",
     "HttpVmList",
+    "RawHeaders",
     "RunChunk",
     "RunFinished",
     "RunStarted",
@@ -57,6 +62,8 @@
     "encode_sse",
     "get_logger",
     "make_handler",
+    "read_status",
+    "LineHandler",
     "Metrics",
     "Envelope",
     "PeerAddress",
--- a/fireflyquay/links/_http_client.py
+++ b/fireflyquay/links/_http_client.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
 from types import TracebackType
 
 import h11
@@ -20,6 +21,27 @@
 from ._http_pool import Address, ClientConnection, ConnectionPool, open_connection
 
 
+@dataclass(frozen=True, slots=True)
+class ExchangeTerms:
+    """Say how one exchange treats its connection."""
+
+    # Seconds to wait for a new connection; None takes the exchange's timeout.
+    connect_timeout: float | None = None
+    # Seconds that a reused connection may have been idle; None takes the pool's.
+    max_idle: float | None = None
+    # Tells whether a response's headers answer this request; None accepts all.
+    is_own: Callable[[dict[str, str]], bool] | None = None
+
+
+def parse_keep_alive(value: str) -> float | None:
+    """Return the seconds that a Keep-Alive header promises."""
+    for part in value.split(","):
+        name, _, seconds = part.strip().partition("=")
+        if name.lower() == "timeout" and seconds.isdigit():
+            return float(seconds)
+    return None
+
+
 class HttpExchange:
     """Run one exchange as an async context manager that gives an HttpStream.
 
@@ -34,6 +56,7 @@
         head: h11.Request,
         body: bytes,
         timeout: float,
+        terms: ExchangeTerms,
     ) -> None:
         self._pool = pool
         self._limits = limits
@@ -41,6 +64,7 @@
         self._head = head
         self._body = body
         self._timeout = timeout
+        self._terms = terms
         self._connection: ClientConnection | None = None
         self._complete = False
         # Whether any byte of the request may have reached the peer.
@@ -49,11 +73,15 @@
     async def __aenter__(self) -> HttpStream:
         try:
             self._connection = await self._send()
-            response = await self._read_head()
+            response = await self._read_own_head()
         except BaseException:
             self._release()
             raise
-        return HttpStream(response.status_code, join_headers(response.headers), self)
+        headers = join_headers(response.headers)
+        self._connection.kept_for = parse_keep_alive(headers.get("keep-alive", ""))
+        return HttpStream(
+            response.status_code, headers, self, response.headers.raw_items()
+        )
 
     async def __aexit__(
         self,
@@ -79,7 +107,8 @@
 
     async def _send(self) -> ClientConnection:
         now = asyncio.get_running_loop().time()
-        while (kept := self._pool.take(self._address, now)) is not None:
+        max_idle = self._terms.max_idle
+        while (kept := self._pool.take(self._address, now, max_idle)) is not None:
             if self._send_on(kept):
                 return kept
         fresh = await self._connect()
@@ -96,7 +125,7 @@
 
     async def _connect(self) -> ClientConnection:
         try:
-            async with asyncio.timeout(self._timeout):
+            async with asyncio.timeout(self._terms.connect_timeout or self._timeout):
                 return await open_connection(self._address, self._limits)
         except TimeoutError:
             raise self._fail(
@@ -105,6 +134,18 @@
         except OSError as error:
             raise self._fail(Code.STREAM_LOST, f"No connection: {error}.") from None
 
+    async def _read_own_head(self) -> h11.Response:
+        """Return the head of the response, passing over strangers' responses."""
+        while True:
+            response = await self._read_head()
+            is_own = self._terms.is_own
+            if is_own is None or is_own(join_headers(response.headers)):
+                return response
+            while isinstance(await self._next_event(), h11.Data):
+                pass
+            assert self._connection is not None
+            self._connection.expect_again(self._head, self._body)
+
     async def _read_head(self) -> h11.Response:
         while True:
             event = await self._next_event()
@@ -140,6 +181,9 @@
         connection.close()
 
 
+DEFAULT_TERMS = ExchangeTerms()
+
+
 class HttpClient:
     """Send requests, keeping connections for the next ones."""
 
@@ -185,15 +229,33 @@
         The timeout in seconds bounds connecting and each wait for bytes.
         """
         pairs = [("host", f"{host}:{port}"), *headers.items()]
+        return self.forward((host, port), method, target, pairs, body, timeout)
+
+    def forward(
+        self,
+        address: Address,
+        method: str,
+        target: str | bytes,
+        pairs: list[tuple[str | bytes, str | bytes]],
+        body: bytes,
+        timeout: float,
+        terms: ExchangeTerms = DEFAULT_TERMS,
+    ) -> HttpExchange:
+        """Prepare an exchange with the headers as given, the length added.
+
+        The timeout in seconds bounds each wait for bytes.
+        """
         if body or method not in ("GET", "HEAD", "DELETE"):
-            pairs.append(("content-length", str(len(body))))
+            pairs = [*pairs, ("Content-Length", str(len(body)))]
         try:
             head = h11.Request(method=method, target=target, headers=pairs)
         except (h11.LocalProtocolError, UnicodeError) as error:
             raise HttpFailure(
                 Code.BAD_REQUEST, f"Bad request: {error}.", False
             ) from None
-        return HttpExchange(self._pool, self._limits, (host, port), head, body, timeout)
+        return HttpExchange(
+            self._pool, self._limits, address, head, body, timeout, terms
+        )
 
     async def close(self) -> None:
         """Close the connections that no exchange uses."""
--- a/fireflyquay/links/_http_connection.py
+++ b/fireflyquay/links/_http_connection.py
@@ -166,7 +166,15 @@
                 body = await self._read_body(headers)
         except TimeoutError:
             raise _judge_slow(headers) from None
-        return HttpRequest(head.method.decode("ascii"), path, query, headers, body)
+        return HttpRequest(
+            head.method.decode("ascii"),
+            path,
+            query,
+            headers,
+            body,
+            head.target,
+            head.headers.raw_items(),
+        )
 
     async def _read_body(self, headers: dict[str, str]) -> bytes:
         self._check_body_size(int(headers.get("content-length", "0")))
--- a/fireflyquay/links/_http_message.py
+++ b/fireflyquay/links/_http_message.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 from dataclasses import dataclass
 
 from fireflyquay.world import Code, FireflyquayError
@@ -11,6 +11,9 @@
 READ_CHUNK_BYTES = 64 * 1024
 
 
+RawHeaders = Sequence[tuple[bytes, bytes]]
+
+
 @dataclass(frozen=True, slots=True)
 class HttpLimits:
     """Bound what one connection may cost."""
@@ -40,6 +43,10 @@
     # Names in lower case; repeated headers are joined by commas.
     headers: dict[str, str]
     body: bytes
+    # Path and query as sent.
+    target: bytes = b""
+    # Names and values as sent, in their order.
+    raw_headers: RawHeaders = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,6 +66,8 @@
     headers: dict[str, str]
     # Ends with the body; raises HttpFailure when the body is cut off.
     chunks: AsyncIterator[bytes]
+    # Names and values as sent, in their order.
+    raw_headers: RawHeaders = ()
 
     def __aiter__(self) -> AsyncIterator[bytes]:
         return self.chunks
@@ -80,7 +89,7 @@
         super().__init__(Code.CALLER_GONE, "The caller's connection is closed.")
 
 
-def join_headers(raw: list[tuple[bytes, bytes]]) -> dict[str, str]:
+def join_headers(raw: RawHeaders) -> dict[str, str]:
     """Decode headers and join the values of repeated names."""
     headers: dict[str, str] = {}
     for raw_name, raw_value in raw:
--- a/fireflyquay/links/_http_pool.py
+++ b/fireflyquay/links/_http_pool.py
@@ -10,12 +10,16 @@
 
 from ._http_message import READ_CHUNK_BYTES, HttpLimits
 from ._http_responder import abort_connection
+from ._sockets import configure_socket
 from ._watched_reader import WatchedReader
 
 Address = tuple[str, int]
 
 # Idle connections kept to one address.
 MAX_IDLE_PER_ADDRESS = 64
+# Seconds before a peer's stated idle timeout at which its connection is left alone:
+# the request must arrive before the peer closes, over a slow link too.
+CLOSING_MARGIN_SECONDS = 0.5
 
 
 class ClientConnection:
@@ -36,6 +40,30 @@
         self._consumed = 0
         # Loop time at which the last exchange ended.
         self.idle_since = 0.0
+        # Seconds that the peer keeps the connection, if it has said so.
+        self.kept_for: float | None = None
+        self._limits = limits
+
+    @property
+    def has_unsent_bytes(self) -> bool:
+        """Tell whether bytes still wait to be sent."""
+        return self._writer.transport.get_write_buffer_size() > 0
+
+    def expect_again(self, head: h11.Request, body: bytes) -> None:
+        """Read on after a response that belongs to another request."""
+        rest, is_closed = self._http.trailing_data
+        self._http = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=self._limits.max_header_bytes
+        )
+        # Brings the parser to the state after sending; the bytes went out before.
+        self._http.send(head)
+        if body:
+            self._http.send(h11.Data(data=body))
+        self._http.send(h11.EndOfMessage())
+        if rest:
+            self._http.receive_data(rest)
+        if is_closed:
+            self._http.receive_data(b"")
 
     def send(self, head: h11.Request, body: bytes) -> bool:
         """Send a request; return False if no byte of it was taken."""
@@ -72,7 +100,7 @@
 
     def make_reusable(self) -> bool:
         """Get ready for another request if the last exchange ended well."""
-        if self._http.our_state is not h11.DONE:
+        if self._http.our_state is not h11.DONE or self.has_unsent_bytes:
             return False
         if self._http.their_state is not h11.DONE or self._http.trailing_data[0]:
             return False
@@ -91,6 +119,7 @@
     protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
     transport, _ = await loop.create_connection(lambda: protocol, *address)
     writer = asyncio.StreamWriter(transport, protocol, reader, loop)
+    configure_socket(writer)
     return ClientConnection(reader, writer, limits)
 
 
@@ -101,12 +130,18 @@
         self._idle_timeout = idle_timeout
         self._idle: dict[Address, deque[ClientConnection]] = {}
 
-    def take(self, address: Address, now: float) -> ClientConnection | None:
+    def take(
+        self, address: Address, now: float, max_idle: float | None = None
+    ) -> ClientConnection | None:
         """Take the connection used last, dropping those idle for too long."""
         idle = self._idle.get(address)
+        limit = self._idle_timeout if max_idle is None else max_idle
         while idle:
             connection = idle.pop()
-            if now - connection.idle_since < self._idle_timeout:
+            kept_for = min(limit, self._idle_timeout)
+            if connection.kept_for is not None:
+                kept_for = min(kept_for, connection.kept_for - CLOSING_MARGIN_SECONDS)
+            if now - connection.idle_since < kept_for:
                 return connection
             connection.close()
         self._idle.pop(address, None)
--- a/fireflyquay/links/_http_responder.py
+++ b/fireflyquay/links/_http_responder.py
@@ -9,12 +9,20 @@
 
 import h11
 
-from ._http_message import CallerGoneError, HttpLimits
+from ._http_message import CallerGoneError, HttpLimits, RawHeaders
 
 # Makes close() reset the connection, so that a cut answer never looks whole.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
+Headers = Mapping[str, str] | RawHeaders
+
+
+def list_headers(headers: Headers) -> list[tuple[bytes | str, bytes | str]]:
+    """Return headers as pairs."""
+    return list(headers.items() if isinstance(headers, Mapping) else headers)
+
+
 def abort_connection(writer: asyncio.StreamWriter) -> None:
     """Reset a connection and drop what is still to be written."""
     sock = writer.get_extra_info("socket")
@@ -50,13 +58,14 @@
         # Whether the response is complete.
         self.finished = False
 
-    async def send(self, status: int, headers: Mapping[str, str], body: bytes) -> None:
+    async def send(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a whole response."""
-        head = self._make_head(status, {**headers, "content-length": str(len(body))})
+        length = ("content-length", str(len(body)))
+        head = self._make_head(status, [*list_headers(headers), length])
         data = self._start(head) + self._encode(body) + self._end()
         await self._push(data)
 
-    async def start(self, status: int, headers: Mapping[str, str]) -> None:
+    async def start(self, status: int, headers: Headers) -> None:
         """Send the status and headers of a response in chunks."""
         await self._push(self._start(self._make_head(status, headers)))
 
@@ -73,8 +82,8 @@
         self.finished = True
         abort_connection(self._writer)
 
-    def _make_head(self, status: int, headers: Mapping[str, str]) -> h11.Response:
-        pairs = list(headers.items())
+    def _make_head(self, status: int, headers: Headers) -> h11.Response:
+        pairs = list_headers(headers)
         if self._is_closing():
             pairs.append(("connection", "close"))
         return h11.Response(status_code=status, headers=pairs)
--- a/fireflyquay/links/_http_server.py
+++ b/fireflyquay/links/_http_server.py
@@ -8,6 +8,7 @@
 from ._http_connection import ServerConnection
 from ._http_message import HttpLimits, HttpRequest
 from ._http_responder import HttpResponder, abort_connection
+from ._sockets import configure_socket
 from ._watched_reader import WatchedReader
 
 Handler = Callable[[HttpRequest, HttpResponder], Awaitable[None]]
@@ -24,12 +25,31 @@
         self._limits = limits
         self._server: asyncio.Server | None = None
         self._connections: dict[asyncio.Task[None], ServerConnection] = {}
+        # Whether each response ends its connection.
         self._closing = False
+        # Whether new connections are reset.
+        self._refusing = False
+
+    @property
+    def limits(self) -> HttpLimits:
+        """Return the limits of new connections."""
+        return self._limits
+
+    def set_limits(self, limits: HttpLimits) -> None:
+        """Bound connections that are accepted from now on."""
+        self._limits = limits
+
+    def stop_keeping(self) -> None:
+        """Close idle connections and end each other one with its response."""
+        self._closing = True
+        for connection in self._connections.values():
+            connection.close_if_idle()
 
     async def start(self, host: str, port: int) -> int:
         """Listen and return the port, which the system picks for port 0."""
         loop = asyncio.get_running_loop()
         self._closing = False
+        self._refusing = False
         self._server = await loop.create_server(
             self._make_protocol, host, port, backlog=ACCEPT_BACKLOG
         )
@@ -37,11 +57,10 @@
 
     async def close(self, grace: float) -> None:
         """Stop accepting and give exchanges in progress some seconds to end."""
-        self._closing = True
+        self.stop_keeping()
+        self._refusing = True
         if self._server is not None:
             self._server.close()
-        for connection in self._connections.values():
-            connection.close_if_idle()
         if self._connections and grace > 0:
             await asyncio.wait(self._connections, timeout=grace)
         await self._cut_off_rest()
@@ -62,9 +81,10 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         assert isinstance(reader, WatchedReader)
-        if self._closing:
+        if self._refusing:
             abort_connection(writer)
             return
+        configure_socket(writer)
         connection = ServerConnection(
             reader, writer, self._handler, self._limits, lambda: self._closing
         )
--- /dev/null
+++ b/fireflyquay/links/_line_log.py
@@ -0,0 +1,97 @@
+"""Structured log lines on a stream, bounded and never blocking."""
+
+from __future__ import annotations
+
+import os
+from collections import deque
+from datetime import UTC, datetime
+from typing import Any
+
+import logbook
+import msgspec
+
+# Bytes that wait for a reader of the log; what is beyond is dropped and counted.
+MAX_WAITING_BYTES = 256 * 1024
+# Seconds over which lines of one kind are counted.
+RATE_WINDOW_SECONDS = 1.0
+
+
+class LineHandler(logbook.Handler):
+    """Write each record as a JSON line without waiting for the reader.
+
+    Lines of one event are bound to a rate; the next line that passes tells how many
+    were left out.
+    """
+
+    def __init__(self, descriptor: int, lines_per_second: int) -> None:
+        super().__init__()
+        self._descriptor = descriptor
+        self._lines_per_second = lines_per_second
+        self._waiting: deque[bytes] = deque()
+        self._waiting_bytes = 0
+        self._dropped = 0
+        self._counts: dict[tuple[str, str], tuple[float, int]] = {}
+        self._left_out: dict[tuple[str, str], int] = {}
+        os.set_blocking(descriptor, False)
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        """Queue a record and write what the stream takes."""
+        kind = (record.channel, str(record.msg))
+        time = record.time.replace(tzinfo=UTC)
+        left_out = self._count(kind, time)
+        if left_out is None:
+            return
+        line: dict[str, Any] = {
+            "time": time.isoformat(timespec="milliseconds"),
+            "level": record.level_name,
+            "part": record.channel,
+            "event": record.message,
+            **record.extra,
+        }
+        if left_out:
+            line["left_out"] = left_out
+        if record.formatted_exception:
+            line["trace"] = record.formatted_exception
+        self._queue(msgspec.json.encode(line, enc_hook=str) + b"\n")
+        self.flush()
+
+    def flush(self) -> None:
+        """Write waiting lines until the stream takes no more."""
+        while self._waiting:
+            line = self._waiting[0]
+            try:
+                written = os.write(self._descriptor, line)
+            except BlockingIOError:
+                return
+            except OSError:
+                # Nobody reads the log any more; there is nowhere to say so.
+                self._waiting.clear()
+                self._waiting_bytes = 0
+                return
+            self._waiting_bytes -= written
+            if written < len(line):
+                self._waiting[0] = line[written:]
+                return
+            self._waiting.popleft()
+
+    def _count(self, kind: tuple[str, str], time: datetime) -> int | None:
+        now = time.timestamp()
+        began, count = self._counts.get(kind, (now, 0))
+        if not 0 <= now - began < RATE_WINDOW_SECONDS:
+            began, count = now, 0
+        self._counts[kind] = (began, count + 1)
+        if count >= self._lines_per_second:
+            self._left_out[kind] = self._left_out.get(kind, 0) + 1
+            return None
+        return self._left_out.pop(kind, 0)
+
+    def _queue(self, line: bytes) -> None:
+        if self._waiting_bytes + len(line) > MAX_WAITING_BYTES:
+            self._dropped += 1
+            return
+        if self._dropped:
+            note = {"event": "log lines dropped", "count": self._dropped}
+            self._dropped = 0
+            line = msgspec.json.encode(note) + b"\n" + line
+        self._waiting.append(line)
+        self._waiting_bytes += len(line)
--- a/fireflyquay/links/_watched_reader.py
+++ b/fireflyquay/links/_watched_reader.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 # Unparsed bytes at which a connection is no longer read.
 READ_BUFFER_BYTES = 64 * 1024
@@ -18,6 +19,8 @@
         super().__init__(limit=READ_BUFFER_BYTES, loop=loop)
         # Set once the peer has closed or the connection is lost.
         self.closed = asyncio.Event()
+        # Called once when the peer has closed or the connection is lost.
+        self.on_closed: Callable[[], None] | None = None
         # Bytes that have arrived, read or not.
         self.received = 0
 
@@ -29,9 +32,15 @@
     def feed_eof(self) -> None:
         """Note the end of input."""
         super().feed_eof()
-        self.closed.set()
+        self._note_closed()
 
     def set_exception(self, exc: BaseException) -> None:
         """Note a lost connection."""
         super().set_exception(exc)
+        self._note_closed()
+
+    def _note_closed(self) -> None:
         self.closed.set()
+        callback, self.on_closed = self.on_closed, None
+        if callback is not None:
+            callback()
--- a/fireflyquay/world/_ids.py
+++ b/fireflyquay/world/_ids.py
@@ -17,3 +17,8 @@
 ExchangeId = NewType("ExchangeId", int)
 ChangeId = NewType("ChangeId", str)
 Fingerprint = NewType("Fingerprint", str)
+ServiceId = NewType("ServiceId", str)
+ClientAccountId = NewType("ClientAccountId", str)
+ModelName = NewType("ModelName", str)
+# Drawn by the client for each attempt.
+AttemptId = NewType("AttemptId", str)
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -6,7 +6,16 @@
 import pytest
 
 PRODUCT = Path(__file__).parent.parent / "fireflyquay"
-RANK = {"world": 0, "decisions": 1, "links": 2, "client": 2, "daemons": 3}
+RANK = {
+    "world": 0,
+    "checks": 1,
+    "decisions": 1,
+    "dispatch": 1,
+    "links": 2,
+    "client": 2,
+    "gateway": 3,
+    "daemons": 4,
+}
 OUTSIDE = {"standins", "measure", "proofs", "demo", "tests", "subprocess"}
 
 
