--- a/fireflyquay/decisions/__init__.py
+++ b/fireflyquay/decisions/__init__.py
@@ -63,7 +63,7 @@
 from ._node import Node
 from ._node_settings import NodeSettings
 from ._node_status import EntryAddress, EntryList, NodeStatus
-from ._peer_message import PEER_MESSAGE
+from ._peer_message import PEER_MESSAGE, MembershipMessage
 from ._quarantine import CrashReport, Quarantine, QuarantineSettings, QuarantineState
 from ._record_codec import BACKEND_CODEC, CONTRACT_CODEC, RecordCodec
 from ._rendezvous import choose_one, rank
@@ -141,6 +141,7 @@
     "MemberDigest",
     "MemberRecord",
     "Membership",
+    "MembershipMessage",
     "MembershipSettings",
     "Message",
     "Node",
--- a/fireflyquay/dispatch/_backend_book.py
+++ b/fireflyquay/dispatch/_backend_book.py
@@ -4,6 +4,9 @@
 
 from collections.abc import Iterable
 
+import msgspec
+from xxhash import xxh64_intdigest
+
 from fireflyquay.world import BackendEntry, BackendPhase, BackendServerId, ServiceId
 
 from ._proof import Proof
@@ -14,11 +17,12 @@
 
 
 class BackendBook:
-    """Keep the registered backend servers; older lists and events change nothing."""
+    """Keep the registered backend servers; older lists change nothing."""
 
     def __init__(self) -> None:
         self._entries: dict[BackendServerId, BackendEntry] = {}
         self._lapsed: dict[BackendServerId, float] = {}
+        self._digest: int | None = None
         self.proof = Proof(0, float("-inf"))
 
     def replace_all(
@@ -35,24 +39,23 @@
         changes = self._keep_lapsed(fresh, proof, after_outage)
         changes += _compare(self._entries, fresh)
         self._entries = fresh
+        self._digest = None
         self.proof = proof
         return changes
 
-    def apply(
-        self, entry: BackendEntry | None, name: BackendServerId, revision: int
-    ) -> list[str]:
-        """Take one change; None removes the entry."""
-        if revision <= self.proof.revision:
-            return []
-        fresh = dict(self._entries)
-        fresh.pop(name, None)
-        if entry is not None:
-            fresh[name] = entry
-        changes = _compare(self._entries, fresh)
-        self._entries = fresh
-        self._lapsed.pop(name, None)
-        self.proof = Proof(revision, self.proof.proven_at)
-        return changes
+    @property
+    def digest(self) -> int:
+        """Return a hash of all entries."""
+        if self._digest is None:
+            ordered = sorted(self._entries.items())
+            self._digest = xxh64_intdigest(msgspec.msgpack.encode(ordered)) >> 1
+        return self._digest
+
+    def prove(self, proof: Proof) -> None:
+        """Note that the entries were current at a later moment."""
+        if proof.proven_at > self.proof.proven_at:
+            revision = max(proof.revision, self.proof.revision)
+            self.proof = Proof(revision, proof.proven_at)
 
     def get(self, name: BackendServerId) -> BackendEntry | None:
         """Return an entry, None if the backend server is gone."""
--- a/fireflyquay/dispatch/_config_book.py
+++ b/fireflyquay/dispatch/_config_book.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Sequence
 
-from fireflyquay.world import ClientAccount, FleetConfig, Route
+from fireflyquay.world import ClientAccount, ClientAccountId, FleetConfig, Route
 
 from ._proof import Proof
 
@@ -17,6 +17,7 @@
         self.proof = Proof(0, float("-inf"))
         self._routes: dict[str, list[Route]] = {}
         self._accounts: dict[str, ClientAccount] = {}
+        self._by_id: dict[ClientAccountId, ClientAccount] = {}
 
     @property
     def version(self) -> int:
@@ -54,6 +55,10 @@
         """Return the client account that holds a key."""
         return self._accounts.get(key)
 
+    def get_account(self, name: ClientAccountId) -> ClientAccount | None:
+        """Return a client account by its id."""
+        return self._by_id.get(name)
+
     def _index(self, config: FleetConfig) -> None:
         routes: dict[str, list[Route]] = {}
         for route in config.routes:
@@ -62,6 +67,7 @@
             of_host.sort(key=lambda route: len(route.path_prefix), reverse=True)
         self._routes = routes
         self._accounts = _index_keys(config.accounts)
+        self._by_id = {account.id: account for account in config.accounts}
 
 
 def _index_keys(accounts: Sequence[ClientAccount]) -> dict[str, ClientAccount]:
--- /dev/null
+++ b/fireflyquay/dispatch/_control_message.py
@@ -0,0 +1,155 @@
+"""Messages between VMs on places and on what is known."""
+
+from __future__ import annotations
+
+from fireflyquay.decisions import MembershipMessage, Message
+from fireflyquay.world import (
+    BackendEntry,
+    BackendServerId,
+    ClientAccountId,
+    FleetConfig,
+    Incarnation,
+)
+
+from ._grant import Ask, Grant, Refusal
+
+
+class Queued(Message):
+    """Tell that an ask has arrived and waits."""
+
+    number: int
+
+
+class Withdrawal(Message):
+    """Drop an ask, waiting or granted, that nobody wants any more."""
+
+    number: int
+
+
+class FirstOutput(Message):
+    """Tell that a run has begun to give output."""
+
+    number: int
+    backend: BackendServerId
+
+
+class Ended(Message):
+    """Tell that a run is over."""
+
+    number: int
+    backend: BackendServerId
+    output_tokens: int
+    failed: bool
+
+
+class Pause(Message):
+    """Ask that a backend server be left alone for some seconds."""
+
+    backend: BackendServerId
+    seconds: float
+
+
+class Crashed(Message):
+    """Tell that a request crashed the backend server that ran it."""
+
+    fingerprint: str
+
+
+class HeldRun(Message):
+    """Describe a place in use."""
+
+    ask: Ask
+    backend: BackendServerId
+    # Seconds since it was granted.
+    held: float
+
+
+class Handover(Message):
+    """Tell a new coordinator what the sender holds and has lately used."""
+
+    runs: tuple[HeldRun, ...]
+    # Quota units that were given out lately.
+    usage: tuple[tuple[ClientAccountId, float], ...]
+    # Crashes by fingerprint.
+    crashes: tuple[tuple[str, int], ...]
+
+
+class Holding(Message):
+    """Tell what the sender holds now, in case messages were lost."""
+
+    runs: tuple[HeldRun, ...]
+
+
+class Detach(Message):
+    """Tell a coordinator that the sender has turned to another."""
+
+
+class Probe(Message):
+    """Ask how recent the receiver's knowledge is."""
+
+    number: int
+    is_ready: bool
+
+
+class ProbeAnswer(Message):
+    """Tell what is known, and the age of its proof in seconds."""
+
+    number: int
+    config_version: int
+    config_revision: int
+    config_age: float
+    backends_digest: int
+    backends_revision: int
+    backends_age: float
+    # Members that take no requests at present.
+    unready: tuple[Incarnation, ...]
+
+
+class WantConfig(Message):
+    """Ask for the configuration."""
+
+    number: int
+
+
+class ConfigNews(Message):
+    """Carry the configuration and the age of its proof."""
+
+    number: int
+    config: FleetConfig
+    revision: int
+    age: float
+
+
+class WantBackends(Message):
+    """Ask for the registered backend servers."""
+
+    number: int
+
+
+class BackendsNews(Message):
+    """Carry the registered backend servers and the age of their proof."""
+
+    number: int
+    entries: tuple[BackendEntry, ...]
+    revision: int
+    age: float
+
+
+KnowledgeMessage = (
+    Probe | ProbeAnswer | WantConfig | ConfigNews | WantBackends | BackendsNews
+)
+CoordinatorMessage = (
+    Ask
+    | Withdrawal
+    | FirstOutput
+    | Ended
+    | Pause
+    | Crashed
+    | Handover
+    | Holding
+    | Detach
+)
+FollowerMessage = Grant | Refusal | Queued
+CONTROL_MESSAGE = (
+    MembershipMessage | KnowledgeMessage | CoordinatorMessage | FollowerMessage
+)
--- /dev/null
+++ b/fireflyquay/dispatch/_coordinator.py
@@ -0,0 +1,184 @@
+"""Gives out places, quotas and repeats to all VMs that turn to it."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from fireflyquay.world import (
+    BackendEntry,
+    BackendServerId,
+    ClientAccountId,
+    Code,
+    Incarnation,
+)
+
+from ._backend_load import AskKey
+from ._config_book import ConfigBook
+from ._control_message import (
+    CoordinatorMessage,
+    Crashed,
+    Detach,
+    Ended,
+    FirstOutput,
+    Handover,
+    HeldRun,
+    Holding,
+    Pause,
+    Withdrawal,
+)
+from ._crash_list import CrashList
+from ._grant import Ask, Decision, Refusal
+from ._grantor import Grantor
+from ._quota import QuotaBook
+from ._repeat_budget import RepeatBudget
+
+# Seconds after which a request that crashed backend servers may come again.
+BARRED_RETRY_SECONDS = 60.0
+# Bounds of what a client over its quota is told, in seconds.
+MIN_QUOTA_RETRY_SECONDS = 0.2
+MAX_QUOTA_RETRY_SECONDS = 4.0
+REPEAT_RETRY_SECONDS = 0.5
+# Seconds of use that a handover tells of.
+USAGE_SECONDS = 4.0
+
+
+class Coordinator:
+    """Decide on asks; each VM has one, and most turn to the same."""
+
+    def __init__(
+        self, config: ConfigBook, grantor: Grantor, repeats: RepeatBudget
+    ) -> None:
+        self._config = config
+        self._grantor = grantor
+        self._repeats = repeats
+        self.quotas = QuotaBook()
+        self.crashes = CrashList()
+        # VMs that turn to this one, this one excluded.
+        self.followers: set[Incarnation] = set()
+        # Quota units of asks that wait.
+        self._charged: dict[AskKey, tuple[ClientAccountId, float]] = {}
+        # Part of places, quotas and repeats that may be given out here.
+        self.share = 1.0
+
+    def set_share(self, share: float) -> None:
+        """Set the part that may be given out here."""
+        self.share = share
+        self._grantor.share = share
+
+    def ask(self, ask: Ask, now: float) -> list[Decision]:
+        """Decide on an ask, or let it wait."""
+        if self.crashes.is_barred(ask.fingerprint):
+            reason = "it crashed several backend servers"
+            return [self._refuse(ask, Code.QUARANTINED, BARRED_RETRY_SECONDS, reason)]
+        if not ask.is_repeat:
+            self._repeats.note_request(ask.service, now)
+            return self._charge(ask, now) or self._grant(ask, now)
+        if not self._repeats.take(ask.service, self.share, now):
+            reason = "the budget for repeats is used up"
+            return [self._refuse(ask, Code.OVERLOADED, REPEAT_RETRY_SECONDS, reason)]
+        return self._grant(ask, now)
+
+    def take(
+        self, sender: Incarnation, message: CoordinatorMessage, now: float
+    ) -> list[Decision]:
+        """Take a follower's message and return the decisions that follow."""
+        grantor = self._grantor
+        match message:
+            case Ask():
+                self.followers.add(sender)
+                return self.ask(message, now)
+            case Withdrawal(number):
+                self._give_back((sender, number))
+                return self._settle(grantor.withdraw((sender, number), now))
+            case FirstOutput(number, backend):
+                grantor.note_first_output((sender, number), backend, now)
+            case Ended(number, backend, output_tokens, failed):
+                key = (sender, number)
+                return self._settle(
+                    grantor.release(key, backend, output_tokens, failed, now)
+                )
+            case Pause(backend, seconds):
+                grantor.pause(backend, now + seconds)
+            case Crashed(fingerprint):
+                self.crashes.note_crash(fingerprint)
+            case Handover():
+                return self._adopt(sender, message, now)
+            case Holding(runs):
+                return self._settle(self._reconcile(sender, runs, now))
+            case Detach():
+                return self.forget(sender, now)
+        return []
+
+    def adopt(self, backend: BackendServerId, ask: Ask, now: float) -> None:
+        """Count a run that another coordinator granted."""
+        self._grantor.adopt(backend, ask, now)
+
+    def set_backends(self, entries: Iterable[BackendEntry]) -> None:
+        """Take the backend servers that may be given requests."""
+        self._grantor.set_backends(entries)
+
+    def forget(self, owner: Incarnation, now: float) -> list[Decision]:
+        """Drop all asks and runs of a VM."""
+        self.followers.discard(owner)
+        for key in [key for key in self._charged if key[0] == owner]:
+            self._give_back(key)
+        return self._settle(self._grantor.forget(owner, now))
+
+    def advance(self, now: float) -> list[Decision]:
+        """Look at waiting asks."""
+        return self._settle(self._grantor.advance(now))
+
+    def _grant(self, ask: Ask, now: float) -> list[Decision]:
+        return self._settle(self._grantor.ask(ask, now))
+
+    def _settle(self, decisions: list[Decision]) -> list[Decision]:
+        """Give back the quota of refused asks; that of granted ones is spent."""
+        for decision in decisions:
+            key = (decision.owner, decision.number)
+            if isinstance(decision, Refusal):
+                self._give_back(key)
+            else:
+                self._charged.pop(key, None)
+        return decisions
+
+    def _give_back(self, key: AskKey) -> None:
+        charged = self._charged.pop(key, None)
+        if charged is not None:
+            self.quotas.give_back(*charged)
+
+    def _charge(self, ask: Ask, now: float) -> list[Decision]:
+        account = self._config.get_account(ask.account)
+        if account is None:
+            return []
+        missing = self.quotas.charge(account, ask.units, self.share, now)
+        if missing <= 0:
+            self._charged[ask.owner, ask.number] = (account.id, ask.units)
+            return []
+        retry = max(MIN_QUOTA_RETRY_SECONDS, min(MAX_QUOTA_RETRY_SECONDS, missing))
+        reason = f"the quota lacks {ask.units:.0f} units for {missing:.2f} s"
+        return [self._refuse(ask, Code.QUOTA_EXCEEDED, retry, reason)]
+
+    def _adopt(
+        self, sender: Incarnation, handover: Handover, now: float
+    ) -> list[Decision]:
+        self.followers.add(sender)
+        decisions = self._reconcile(sender, handover.runs, now)
+        for account_id, units in handover.usage:
+            account = self._config.get_account(account_id)
+            if account is not None:
+                self.quotas.deduct(account, units, now)
+        for fingerprint, count in handover.crashes:
+            self.crashes.raise_to(fingerprint, count)
+        return self._settle(decisions)
+
+    def _reconcile(
+        self, sender: Incarnation, runs: tuple[HeldRun, ...], now: float
+    ) -> list[Decision]:
+        held = {(sender, run.ask.number) for run in runs}
+        decisions = self._grantor.drop_unheld(sender, held, now)
+        for run in runs:
+            self._grantor.adopt(run.backend, run.ask, now - run.held)
+        return decisions
+
+    def _refuse(self, ask: Ask, code: Code, seconds: float, reason: str) -> Refusal:
+        return Refusal(ask.owner, ask.number, code, seconds, reason)
--- a/fireflyquay/dispatch/_grant.py
+++ b/fireflyquay/dispatch/_grant.py
@@ -2,20 +2,20 @@
 
 from __future__ import annotations
 
-import msgspec
-
+from fireflyquay.decisions import Message
 from fireflyquay.world import (
     AttemptId,
     BackendServerId,
     ClientAccountId,
     Code,
+    Fingerprint,
     Incarnation,
     ServiceId,
     ZoneId,
 )
 
 
-class Ask(msgspec.Struct, frozen=True, array_like=True, tag="ask"):
+class Ask(Message):
     """Ask for a place at a backend server of a service."""
 
     # Entry VM and its number of the ask; together they are unique.
@@ -35,13 +35,15 @@
     # timeout ends; the objective may have passed.
     to_objective: float
     to_give_up: float
+    # Of caller, path and body.
+    fingerprint: Fingerprint
     # Whether the request was sent to a backend server before.
     is_repeat: bool = False
     # Backend servers that are not to be chosen.
     excluded: tuple[BackendServerId, ...] = ()
 
 
-class Grant(msgspec.Struct, frozen=True, array_like=True, tag="grant"):
+class Grant(Message):
     """Give an ask a place."""
 
     owner: Incarnation
@@ -53,7 +55,7 @@
     forecast: float
 
 
-class Refusal(msgspec.Struct, frozen=True, array_like=True, tag="refusal"):
+class Refusal(Message):
     """Refuse an ask for good."""
 
     owner: Incarnation
--- a/fireflyquay/dispatch/_grantor.py
+++ b/fireflyquay/dispatch/_grantor.py
@@ -17,6 +17,9 @@
 from ._backend_load import TRIAL_SECONDS, AskKey, BackendLoad, Run
 from ._grant import Ask, Decision, Grant, Refusal
 
+# Seconds in which a grant reaches its owner; a lost packet takes 200 ms more.
+DELIVERY_SECONDS = 0.5
+
 
 @dataclass(frozen=True, slots=True)
 class GrantorSettings:
@@ -130,7 +133,22 @@
         """Count a run that was granted elsewhere."""
         load = self._find(backend)
         if load is not None:
-            load.runs[ask.owner, ask.number] = Run(ask, granted_at)
+            load.runs.setdefault((ask.owner, ask.number), Run(ask, granted_at))
+
+    def drop_unheld(
+        self, owner: Incarnation, held: set[AskKey], now: float
+    ) -> list[Decision]:
+        """Drop runs that their owner does not hold, unless it may not know yet."""
+        latest = now - DELIVERY_SECONDS
+        decisions: list[Decision] = []
+        for queue in self._services.values():
+            for load in queue.loads.values():
+                for key, run in list(load.runs.items()):
+                    is_old = run.granted_at < latest
+                    if key[0] == owner and key not in held and is_old:
+                        del load.runs[key]
+            decisions += self._advance(queue, now)
+        return decisions
 
     def forget(self, owner: Incarnation, now: float) -> list[Decision]:
         """Drop all requests of an entry VM that is gone."""
--- a/fireflyquay/dispatch/_quota.py
+++ b/fireflyquay/dispatch/_quota.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
 from dataclasses import dataclass
 
 from fireflyquay.world import ClientAccount, ClientAccountId
@@ -49,12 +48,10 @@
         if bucket is not None:
             bucket.level = min(bucket.burst, bucket.level + units)
 
-    def note_usage(self, usage: Mapping[ClientAccountId, float]) -> None:
-        """Deduct units that others have given out before this book took over."""
-        for account, units in usage.items():
-            bucket = self._buckets.get(account)
-            if bucket is not None:
-                bucket.level -= units
+    def deduct(self, account: ClientAccount, units: float, now: float) -> None:
+        """Take off units that another book has given out."""
+        if account.rate > 0:
+            self._fill(account, 1.0, now).level -= units
 
     def _fill(self, account: ClientAccount, share: float, now: float) -> _Bucket:
         rate, burst = account.rate * share, account.burst * share
--- a/fireflyquay/gateway/_beliefs.py
+++ b/fireflyquay/gateway/_beliefs.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import logbook
 
@@ -19,19 +19,30 @@
 RETRY_SECONDS = 0.25
 # Seconds without a successful read after which the store counts as having been away.
 OUTAGE_SECONDS = 2.5
+# Age in seconds of knowledge that other VMs vouch for at which this VM reads by itself.
+# Their answers come several times a second.
+OWN_READ_AGE_SECONDS = 1.2
+# Seconds between looks at that age.
+LOOK_SECONDS = 0.1
 
 
 class Beliefs:
     """Read configuration and registry again and again, and tell of changes."""
 
     def __init__(
-        self, source: FleetSource, clock: AgeClock, read_period: float
+        self,
+        source: FleetSource,
+        clock: AgeClock,
+        read_period: float,
+        reads_always: Callable[[], bool],
     ) -> None:
         self.config = ConfigBook()
         self.backends = BackendBook()
         self._source = source
         self._clock = clock
         self._read_period = read_period
+        # Tells whether this VM reads for the others too.
+        self._reads_always = reads_always
         self._store_answers = True
         self._after_outage_until = float("-inf")
         # Called after any change.
@@ -48,15 +59,23 @@
 
     async def follow_config(self) -> None:
         """Keep the configuration current until cancelled."""
-        while True:
-            await asyncio.sleep(await self._try(self._read_config))
+        await self._follow(self._read_config, lambda: self.config.proof)
 
     async def follow_backends(self) -> None:
         """Keep the registry current until cancelled."""
+        await self._follow(self._read_backends, lambda: self.backends.proof)
+
+    async def _follow(
+        self, read: Callable[[], Awaitable[None]], get_proof: Callable[[], Proof]
+    ) -> None:
         while True:
-            await asyncio.sleep(await self._try(self._read_backends))
+            age = get_proof().measure_age(self._clock.read())
+            if self._reads_always() or age > OWN_READ_AGE_SECONDS:
+                await asyncio.sleep(await self._try(read))
+            else:
+                await asyncio.sleep(LOOK_SECONDS)
 
-    async def _try(self, read: Callable[[], asyncio.Future]) -> float:
+    async def _try(self, read: Callable[[], Awaitable[None]]) -> float:
         try:
             await read()
         except HttpFailure as failure:
--- a/fireflyquay/gateway/_call.py
+++ b/fireflyquay/gateway/_call.py
@@ -5,8 +5,10 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from xxhash import xxh64
+
 from fireflyquay.links import HttpRequest, HttpResponder
-from fireflyquay.world import BackendServerId, ServiceId
+from fireflyquay.world import BackendServerId, Fingerprint, ServiceId
 
 from ._admission import Admission
 from ._dialect import RequestFacts
@@ -46,6 +48,8 @@
     ends_at: float
     # Backend servers that it was sent to, the last one last.
     tried: list[BackendServerId] = field(default_factory=list)
+    # Whether a backend server may have run it.
+    may_have_run: bool = False
     # Id of the last event that the client got.
     last_event: str = ""
 
@@ -63,3 +67,12 @@
             STREAM_PATIENCE_GAPS * gap,
         )
         return min(whole, silence)
+
+
+def fingerprint_request(call: Call) -> Fingerprint:
+    """Return what a request has in common with a copy that the client sends again."""
+    account = call.admission.account
+    digest = xxh64(call.request.target)
+    digest.update(b"" if account is None else account.id.encode())
+    digest.update(call.request.body)
+    return Fingerprint(digest.hexdigest())
--- /dev/null
+++ b/fireflyquay/gateway/_fleet.py
@@ -0,0 +1,235 @@
+"""The other VMs: who runs, who coordinates, and what they know."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Iterable, Sequence
+
+import logbook
+
+from fireflyquay.decisions import (
+    Action,
+    ChangeKind,
+    Membership,
+    MembershipSettings,
+    Message,
+    Send,
+    SendTo,
+    rank,
+)
+from fireflyquay.dispatch import (
+    CONTROL_MESSAGE,
+    Coordinator,
+    CoordinatorMessage,
+    FollowerMessage,
+    KnowledgeExchange,
+    KnowledgeMessage,
+)
+from fireflyquay.links import PeerLink
+from fireflyquay.world import (
+    EntryVm,
+    Incarnation,
+    MemberState,
+    VmListing,
+)
+
+from ._clock import AgeClock
+from ._slot_desk import Peers, SlotDesk
+
+LOG = logbook.Logger("fleet")
+
+COORDINATOR_DUTY = "coordinator"
+# Seconds between runs of the membership protocol.
+TICK_SECONDS = 0.05
+# Seconds between questions about the age of knowledge; several fit into the time in
+# which changes must be in force.
+PROBE_SECONDS = 0.25
+# Seconds without an answer after which a coordinator counts as silent.
+SILENCE_SECONDS = 0.6
+# Seconds for which a silent VM is passed over.
+DISTRUST_SECONDS = 1.0
+# Age in seconds of the own knowledge at which any other VM is asked besides.
+ASK_OTHERS_SECONDS = 1.2
+
+
+class Fleet(Peers):
+    """Exchange messages with other VMs."""
+
+    def __init__(
+        self,
+        own: EntryVm,
+        seeds: Sequence[VmListing],
+        coordinator: Coordinator,
+        desk: SlotDesk,
+        exchange: KnowledgeExchange,
+        clock: AgeClock,
+        is_ready: Callable[[], bool],
+        measure_age: Callable[[], float],
+        on_news: Callable[[], None],
+        rng: random.Random,
+    ) -> None:
+        self._own = own
+        self._seeds = seeds
+        self._coordinator = coordinator
+        self._desk = desk
+        self._exchange = exchange
+        self._clock = clock
+        self._is_ready = is_ready
+        self._measure_age = measure_age
+        self._on_news = on_news
+        self._rng = rng
+        self._membership = Membership(own, MembershipSettings(), rng)
+        self._link = PeerLink(own.incarnation, CONTROL_MESSAGE, self._deliver)
+        self._closing: set[asyncio.Task[None]] = set()
+        self._ranked_for: tuple[Incarnation, ...] = ()
+        self._ranking: tuple[Incarnation, ...] = (own.incarnation,)
+        # Loop times until which silent VMs are passed over.
+        self._distrusted: dict[Incarnation, float] = {}
+        self._heard_at: dict[Incarnation, float] = {}
+        self._probed_since: dict[Incarnation, float] = {}
+
+    @property
+    def is_coordinating(self) -> bool:
+        """Tell whether this VM coordinates, as far as it knows."""
+        return self.choose_coordinator() == self._own.incarnation
+
+    async def start(self) -> None:
+        """Listen for other VMs."""
+        await self._link.start(self._own.host, self._own.peer_port)
+
+    async def close(self) -> None:
+        """End all connections."""
+        await self._link.close()
+
+    def leave(self) -> None:
+        """Tell the others that this VM stops."""
+        now = asyncio.get_running_loop().time()
+        self._carry_out(self._membership.leave(now))
+
+    def list_entries(self) -> list[EntryVm]:
+        """Return the VMs that take clients' requests, the own one included."""
+        unready = self._exchange.unready
+        return [
+            record.vm
+            for record in self._membership.live()
+            if record.state is MemberState.ALIVE
+            and record.vm.incarnation not in unready
+        ]
+
+    def choose_coordinator(self) -> Incarnation:
+        """Return the first VM in rank that is not silent."""
+        names = self._membership.live_names()
+        if names is not self._ranked_for:
+            self._ranked_for = names
+            self._ranking = rank(COORDINATOR_DUTY, names)
+            self._update_share()
+        now = asyncio.get_running_loop().time()
+        for name in self._ranking:
+            if name == self._own.incarnation or not self._is_distrusted(name, now):
+                return name
+        return self._own.incarnation
+
+    def send(self, target: Incarnation, message: Message) -> None:
+        """Send a message to a VM that is known."""
+        record = self._membership.get(target)
+        if record is not None:
+            self._link.send(record.vm, message)
+
+    def distrust(self, target: Incarnation) -> None:
+        """Pass over a silent VM for a while."""
+        now = asyncio.get_running_loop().time()
+        if not self._is_distrusted(target, now):
+            LOG.warning("VM silent", extra={"vm": target})
+        self._distrusted[target] = now + DISTRUST_SECONDS
+        self._probed_since.pop(target, None)
+
+    async def keep_membership(self) -> None:
+        """Run the membership protocol until cancelled."""
+        loop = asyncio.get_running_loop()
+        self._carry_out(self._membership.seed(loop.time(), self._seeds))
+        while True:
+            self._carry_out(self._membership.advance(loop.time()))
+            self._note_changes()
+            await asyncio.sleep(TICK_SECONDS)
+
+    async def keep_knowledge(self) -> None:
+        """Ask others about the age of what they know until cancelled."""
+        while True:
+            now = asyncio.get_running_loop().time()
+            self._probe(now)
+            await asyncio.sleep(PROBE_SECONDS)
+
+    def _probe(self, now: float) -> None:
+        coordinator = self.choose_coordinator()
+        targets = set()
+        if coordinator != self._own.incarnation:
+            targets.add(coordinator)
+            since = self._probed_since.setdefault(coordinator, now)
+            heard = max(since, self._heard_at.get(coordinator, since))
+            if now - heard > SILENCE_SECONDS:
+                self.distrust(coordinator)
+        others = [n for n in self._ranking if n != self._own.incarnation]
+        if others and self._measure_age() > ASK_OTHERS_SECONDS:
+            targets.add(self._rng.choice(others))
+        for target in targets:
+            probe = self._exchange.make_probe(self._is_ready(), self._clock.read())
+            self.send(target, probe)
+
+    def _is_distrusted(self, name: Incarnation, now: float) -> bool:
+        return now < self._distrusted.get(name, 0.0)
+
+    def _deliver(self, sender: Incarnation, message: Message) -> None:
+        now = asyncio.get_running_loop().time()
+        self._heard_at[sender] = now
+        if isinstance(message, CoordinatorMessage):
+            self._desk.serve(sender, message)
+            self._update_share()
+        elif isinstance(message, FollowerMessage):
+            self._desk.take(sender, message)
+        elif isinstance(message, KnowledgeMessage):
+            answers, is_news = self._exchange.take(sender, message, self._clock.read())
+            for answer in answers:
+                self.send(sender, answer)
+            if is_news:
+                self._on_news()
+        else:
+            self._carry_out(self._membership.receive(now, sender, message))
+
+    def _carry_out(self, actions: Iterable[Action]) -> None:
+        for action in actions:
+            if isinstance(action, Send):
+                self.send(action.peer, action.message)
+            elif isinstance(action, SendTo):
+                self._link.send_to(action.host, action.peer_port, action.message)
+
+    def _note_changes(self) -> None:
+        now = asyncio.get_running_loop().time()
+        for name, kind in self._membership.drain_changes():
+            record = self._membership.get(name)
+            if kind is ChangeKind.CHANGED or record is None:
+                continue
+            LOG.info(
+                "VM joined" if kind is ChangeKind.JOINED else "VM lost",
+                extra={"vm": name, "host": record.vm.host, "zone": record.vm.zone},
+            )
+            if kind is ChangeKind.LOST:
+                self._exchange.forget(name)
+                self._heard_at.pop(name, None)
+                self._probed_since.pop(name, None)
+                self._distrusted.pop(name, None)
+                self._desk.hand_out(self._coordinator.forget(name, now))
+                self._forget_link(record.vm)
+
+    def _forget_link(self, vm: EntryVm) -> None:
+        task = asyncio.get_running_loop().create_task(self._link.forget(vm))
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
+
+    def _update_share(self) -> None:
+        """Give out all if at least half of the fleet turns here, else a part."""
+        live = max(1, len(self._ranking))
+        turned = 1 + len(self._coordinator.followers)
+        share = 1.0 if 2 * turned >= live else turned / live
+        if share != self._coordinator.share:
+            self._coordinator.set_share(share)
--- a/fireflyquay/gateway/_forwarder.py
+++ b/fireflyquay/gateway/_forwarder.py
@@ -13,9 +13,9 @@
     HttpFailure,
     HttpStream,
 )
-from fireflyquay.world import BackendEntry, RepeatRule
+from fireflyquay.world import BackendEntry, Code, RepeatRule
 
-from ._call import Call, Outcome
+from ._call import Call, Outcome, fingerprint_request
 from ._dialect import AnswerFacts, Dialect
 from ._event_splitter import EventSplitter
 from ._slot_desk import SlotDesk
@@ -112,10 +112,28 @@
             async with exchange as stream:
                 return await self._pass_on(stream)
         except HttpFailure as failure:
+            is_reset = failure.sent and failure.code is Code.STREAM_LOST
+            if is_reset and not self._call.responder.started:
+                await self._check_crash()
             return self._judge(failure.sentence, failure.sent)
         except _BrokenResponse as broken:
             return self._judge(str(broken), True)
 
+    async def _check_crash(self) -> None:
+        """Note a crash if the backend server went down with the request."""
+        if await self._client.can_connect(self._backend.address, CONNECT_SECONDS):
+            return
+        fingerprint = fingerprint_request(self._call)
+        LOG.warning(
+            "backend server crashed",
+            extra={
+                "id": self._call.facts.attempt,
+                "backend": self._backend.id,
+                "fingerprint": fingerprint,
+            },
+        )
+        self._desk.note_crash(fingerprint)
+
     def _make_terms(self) -> ExchangeTerms:
         rule = self._call.admission.route.repeat_rule
         is_safe = rule is RepeatRule.IDEMPOTENT
--- a/fireflyquay/gateway/_gateway.py
+++ b/fireflyquay/gateway/_gateway.py
@@ -6,17 +6,25 @@
 import random
 import secrets
 from collections.abc import Coroutine, Sequence
+from dataclasses import replace
 
 import logbook
 
-from fireflyquay.dispatch import Grantor, GrantorSettings, RepeatBudget
+from fireflyquay.dispatch import (
+    Coordinator,
+    Grantor,
+    GrantorSettings,
+    KnowledgeExchange,
+    RepeatBudget,
+)
 from fireflyquay.links import HttpClient, HttpLimits, HttpServer
-from fireflyquay.world import Incarnation, ZoneId
+from fireflyquay.world import EntryVm, Incarnation, RegionId, VmListing, ZoneId
 
 from ._beliefs import Beliefs
 from ._clock import AgeClock, BootClock
 from ._dialect import Dialect, FleetSource
 from ._directory import Directory
+from ._fleet import Fleet
 from ._forwarder import Forwarder
 from ._ingress import Ingress
 from ._settings import GatewaySettings, split_address
@@ -36,7 +44,15 @@
 # Age of the configuration at which a VM no longer counts as ready, as a part of the
 # promised bound.
 READY_AGE_SHARE = 0.6
+# Seconds from the end of a request's headers to the end of its body.
 BODY_SECONDS = 30.0
+# Part of the budget for repeats that is used: when the coordinator changes, the new one
+# does not know what the old one gave out.
+REPEAT_MARGIN = 0.6
+# VMs of a client's own availability zone that are enough for it.
+MIN_NEAR_ENTRIES = 2
+# Addresses in one answer, as many as clients take.
+MAX_ENTRIES = 64
 
 
 class Gateway:
@@ -56,12 +72,23 @@
         rng = rng or random.Random()
         self.incarnation = Incarnation(secrets.token_hex(INCARNATION_BYTES))
         promises, vm = settings.promises, settings.vm
-        self._beliefs = Beliefs(source, self._clock, settings.store.read_period)
+        self._beliefs = Beliefs(
+            source,
+            self._clock,
+            settings.store.read_period,
+            lambda: self._fleet.is_coordinating,
+        )
         self._beliefs.on_change = self._apply_beliefs
-        self._desk = SlotDesk(Grantor(GrantorSettings(), rng))
-        self._repeats = RepeatBudget(
-            promises.repeat_ratio, promises.repeat_slack, promises.repeat_window
+        repeats = RepeatBudget(
+            promises.repeat_ratio * REPEAT_MARGIN,
+            promises.repeat_slack * REPEAT_MARGIN,
+            promises.repeat_window,
         )
+        grantor = Grantor(GrantorSettings(), rng)
+        self._coordinator = Coordinator(self._beliefs.config, grantor, repeats)
+        self._desk = SlotDesk(self.incarnation, self._coordinator)
+        self._fleet = self._make_fleet(rng)
+        self._desk.connect(self._fleet)
         self._ingress = Ingress(
             self.incarnation,
             ZoneId(vm.zone),
@@ -70,7 +97,6 @@
             self._clock,
             self._desk,
             Forwarder(client, dialect, self._desk),
-            self._repeats,
             promises.revoke,
             rng,
         )
@@ -84,6 +110,27 @@
         self._stopping = False
         self._tasks: set[asyncio.Task[None]] = set()
 
+    def _make_fleet(self, rng: random.Random) -> Fleet:
+        vm = self._settings.vm
+        zone, region = ZoneId(vm.zone), RegionId(vm.region)
+        host, peer_port = split_address(vm.peer_address)
+        client_port = split_address(vm.client_address)[1]
+        own = EntryVm(self.incarnation, zone, region, host, client_port, peer_port)
+        hosts = [split_address(seed)[0] for seed in vm.seeds]
+        seeds = [VmListing(it, vm.peer_port, zone, region) for it in hosts]
+        return Fleet(
+            own,
+            seeds,
+            self._coordinator,
+            self._desk,
+            KnowledgeExchange(self._beliefs.config, self._beliefs.backends),
+            self._clock,
+            self.is_ready,
+            self._beliefs.measure_config_age,
+            self._apply_beliefs,
+            rng,
+        )
+
     def is_ready(self) -> bool:
         """Tell whether this VM takes requests and can judge them."""
         limit = self._settings.promises.revoke * READY_AGE_SHARE
@@ -96,7 +143,11 @@
         vm = self._settings.vm
         self._spawn(self._beliefs.follow_config())
         self._spawn(self._beliefs.follow_backends())
+        await self._fleet.start()
+        self._spawn(self._fleet.keep_membership())
+        self._spawn(self._fleet.keep_knowledge())
         self._spawn(self._desk.tick())
+        self._spawn(self._desk.report_holding())
         await self._clients.start(*split_address(vm.client_address))
         await self._ready.start(*split_address(vm.ready_address))
         await self._resolver.start(*split_address(vm.directory_address))
@@ -116,12 +167,14 @@
         began = loop.time()
         self._stopping = True
         LOG.info("stopping", extra={"in_progress": self._ingress.in_progress})
+        self._fleet.leave()
         self._clients.stop_keeping()
         last = began + self._settings.promises.stop_grace - CLOSE_MARGIN_SECONDS
         while loop.time() < last:
-            is_idle = not self._ingress.in_progress
-            if is_idle and loop.time() - began > LINGER_SECONDS:
-                break
+            if loop.time() - began > LINGER_SECONDS:
+                self._clients.stop_accepting()
+                if not self._ingress.in_progress:
+                    break
             await asyncio.sleep(STOP_POLL_SECONDS)
         cut_off = self._ingress.in_progress
         await self._clients.close(0)
@@ -129,11 +182,26 @@
         await self._resolver.close(0)
         for task in self._tasks:
             task.cancel()
+        await self._fleet.close()
         LOG.info(
             "stopped",
             extra={"cut_off": cut_off, "taken": round(loop.time() - began, 2)},
         )
 
+    def reload(self, settings: GatewaySettings) -> None:
+        """Take changed settings; those of the VM itself need a restart."""
+        old = self._settings
+        if settings.vm != old.vm:
+            LOG.warning("settings of the VM need a restart", extra={"vm": old.vm.name})
+        changed = [
+            name
+            for name in ("store", "promises", "log")
+            if getattr(settings, name) != getattr(old, name)
+        ]
+        self._settings = replace(settings, vm=old.vm)
+        self._ingress.set_revoke_seconds(settings.promises.revoke)
+        LOG.info("settings reloaded", extra={"changed": changed})
+
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
@@ -145,17 +213,18 @@
             LOG.error("a task failed", extra={"cause": repr(task.exception())})
 
     def _list_addresses(self, zone: str) -> Sequence[str]:
-        return [self._settings.vm.client_address] if self.is_ready() else []
+        entries = [vm for vm in self._fleet.list_entries() if self._is_fit(vm)]
+        near = [vm for vm in entries if vm.zone == zone]
+        chosen = near if len(near) >= MIN_NEAR_ENTRIES else entries
+        return [f"{vm.host}:{vm.http_port}" for vm in chosen[:MAX_ENTRIES]]
+
+    def _is_fit(self, vm: EntryVm) -> bool:
+        return vm.incarnation != self.incarnation or self.is_ready()
 
     def _apply_beliefs(self) -> None:
-        self._desk.set_backends(
-            [
-                entry
-                for entry in self._beliefs.backends.list_all()
-                if self._beliefs.backends.takes_requests(entry.id)
-            ],
-            self._ingress.share,
-        )
+        book = self._beliefs.backends
+        ready = [entry for entry in book.list_all() if book.takes_requests(entry.id)]
+        self._coordinator.set_backends(ready)
         config = self._beliefs.config.config
         if config is None:
             return
--- a/fireflyquay/gateway/_ingress.py
+++ b/fireflyquay/gateway/_ingress.py
@@ -8,7 +8,7 @@
 
 import logbook
 
-from fireflyquay.dispatch import Ask, Grant, QuotaBook, Refusal, RepeatBudget
+from fireflyquay.dispatch import Ask, Grant, Refusal
 from fireflyquay.links import (
     CallerGoneError,
     HttpRequest,
@@ -27,7 +27,7 @@
 
 from ._admission import Admission, Rejected, admit
 from ._beliefs import Beliefs
-from ._call import Call, Outcome
+from ._call import Call, Outcome, fingerprint_request
 from ._clock import AgeClock
 from ._dialect import Dialect, RequestFacts
 from ._forwarder import Forwarder
@@ -42,8 +42,6 @@
 DEFAULT_PATIENCE_SECONDS = 30.0
 # Least seconds before a refused client comes back when there is no forecast.
 RETRY_SECONDS = 0.5
-# Seconds for which a client whose quota is used up stays away at most.
-MAX_QUOTA_RETRY_SECONDS = 4.0
 NO_ACCOUNT = ClientAccountId("")
 
 
@@ -59,7 +57,6 @@
         clock: AgeClock,
         desk: SlotDesk,
         forwarder: Forwarder,
-        repeats: RepeatBudget,
         revoke_seconds: float,
         rng: random.Random,
     ) -> None:
@@ -70,14 +67,14 @@
         self._clock = clock
         self._desk = desk
         self._forwarder = forwarder
-        self._repeats = repeats
-        self._max_config_age = revoke_seconds - STALE_MARGIN_SECONDS
+        self.set_revoke_seconds(revoke_seconds)
         self._rng = rng
         self._numbers = itertools.count(1)
-        self._quotas = QuotaBook()
         self.in_progress = 0
-        # Part of quotas and repeats that this VM may give out.
-        self.share = 1.0
+
+    def set_revoke_seconds(self, seconds: float) -> None:
+        """Set the bound within which a key's removal takes effect."""
+        self._max_config_age = seconds - STALE_MARGIN_SECONDS
 
     async def handle(self, request: HttpRequest, responder: HttpResponder) -> None:
         """Serve one request."""
@@ -107,6 +104,8 @@
             async with asyncio.timeout_at(call.ends_at):
                 await self._run(call)
         except Rejected as rejected:
+            if call is not None and call.may_have_run:
+                rejected = Rejected(Code.BACKEND_FAILED, rejected.sentence)
             outcome = rejected.code.value
             await self._refuse(facts, responder, rejected)
         except TimeoutError:
@@ -131,8 +130,7 @@
         route = admission.route
         patience = min(facts.patience or DEFAULT_PATIENCE_SECONDS, route.timeout)
         service = self._choose_service(route.shares).service
-        self._repeats.note_request(service, arrived)
-        call = Call(
+        return Call(
             request,
             facts,
             responder,
@@ -142,8 +140,6 @@
             arrived + patience,
             last_event=facts.last_event,
         )
-        self._charge(call)
-        return call
 
     def _admit(self, request: HttpRequest, facts: RequestFacts) -> Admission:
         path = request.target.partition(b"?")[0].decode("latin-1")
@@ -156,17 +152,6 @@
         weights = [share.weight for share in shares]
         return self._rng.choices(shares, weights)[0]
 
-    def _charge(self, call: Call) -> None:
-        account = call.admission.account
-        if account is None:
-            return
-        units = _count_units(account, call.facts)
-        missing = self._quotas.charge(account, units, self.share, call.arrived)
-        if missing > 0:
-            sentence = f"The quota lacks {units:.0f} units for {missing:.1f} s."
-            retry = min(MAX_QUOTA_RETRY_SECONDS, missing)
-            raise Rejected(Code.QUOTA_EXCEEDED, sentence, retry)
-
     async def _run(self, call: Call) -> None:
         """Make attempts until the response is complete; raise Rejected otherwise."""
         while True:
@@ -177,7 +162,10 @@
                 continue
             self._check_again(call, ask, grant)
             call.tried.append(backend.id)
+            had_run, call.may_have_run = call.may_have_run, True
             outcome = await self._forwarder.attempt(call, ask, backend)
+            if outcome in (Outcome.NOT_RUN, Outcome.NOT_SENT):
+                call.may_have_run = had_run
             if outcome is Outcome.DELIVERED:
                 return
             if outcome is Outcome.NOT_SENT:
@@ -231,6 +219,7 @@
             0.0 if account is None else _count_units(account, call.facts),
             route.target_latency - waited,
             call.patience - waited,
+            fingerprint_request(call),
             bool(call.tried),
             tuple(call.tried),
         )
@@ -243,10 +232,7 @@
             return False
         if outcome is Outcome.NOT_SENT:
             return True
-        if len(call.tried) >= call.admission.route.max_attempts:
-            return False
-        now = asyncio.get_running_loop().time()
-        return self._repeats.take(call.service, self.share, now)
+        return len(call.tried) < call.admission.route.max_attempts
 
     def _give_up(self, call: Call, outcome: Outcome) -> None:
         if outcome is Outcome.CUT:
@@ -273,7 +259,7 @@
         self, call: Call | None, facts: RequestFacts, responder: HttpResponder
     ) -> None:
         code = Code.BACKEND_TIMEOUT
-        if call is not None and not call.tried:
+        if call is not None and not call.may_have_run:
             code = Code.DEADLINE_UNREACHABLE
         await self._refuse(facts, responder, Rejected(code, "The time is up."))
 
--- a/fireflyquay/gateway/_settings.py
+++ b/fireflyquay/gateway/_settings.py
@@ -35,8 +35,8 @@
     peer_address: Address
     # Port at which other VMs' peer addresses are.
     peer_port: Port
-    # Hosts of some VMs of the fleet; they may be gone.
-    seed_hosts: tuple[str, ...] = ()
+    # Addresses of some VMs of the fleet, which may be gone; only their hosts are used.
+    seeds: tuple[str, ...] = ()
     # Port of the metrics page on the client address's host; 0 serves none.
     metrics_port: Annotated[int, Meta(ge=0, le=65535)] = 0
 
@@ -49,7 +49,7 @@
     # Seconds to wait for an answer; it usually takes milliseconds.
     timeout: Seconds = 1.0
     # Seconds between reads that prove the configuration and registry current.
-    read_period: Seconds = 0.8
+    read_period: Seconds = 0.5
 
 
 @dataclass(frozen=True, slots=True)
--- a/fireflyquay/gateway/_slot_desk.py
+++ b/fireflyquay/gateway/_slot_desk.py
@@ -3,80 +3,293 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterable
+from abc import ABC, abstractmethod
+from collections import deque
+from dataclasses import dataclass
 
-from fireflyquay.dispatch import Ask, Decision, Grant, Grantor
-from fireflyquay.world import BackendEntry, BackendServerId
+import logbook
+from msgspec.structs import replace
+
+from fireflyquay.decisions import Message
+from fireflyquay.dispatch import (
+    USAGE_SECONDS,
+    Ask,
+    Coordinator,
+    CoordinatorMessage,
+    Crashed,
+    Decision,
+    Detach,
+    Ended,
+    FirstOutput,
+    FollowerMessage,
+    Grant,
+    Handover,
+    HeldRun,
+    Holding,
+    Pause,
+    Queued,
+    Withdrawal,
+)
+from fireflyquay.world import BackendServerId, ClientAccountId, Fingerprint, Incarnation
+
+LOG = logbook.Logger("places")
 
 # Seconds between looks at waiting requests.
 ADVANCE_SECONDS = 0.02
+# Seconds in which a coordinator confirms an ask. The way there and back takes some
+# milliseconds, a lost packet 200; beyond this, placing without it costs less.
+CONFIRM_SECONDS = 0.1
+# Seconds between reports of held places: a place whose end got lost is free after it.
+HOLDING_SECONDS = 1.0
+
+
+class Peers(ABC):
+    """Send messages to other VMs and name the one that coordinates."""
+
+    @abstractmethod
+    def choose_coordinator(self) -> Incarnation:
+        """Return the VM to turn to, the own one if there is no other."""
+
+    @abstractmethod
+    def send(self, target: Incarnation, message: Message) -> None:
+        """Send a message to another VM."""
+
+    @abstractmethod
+    def distrust(self, target: Incarnation) -> None:
+        """Turn to another VM for a while, for this one is silent."""
+
+
+@dataclass(slots=True)
+class _Pending:
+    ask: Ask
+    asked_at: float
+    target: Incarnation
+    sent_at: float
+    is_confirmed: bool
+    future: asyncio.Future[Decision]
+
+
+@dataclass(slots=True)
+class _Held:
+    ask: Ask
+    backend: BackendServerId
+    granted_at: float
 
 
 class SlotDesk:
-    """Ask the grantor for places and hand its decisions to those who wait."""
+    """Ask the coordinator for places; without one, decide here on a share.
+
+    Answers a coordinator that is killed, frozen or cut off: a request waits for it for
+    a tenth of a second at most.
+    """
+
+    def __init__(self, own: Incarnation, coordinator: Coordinator) -> None:
+        self._own = own
+        self._coordinator = coordinator
+        self._peers: Peers | None = None
+        self._target = own
+        self._pending: dict[int, _Pending] = {}
+        self._held: dict[int, _Held] = {}
+        # When quota units were given out, for whom and how many.
+        self._usage: deque[tuple[float, ClientAccountId, float]] = deque()
 
-    def __init__(self, grantor: Grantor) -> None:
-        self._grantor = grantor
-        self._waiting: dict[int, asyncio.Future[Decision]] = {}
+    def connect(self, peers: Peers) -> None:
+        """Use other VMs from now on."""
+        self._peers = peers
 
     async def acquire(self, ask: Ask) -> Decision:
         """Wait for the decision on an ask; a cancelled wait withdraws it."""
         loop = asyncio.get_running_loop()
+        now = loop.time()
+        self._follow_coordinator(now)
         future: asyncio.Future[Decision] = loop.create_future()
-        self._waiting[ask.number] = future
-        self._hand_out(self._grantor.ask(ask, loop.time()))
+        pending = _Pending(ask, now, self._target, now, False, future)
+        self._pending[ask.number] = pending
+        self._submit(pending, now)
         try:
             return await future
         except asyncio.CancelledError:
-            self._waiting.pop(ask.number, None)
-            self._withdraw(ask)
+            self._drop(ask)
             raise
 
     def note_first_output(self, ask: Ask, backend: BackendServerId) -> None:
         """Tell that a run gives output."""
-        now = asyncio.get_running_loop().time()
-        self._grantor.note_first_output((ask.owner, ask.number), backend, now)
+        self._tell(FirstOutput(ask.number, backend))
 
     def release(
         self, ask: Ask, backend: BackendServerId, output_tokens: int, failed: bool
     ) -> None:
         """End a run."""
-        now = asyncio.get_running_loop().time()
-        key = (ask.owner, ask.number)
-        self._hand_out(self._grantor.release(key, backend, output_tokens, failed, now))
+        self._held.pop(ask.number, None)
+        self._tell(Ended(ask.number, backend, output_tokens, failed))
 
     def pause(self, backend: BackendServerId, seconds: float) -> None:
         """Leave a backend server alone for a while."""
+        self._tell(Pause(backend, seconds))
+
+    def note_crash(self, fingerprint: Fingerprint) -> None:
+        """Tell that a request crashed a backend server."""
+        self._tell(Crashed(fingerprint))
+
+    def take(self, sender: Incarnation, message: FollowerMessage) -> None:
+        """Take a coordinator's message."""
+        now = asyncio.get_running_loop().time()
+        pending = self._pending.get(message.number)
+        if isinstance(message, Queued):
+            if pending is not None:
+                pending.is_confirmed = True
+            return
+        if pending is None or pending.target != sender:
+            if isinstance(message, Grant) and self._peers is not None:
+                self._peers.send(sender, Withdrawal(message.number))
+            return
+        if isinstance(message, Grant):
+            # The own coordinator knows all own runs, to take over at any moment.
+            self._coordinator.adopt(message.backend, pending.ask, now)
+        self._settle(message, now)
+
+    def serve(self, sender: Incarnation, message: CoordinatorMessage) -> None:
+        """Decide on another VM's message."""
         now = asyncio.get_running_loop().time()
-        self._grantor.pause(backend, now + seconds)
+        decisions = self._coordinator.take(sender, message, now)
+        self.hand_out(decisions)
+        if not isinstance(message, Ask) or self._peers is None:
+            return
+        if not any(_answers(decision, message) for decision in decisions):
+            self._peers.send(sender, Queued(message.number))
 
-    def set_backends(self, entries: Iterable[BackendEntry], share: float) -> None:
-        """Take the backend servers that may be used, and the part of their slots."""
-        self._grantor.share = share
-        self._grantor.set_backends(entries)
-        self._advance()
+    def hand_out(self, decisions: list[Decision]) -> None:
+        """Bring decisions of the own coordinator to those who wait."""
+        now = asyncio.get_running_loop().time()
+        for decision in decisions:
+            if decision.owner != self._own:
+                if self._peers is not None:
+                    self._peers.send(decision.owner, decision)
+                continue
+            pending = self._pending.get(decision.number)
+            if pending is not None and pending.target == self._own:
+                self._settle(decision, now)
+            elif isinstance(decision, Grant):
+                withdrawal = Withdrawal(decision.number)
+                self.hand_out(self._coordinator.take(self._own, withdrawal, now))
+
+    async def report_holding(self) -> None:
+        """Tell the coordinator again and again what is held until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(HOLDING_SECONDS)
+            if self._target != self._own and self._peers is not None:
+                self._peers.send(self._target, Holding(self._list_held(loop.time())))
 
     async def tick(self) -> None:
         """Look at waiting requests until cancelled."""
+        loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(ADVANCE_SECONDS)
-            if self._waiting:
-                self._advance()
+            now = loop.time()
+            self._follow_coordinator(now)
+            self._turn_from_silent(now)
+            self.hand_out(self._coordinator.advance(now))
 
-    def _advance(self) -> None:
-        now = asyncio.get_running_loop().time()
-        self._hand_out(self._grantor.advance(now))
+    def _submit(self, pending: _Pending, now: float) -> None:
+        if pending.target == self._own:
+            pending.is_confirmed = True
+            self.hand_out(self._coordinator.ask(pending.ask, now))
+        elif self._peers is not None:
+            self._peers.send(pending.target, pending.ask)
+
+    def _follow_coordinator(self, now: float) -> None:
+        """Turn to the VM that coordinates now, with all that is in progress."""
+        if self._peers is None:
+            return
+        target = self._peers.choose_coordinator()
+        if target == self._target:
+            return
+        before, self._target = self._target, target
+        LOG.info(
+            "coordinator changed",
+            extra={
+                "before": before,
+                "after": target,
+                "held": len(self._held),
+                "waiting": len(self._pending),
+            },
+        )
+        if before != self._own:
+            self._peers.send(before, Detach())
+        if target != self._own:
+            self._peers.send(target, self._make_handover(now))
+        for pending in list(self._pending.values()):
+            self._resubmit(pending, target, now)
+
+    def _resubmit(self, pending: _Pending, target: Incarnation, now: float) -> None:
+        if pending.target == self._own:
+            withdrawal = Withdrawal(pending.ask.number)
+            self.hand_out(self._coordinator.take(self._own, withdrawal, now))
+        waited = now - pending.asked_at
+        pending.ask = replace(
+            pending.ask,
+            to_objective=pending.ask.to_objective - waited,
+            to_give_up=pending.ask.to_give_up - waited,
+        )
+        pending.asked_at = pending.sent_at = now
+        pending.target = target
+        pending.is_confirmed = False
+        self._submit(pending, now)
 
-    def _withdraw(self, ask: Ask) -> None:
+    def _turn_from_silent(self, now: float) -> None:
+        for pending in self._pending.values():
+            silence = now - pending.sent_at
+            limit = CONFIRM_SECONDS
+            if pending.is_confirmed:
+                limit += max(0.0, pending.ask.to_give_up)
+            if silence > limit and pending.target != self._own:
+                assert self._peers is not None
+                self._peers.distrust(pending.target)
+                self._follow_coordinator(now)
+                return
+
+    def _make_handover(self, now: float) -> Handover:
+        usage: dict[ClientAccountId, float] = {}
+        self._trim_usage(now)
+        for _, account, units in self._usage:
+            usage[account] = usage.get(account, 0.0) + units
+        crashes = tuple(self._coordinator.crashes.list_counts().items())
+        return Handover(self._list_held(now), tuple(usage.items()), crashes)
+
+    def _list_held(self, now: float) -> tuple[HeldRun, ...]:
+        return tuple(
+            HeldRun(held.ask, held.backend, now - held.granted_at)
+            for held in self._held.values()
+        )
+
+    def _settle(self, decision: Decision, now: float) -> None:
+        pending = self._pending.pop(decision.number)
+        if isinstance(decision, Grant):
+            ask = pending.ask
+            self._held[ask.number] = _Held(ask, decision.backend, now)
+            if not ask.is_repeat and ask.units:
+                self._usage.append((now, ask.account, ask.units))
+                self._trim_usage(now)
+        if not pending.future.done():
+            pending.future.set_result(decision)
+
+    def _trim_usage(self, now: float) -> None:
+        while self._usage and self._usage[0][0] < now - USAGE_SECONDS:
+            self._usage.popleft()
+
+    def _drop(self, ask: Ask) -> None:
+        self._pending.pop(ask.number, None)
+        self._held.pop(ask.number, None)
+        self._tell(Withdrawal(ask.number))
+
+    def _tell(self, message: CoordinatorMessage) -> None:
+        """Tell the own coordinator, and the one that is turned to."""
         now = asyncio.get_running_loop().time()
-        self._hand_out(self._grantor.withdraw((ask.owner, ask.number), now))
+        self.hand_out(self._coordinator.take(self._own, message, now))
+        if self._target != self._own and self._peers is not None:
+            self._peers.send(self._target, message)
 
-    def _hand_out(self, decisions: list[Decision]) -> None:
-        for decision in decisions:
-            future = self._waiting.pop(decision.number, None)
-            if future is not None and not future.done():
-                future.set_result(decision)
-            elif isinstance(decision, Grant):
-                now = asyncio.get_running_loop().time()
-                key = (decision.owner, decision.number)
-                self._hand_out(self._grantor.withdraw(key, now))
+
+def _answers(decision: Decision, ask: Ask) -> bool:
+    return decision.owner == ask.owner and decision.number == ask.number
--- a/fireflyquay/links/_http_client.py
+++ b/fireflyquay/links/_http_client.py
@@ -257,6 +257,17 @@
             self._pool, self._limits, address, head, body, timeout, terms
         )
 
+    async def can_connect(self, address: Address, timeout: float) -> bool:
+        """Tell whether an address accepts a connection within some seconds."""
+        try:
+            async with asyncio.timeout(timeout):
+                connection = await open_connection(address, self._limits)
+        except (OSError, TimeoutError):
+            return False
+        now = asyncio.get_running_loop().time()
+        self._pool.give(address, connection, now)
+        return True
+
     async def close(self) -> None:
         """Close the connections that no exchange uses."""
         self._pool.close()
--- a/fireflyquay/links/_http_server.py
+++ b/fireflyquay/links/_http_server.py
@@ -39,6 +39,12 @@
         """Bound connections that are accepted from now on."""
         self._limits = limits
 
+    def stop_accepting(self) -> None:
+        """Refuse new connections from now on."""
+        self._refusing = True
+        if self._server is not None:
+            self._server.close()
+
     def stop_keeping(self) -> None:
         """Close idle connections and end each other one with its response."""
         self._closing = True
@@ -58,9 +64,7 @@
     async def close(self, grace: float) -> None:
         """Stop accepting and give exchanges in progress some seconds to end."""
         self.stop_keeping()
-        self._refusing = True
-        if self._server is not None:
-            self._server.close()
+        self.stop_accepting()
         if self._connections and grace > 0:
             await asyncio.wait(self._connections, timeout=grace)
         await self._cut_off_rest()
