--- /dev/null
+++ b/fireflyquay/dispatch/tests/builders.py
@@ -0,0 +1,127 @@
+"""Builders of what the tests of dispatch decide on."""
+
+from __future__ import annotations
+
+import random
+
+from fireflyquay.dispatch import (
+    Ask,
+    ConfigBook,
+    Coordinator,
+    Grantor,
+    GrantorSettings,
+    Proof,
+    RepeatBudget,
+)
+from fireflyquay.world import (
+    AttemptId,
+    BackendEntry,
+    BackendPhase,
+    BackendServerId,
+    ClientAccount,
+    ClientAccountId,
+    ClientLimits,
+    FleetConfig,
+    Incarnation,
+    RepeatRule,
+    Route,
+    ServiceId,
+    ServiceShare,
+    ZoneId,
+)
+
+SERVICE = ServiceId("engines")
+ACCOUNT = ClientAccountId("office")
+OWN = Incarnation("vm-a")
+OTHER = Incarnation("vm-b")
+
+
+def make_entry(
+    name: str,
+    slots: int = 2,
+    phase: BackendPhase = BackendPhase.READY,
+    zone: str = "a",
+    born: int = 1,
+    service: ServiceId = SERVICE,
+) -> BackendEntry:
+    return BackendEntry(
+        BackendServerId(name),
+        service,
+        "10.0.0.1",
+        8000,
+        ZoneId(zone),
+        slots,
+        phase,
+        born,
+    )
+
+
+def make_ask(
+    number: int,
+    owner: Incarnation = OWN,
+    rank: int = 0,
+    prompt: int = 1000,
+    output: int = 50,
+    **changes: object,
+) -> Ask:
+    fields = {
+        "owner": owner,
+        "number": number,
+        "attempt": AttemptId(f"attempt-{owner}-{number}"),
+        "service": SERVICE,
+        "account": ACCOUNT,
+        "rank": (rank, rank),
+        "zone": ZoneId("a"),
+        "prompt_tokens": prompt,
+        "output_tokens": output,
+        "units": float(prompt + output),
+        "to_objective": 1.0,
+        "to_give_up": 4.0,
+        "fingerprint": f"{number:016x}",
+    }
+    return Ask(**{**fields, **changes})
+
+
+def make_account(
+    rate: float = 0.0, burst: float = 0.0, keys: tuple[str, ...] = ("key-1",)
+) -> ClientAccount:
+    return ClientAccount(ACCOUNT, frozenset(keys), None, rate, burst, True, 200.0)
+
+
+def make_route(prefix: str = "/ask/", **changes: object) -> Route:
+    fields = {
+        "name": f"route{prefix}",
+        "host": "office.example",
+        "path_prefix": prefix,
+        "is_stream": True,
+        "repeat_rule": RepeatRule.AT_MOST_ONCE,
+        "timeout": 15.0,
+        "target_latency": 1.0,
+        "rank": 0,
+        "shares": (ServiceShare(SERVICE, 1),),
+        "max_attempts": 2,
+        "is_public": False,
+        "max_gap": 0.2,
+    }
+    return Route(**{**fields, **changes})
+
+
+def make_config(
+    version: int = 1,
+    routes: tuple[Route, ...] | None = None,
+    accounts: tuple[ClientAccount, ...] = (),
+) -> FleetConfig:
+    limits = ClientLimits(16384, 4 * 1024 * 1024, 3.0, 15.0)
+    return FleetConfig(version, routes or (make_route(),), {}, limits, accounts)
+
+
+def make_coordinator(
+    account: ClientAccount | None = None,
+    repeats: RepeatBudget | None = None,
+    seed: int = 1,
+) -> Coordinator:
+    book = ConfigBook()
+    accounts = (account,) if account else ()
+    book.offer(make_config(accounts=accounts), Proof(1, 0.0))
+    grantor = Grantor(GrantorSettings(), random.Random(seed))
+    return Coordinator(book, grantor, repeats or RepeatBudget(0.2, 10, 10))
--- /dev/null
+++ b/fireflyquay/dispatch/tests/test_coordinator.py
@@ -0,0 +1,210 @@
+"""Who waits, who runs and who is refused."""
+
+import pytest
+
+from fireflyquay.dispatch import (
+    Crashed,
+    Detach,
+    Ended,
+    Grant,
+    Handover,
+    HeldRun,
+    Holding,
+    Refusal,
+    RepeatBudget,
+    Withdrawal,
+)
+from fireflyquay.dispatch._crash_list import CRASH_LIMIT
+from fireflyquay.world import Code
+
+from .builders import (
+    ACCOUNT,
+    OTHER,
+    OWN,
+    make_account,
+    make_ask,
+    make_coordinator,
+    make_entry,
+)
+
+
+def grants(decisions):
+    return [(it.owner, it.number) for it in decisions if isinstance(it, Grant)]
+
+
+def test_a_place_goes_to_the_urgent_first():
+    coordinator = make_coordinator()
+    coordinator.set_backends([make_entry("s1", slots=1)])
+    assert grants(coordinator.ask(make_ask(1, rank=2), 0.0)) == [(OWN, 1)]
+    assert coordinator.ask(make_ask(2, rank=2), 0.1) == []
+    assert coordinator.ask(make_ask(3, OTHER, rank=0), 0.2) == []
+    freed = coordinator.take(OWN, Ended(1, "s1", 50, False), 0.3)
+    assert grants(freed) == [(OTHER, 3)]
+
+
+def test_on_time_goes_before_late_within_a_rank():
+    coordinator = make_coordinator()
+    coordinator.set_backends([make_entry("s1", slots=1)])
+    coordinator.ask(make_ask(1), 0.0)
+    coordinator.ask(make_ask(2, to_objective=0.05), 0.0)
+    coordinator.ask(make_ask(3, to_objective=1.0), 0.1)
+    freed = coordinator.take(OWN, Ended(1, "s1", 50, False), 0.2)
+    assert grants(freed) == [(OWN, 3)]
+
+
+def test_a_request_that_waits_in_vain_is_refused_with_a_time_to_return():
+    coordinator = make_coordinator()
+    coordinator.set_backends([make_entry("s1", slots=1)])
+    coordinator.ask(make_ask(1), 0.0)
+    coordinator.ask(make_ask(2, to_give_up=2.0), 0.0)
+    decisions = [d for at in (0.5, 1.0, 1.5, 2.0) for d in coordinator.advance(at)]
+    [refusal] = decisions
+    assert isinstance(refusal, Refusal)
+    assert refusal.code is Code.OVERLOADED
+    assert refusal.retry_after > 0
+
+
+def test_without_backend_servers_the_refusal_is_at_once():
+    [refusal] = make_coordinator().ask(make_ask(1), 0.0)
+    assert refusal.code is Code.NO_BACKEND_SERVER
+
+
+def test_a_hot_account_is_bound_over_all_vms():
+    coordinator = make_coordinator(make_account(rate=1000, burst=3000))
+    coordinator.set_backends([make_entry("s1", slots=50)])
+    asks = [
+        make_ask(n, owner, prompt=900, output=100)
+        for n in (1, 2)
+        for owner in (OWN, OTHER)
+    ]
+    decisions = [d for ask in asks for d in coordinator.ask(ask, 0.0)]
+    assert len(grants(decisions)) == 3
+    [refusal] = [d for d in decisions if isinstance(d, Refusal)]
+    assert refusal.code is Code.QUOTA_EXCEEDED
+    assert refusal.retry_after == pytest.approx(1.0)
+
+
+def test_a_refused_request_gives_its_quota_back():
+    coordinator = make_coordinator(make_account(rate=1, burst=1050))
+    coordinator.set_backends([make_entry("s1", slots=1)])
+    coordinator.take(OTHER, make_ask(1, OTHER, account=""), 0.0)
+    coordinator.ask(make_ask(2), 0.0)
+    coordinator.take(OWN, Withdrawal(2), 0.1)
+    coordinator.take(OTHER, Ended(1, "s1", 50, False), 0.2)
+    assert grants(coordinator.ask(make_ask(3), 0.3)) == [(OWN, 3)]
+
+
+def test_repeats_stay_within_their_budget():
+    coordinator = make_coordinator(repeats=RepeatBudget(0.5, 1, 10))
+    coordinator.set_backends([make_entry("s1", slots=50)])
+    for number in range(4):
+        coordinator.ask(make_ask(number), 0.0)
+    repeats = [
+        coordinator.ask(make_ask(10 + n, is_repeat=True), 0.1)[0] for n in range(5)
+    ]
+    assert [isinstance(it, Grant) for it in repeats] == [True] * 3 + [False] * 2
+    assert repeats[-1].code is Code.OVERLOADED
+
+
+def test_a_request_that_crashes_backend_servers_is_barred():
+    coordinator = make_coordinator()
+    coordinator.set_backends([make_entry("s1", slots=50)])
+    ask = make_ask(1)
+    for _ in range(CRASH_LIMIT):
+        coordinator.take(OTHER, Crashed(ask.fingerprint), 0.0)
+    [refusal] = coordinator.ask(ask, 1.0)
+    assert refusal.code is Code.QUARANTINED
+    assert grants(coordinator.ask(make_ask(2), 1.0)) == [(OWN, 2)]
+
+
+def test_a_new_coordinator_counts_the_places_that_others_hold():
+    coordinator = make_coordinator()
+    coordinator.set_backends([make_entry("s1", slots=1)])
+    held = HeldRun(make_ask(7, OTHER), "s1", 0.4)
+    coordinator.take(OTHER, Handover((held,), ((ACCOUNT, 10.0),), (("f", 2),)), 1.0)
+    assert coordinator.ask(make_ask(1), 1.0) == []
+    freed = coordinator.take(OTHER, Ended(7, "s1", 50, False), 1.2)
+    assert grants(freed) == [(OWN, 1)]
+
+
+def test_a_place_whose_end_was_lost_is_freed_by_the_next_report():
+    coordinator = make_coordinator()
+    coordinator.set_backends([make_entry("s1", slots=1)])
+    coordinator.take(OTHER, make_ask(1, OTHER), 0.0)
+    coordinator.ask(make_ask(2), 0.1)
+    assert coordinator.take(OTHER, Holding(()), 0.2) == []
+    assert grants(coordinator.take(OTHER, Holding(()), 1.2)) == [(OWN, 2)]
+
+
+def test_what_a_vm_held_is_free_when_it_is_gone_or_turned_away():
+    for leave in (
+        lambda c: c.forget(OTHER, 1.0),
+        lambda c: c.take(OTHER, Detach(), 1.0),
+    ):
+        coordinator = make_coordinator()
+        coordinator.set_backends([make_entry("s1", slots=1)])
+        coordinator.take(OTHER, make_ask(1, OTHER), 0.0)
+        coordinator.ask(make_ask(2), 0.1)
+        assert grants(leave(coordinator)) == [(OWN, 2)]
+
+
+def test_a_share_bounds_places():
+    coordinator = make_coordinator()
+    coordinator.set_backends([make_entry("s1", slots=8)])
+    coordinator.set_share(0.25)
+    decisions = [d for n in range(5) for d in coordinator.ask(make_ask(n), 0.0)]
+    assert len(grants(decisions)) == 2
+
+
+def test_a_slow_backend_server_gets_less():
+    coordinator = make_coordinator()
+    coordinator.set_backends([make_entry("slow", 10), make_entry("fast", 10)])
+    now, running, counts = 0.0, [], {"slow": 0, "fast": 0}
+    for number in range(200):
+        now += 0.05
+        for end, owner_number, backend in [it for it in running if it[0] <= now]:
+            coordinator.take(OWN, Ended(owner_number, backend, 50, False), now)
+        running = [it for it in running if it[0] > now]
+        for decision in coordinator.ask(make_ask(number, prompt=0), now):
+            taken = 0.5 if decision.backend == "slow" else 0.1
+            running.append((now + taken, decision.number, decision.backend))
+            counts[decision.backend] += 1
+    assert counts["fast"] > 3 * counts["slow"]
+
+
+def test_a_failing_backend_server_is_left_and_tried_again():
+    coordinator = make_coordinator()
+    coordinator.set_backends([make_entry("bad", 10), make_entry("good", 10)])
+    chosen = []
+    for number in range(120):
+        now = number * 0.1
+        [grant] = coordinator.ask(make_ask(number, prompt=0), now)
+        failed = grant.backend == "bad" and now < 6.0
+        coordinator.take(OWN, Ended(number, grant.backend, 0, failed), now + 0.05)
+        chosen.append(grant.backend)
+    assert chosen[20:60].count("bad") <= 10
+    assert "bad" in chosen[60:]
+
+
+def test_a_new_start_of_a_backend_server_begins_without_runs():
+    coordinator = make_coordinator()
+    coordinator.set_backends([make_entry("s1", slots=1, born=1)])
+    coordinator.ask(make_ask(1), 0.0)
+    coordinator.set_backends([make_entry("s1", slots=1, born=2)])
+    assert grants(coordinator.ask(make_ask(2), 0.1)) == [(OWN, 2)]
+
+
+def test_an_excluded_backend_server_is_not_chosen():
+    coordinator = make_coordinator()
+    coordinator.set_backends([make_entry("s1"), make_entry("s2")])
+    for number in range(4):
+        ask = make_ask(number, excluded=("s1",), is_repeat=True)
+        for decision in coordinator.ask(ask, 0.0):
+            assert decision.backend == "s2"
+
+
+def test_ties_are_broken_by_zone():
+    coordinator = make_coordinator()
+    coordinator.set_backends([make_entry("far", 9, zone="b"), make_entry("near", 9)])
+    [grant] = coordinator.ask(make_ask(1), 0.0)
+    assert grant.backend == "near"
--- /dev/null
+++ b/fireflyquay/dispatch/tests/test_coordinator_machine.py
@@ -0,0 +1,101 @@
+"""A state machine of asks, ends, losses and takeovers against a plain count."""
+
+from hypothesis import settings, strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from fireflyquay.dispatch import Ended, Grant, Holding, Refusal, Withdrawal
+
+from .builders import OTHER, OWN, make_ask, make_coordinator, make_entry
+
+SLOTS = {"s1": 1, "s2": 2}
+OWNERS = st.sampled_from([OWN, OTHER])
+
+
+class CoordinatorMachine(RuleBasedStateMachine):
+    def __init__(self):
+        super().__init__()
+        self.coordinator = make_coordinator()
+        self.coordinator.set_backends(
+            [make_entry(name, slots) for name, slots in SLOTS.items()]
+        )
+        self.now = 0.0
+        self.number = 0
+        # Asks by key; then what runs where.
+        self.waiting = {}
+        self.running = {}
+        self.decided = set()
+
+    def note(self, decisions):
+        for decision in decisions:
+            key = (decision.owner, decision.number)
+            assert key not in self.decided, "decided twice"
+            self.decided.add(key)
+            ask = self.waiting.pop(key)
+            if isinstance(decision, Grant):
+                self.running[key] = decision.backend
+                ahead = [it for it in self.waiting.values() if it.rank < ask.rank]
+                assert not ahead, "granted before one of a higher rank"
+            else:
+                assert isinstance(decision, Refusal)
+
+    @rule(owner=OWNERS, rank=st.integers(0, 2), patience=st.floats(0.5, 5))
+    def ask(self, owner, rank, patience):
+        self.number += 1
+        ask = make_ask(self.number, owner, rank=rank, to_give_up=patience)
+        self.waiting[owner, self.number] = ask
+        if owner == OWN:
+            self.note(self.coordinator.ask(ask, self.now))
+        else:
+            self.note(self.coordinator.take(owner, ask, self.now))
+
+    @rule(pick=st.randoms(use_true_random=False), failed=st.booleans())
+    def end(self, pick, failed):
+        if not self.running:
+            return
+        key = pick.choice(sorted(self.running))
+        backend = self.running.pop(key)
+        message = Ended(key[1], backend, 50, failed)
+        self.note(self.coordinator.take(key[0], message, self.now))
+
+    @rule(pick=st.randoms(use_true_random=False))
+    def withdraw(self, pick):
+        keys = sorted(self.waiting) + sorted(self.running)
+        if not keys:
+            return
+        key = pick.choice(keys)
+        self.waiting.pop(key, None)
+        self.running.pop(key, None)
+        self.decided.add(key)
+        message = Withdrawal(key[1])
+        self.note(self.coordinator.take(key[0], message, self.now))
+
+    @rule()
+    def lose(self):
+        for table in (self.waiting, self.running):
+            for key in [key for key in table if key[0] == OTHER]:
+                del table[key]
+                self.decided.add(key)
+        self.note(self.coordinator.forget(OTHER, self.now))
+
+    @rule(seconds=st.floats(0.01, 3))
+    def advance(self, seconds):
+        self.now += seconds
+        self.note(self.coordinator.advance(self.now))
+
+    @rule()
+    def report(self):
+        self.note(self.coordinator.take(OTHER, Holding(()), self.now - 10))
+
+    @invariant()
+    def no_backend_server_is_overfull(self):
+        for name, slots in SLOTS.items():
+            assert list(self.running.values()).count(name) <= slots
+
+    def teardown(self):
+        self.now += 10
+        self.note(self.coordinator.advance(self.now))
+        assert not self.waiting, "left without a decision"
+
+
+TestCoordinator = CoordinatorMachine.TestCase
+TestCoordinator.settings = settings(max_examples=60, stateful_step_count=40)
--- a/fireflyquay/gateway/_gateway.py
+++ b/fireflyquay/gateway/_gateway.py
@@ -68,32 +68,33 @@
         rng: random.Random | None = None,
     ) -> None:
         self._settings = settings
+        self._client = client
         self._clock = clock or BootClock()
         rng = rng or random.Random()
         self.incarnation = Incarnation(secrets.token_hex(INCARNATION_BYTES))
         promises, vm = settings.promises, settings.vm
-        self._beliefs = Beliefs(
+        self.beliefs = Beliefs(
             source,
             self._clock,
             settings.store.read_period,
-            lambda: self._fleet.is_coordinating,
+            lambda: self.fleet.is_coordinating,
         )
-        self._beliefs.on_change = self._apply_beliefs
+        self.beliefs.on_change = self._apply_beliefs
         repeats = RepeatBudget(
             promises.repeat_ratio * REPEAT_MARGIN,
             promises.repeat_slack * REPEAT_MARGIN,
             promises.repeat_window,
         )
         grantor = Grantor(GrantorSettings(), rng)
-        self._coordinator = Coordinator(self._beliefs.config, grantor, repeats)
+        self._coordinator = Coordinator(self.beliefs.config, grantor, repeats)
         self._desk = SlotDesk(self.incarnation, self._coordinator)
-        self._fleet = self._make_fleet(rng)
-        self._desk.connect(self._fleet)
+        self.fleet = self._make_fleet(rng)
+        self._desk.connect(self.fleet)
         self._ingress = Ingress(
             self.incarnation,
             ZoneId(vm.zone),
             dialect,
-            self._beliefs,
+            self.beliefs,
             self._clock,
             self._desk,
             Forwarder(client, dialect, self._desk),
@@ -123,10 +124,10 @@
             seeds,
             self._coordinator,
             self._desk,
-            KnowledgeExchange(self._beliefs.config, self._beliefs.backends),
+            KnowledgeExchange(self.beliefs.config, self.beliefs.backends),
             self._clock,
             self.is_ready,
-            self._beliefs.measure_config_age,
+            self.beliefs.measure_config_age,
             self._apply_beliefs,
             rng,
         )
@@ -134,18 +135,18 @@
     def is_ready(self) -> bool:
         """Tell whether this VM takes requests and can judge them."""
         limit = self._settings.promises.revoke * READY_AGE_SHARE
-        if self._stopping or not self._beliefs.is_complete:
+        if self._stopping or not self.beliefs.is_complete:
             return False
-        return self._beliefs.measure_config_age() < limit
+        return self.beliefs.measure_config_age() < limit
 
     async def start(self) -> None:
         """Listen and begin to work."""
         vm = self._settings.vm
-        self._spawn(self._beliefs.follow_config())
-        self._spawn(self._beliefs.follow_backends())
-        await self._fleet.start()
-        self._spawn(self._fleet.keep_membership())
-        self._spawn(self._fleet.keep_knowledge())
+        self._spawn(self.beliefs.follow_config())
+        self._spawn(self.beliefs.follow_backends())
+        await self.fleet.start()
+        self._spawn(self.fleet.keep_membership())
+        self._spawn(self.fleet.keep_knowledge())
         self._spawn(self._desk.tick())
         self._spawn(self._desk.report_holding())
         await self._clients.start(*split_address(vm.client_address))
@@ -167,7 +168,7 @@
         began = loop.time()
         self._stopping = True
         LOG.info("stopping", extra={"in_progress": self._ingress.in_progress})
-        self._fleet.leave()
+        self.fleet.leave()
         self._clients.stop_keeping()
         last = began + self._settings.promises.stop_grace - CLOSE_MARGIN_SECONDS
         while loop.time() < last:
@@ -177,17 +178,17 @@
                     break
             await asyncio.sleep(STOP_POLL_SECONDS)
         cut_off = self._ingress.in_progress
-        await self._clients.close(0)
-        await self._ready.close(0)
-        await self._resolver.close(0)
-        for task in self._tasks:
-            task.cancel()
-        await self._fleet.close()
+        await self._end()
         LOG.info(
             "stopped",
             extra={"cut_off": cut_off, "taken": round(loop.time() - began, 2)},
         )
 
+    async def abort(self) -> None:
+        """Cut everything off at once."""
+        self._stopping = True
+        await self._end()
+
     def reload(self, settings: GatewaySettings) -> None:
         """Take changed settings; those of the VM itself need a restart."""
         old = self._settings
@@ -202,6 +203,16 @@
         self._ingress.set_revoke_seconds(settings.promises.revoke)
         LOG.info("settings reloaded", extra={"changed": changed})
 
+    async def _end(self) -> None:
+        tasks = tuple(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for server in (self._clients, self._ready, self._resolver):
+            await server.close(0)
+        await self.fleet.close()
+        await self._client.close()
+
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
@@ -213,7 +224,7 @@
             LOG.error("a task failed", extra={"cause": repr(task.exception())})
 
     def _list_addresses(self, zone: str) -> Sequence[str]:
-        entries = [vm for vm in self._fleet.list_entries() if self._is_fit(vm)]
+        entries = [vm for vm in self.fleet.list_entries() if self._is_fit(vm)]
         near = [vm for vm in entries if vm.zone == zone]
         chosen = near if len(near) >= MIN_NEAR_ENTRIES else entries
         return [f"{vm.host}:{vm.http_port}" for vm in chosen[:MAX_ENTRIES]]
@@ -222,10 +233,10 @@
         return vm.incarnation != self.incarnation or self.is_ready()
 
     def _apply_beliefs(self) -> None:
-        book = self._beliefs.backends
+        book = self.beliefs.backends
         ready = [entry for entry in book.list_all() if book.takes_requests(entry.id)]
         self._coordinator.set_backends(ready)
-        config = self._beliefs.config.config
+        config = self.beliefs.config.config
         if config is None:
             return
         limits = config.limits
