--- a/fireflyquay/dispatch/tests/test_coordinator.py
+++ b/fireflyquay/dispatch/tests/test_coordinator.py
@@ -162,7 +162,7 @@
     now, running, counts = 0.0, [], {"slow": 0, "fast": 0}
     for number in range(200):
         now += 0.05
-        for end, owner_number, backend in [it for it in running if it[0] <= now]:
+        for _, owner_number, backend in [it for it in running if it[0] <= now]:
             coordinator.take(OWN, Ended(owner_number, backend, 50, False), now)
         running = [it for it in running if it[0] > now]
         for decision in coordinator.ask(make_ask(number, prompt=0), now):
--- a/fireflyquay/gateway/_forwarder.py
+++ b/fireflyquay/gateway/_forwarder.py
@@ -18,6 +18,7 @@
 from ._call import Call, Outcome, fingerprint_request
 from ._dialect import AnswerFacts, Dialect
 from ._event_splitter import EventSplitter
+from ._gateway_metrics import GatewayMetrics
 from ._slot_desk import SlotDesk
 
 LOG = logbook.Logger("forwarder")
@@ -46,10 +47,17 @@
 class Forwarder:
     """Run attempts at backend servers."""
 
-    def __init__(self, client: HttpClient, dialect: Dialect, desk: SlotDesk) -> None:
+    def __init__(
+        self,
+        client: HttpClient,
+        dialect: Dialect,
+        desk: SlotDesk,
+        metrics: GatewayMetrics,
+    ) -> None:
         self._client = client
         self._dialect = dialect
         self._desk = desk
+        self._metrics = metrics
 
     async def attempt(self, call: Call, ask: Ask, backend: BackendEntry) -> Outcome:
         """Send a call to a backend server; the place is released at the end."""
@@ -57,6 +65,7 @@
         failed = True
         try:
             outcome = await run.carry_out()
+            self._metrics.note_attempt(call.service, outcome.value)
             failed = outcome not in (Outcome.DELIVERED, Outcome.NOT_RUN)
             failed = failed or run.status >= 500
             return outcome
@@ -65,6 +74,9 @@
             raise
         finally:
             self._desk.release(ask, backend.id, run.output_tokens, failed)
+            if run.first_output_at is not None:
+                seconds = run.first_output_at - call.arrived
+                self._metrics.note_first_output(call.admission.route.name, seconds)
 
 
 class _Attempt:
@@ -86,6 +98,7 @@
         self._splitter = EventSplitter()
         self.status = 0
         self.output_tokens = 0
+        self.first_output_at: float | None = None
 
     async def carry_out(self) -> Outcome:
         """Send the request and pass the response on."""
@@ -192,7 +205,7 @@
             if len(body) > MAX_HELD_BYTES:
                 await self._pass_large(stream, body)
                 return
-        self._desk.note_first_output(self._ask, self._backend.id)
+        self._note_first_output()
         status, is_genuine = stream.status, True
         if status in PROMISING_STATUSES:
             # The backend server does not say that it has not run.
@@ -200,6 +213,10 @@
         headers = self._dialect.pass_answer(stream.raw_headers, is_genuine)
         await self._call.responder.send(status, headers, bytes(body))
 
+    def _note_first_output(self) -> None:
+        self.first_output_at = asyncio.get_running_loop().time()
+        self._desk.note_first_output(self._ask, self._backend.id)
+
     async def _pass_large(self, stream: HttpStream, start: bytearray) -> None:
         headers = self._dialect.pass_answer(stream.raw_headers, True)
         responder = self._call.responder
@@ -215,8 +232,8 @@
             whole = splitter.feed(chunk)
             if not whole:
                 continue
-            if not self.output_tokens:
-                self._desk.note_first_output(self._ask, self._backend.id)
+            if self.first_output_at is None:
+                self._note_first_output()
             self.output_tokens = splitter.events
             if not responder.started:
                 headers = self._dialect.pass_answer(stream.raw_headers, True)
--- a/fireflyquay/gateway/_gateway.py
+++ b/fireflyquay/gateway/_gateway.py
@@ -26,6 +26,7 @@
 from ._directory import Directory
 from ._fleet import Fleet
 from ._forwarder import Forwarder
+from ._gateway_metrics import GatewayMetrics
 from ._ingress import Ingress
 from ._settings import GatewaySettings, split_address
 from ._slot_desk import SlotDesk
@@ -71,6 +72,7 @@
         self._client = client
         self._clock = clock or BootClock()
         rng = rng or random.Random()
+        self.metrics = GatewayMetrics()
         self.incarnation = Incarnation(secrets.token_hex(INCARNATION_BYTES))
         promises, vm = settings.promises, settings.vm
         self.beliefs = Beliefs(
@@ -97,10 +99,12 @@
             self.beliefs,
             self._clock,
             self._desk,
-            Forwarder(client, dialect, self._desk),
+            Forwarder(client, dialect, self._desk, self.metrics),
+            self.metrics,
             promises.revoke,
             rng,
         )
+        self._watch_values()
         self._directory = Directory(
             dialect, self._list_addresses, self.is_ready, promises.max_keep
         )
@@ -108,6 +112,7 @@
         self._clients = HttpServer(self._ingress.handle, limits)
         self._ready = HttpServer(self._directory.report_ready, limits)
         self._resolver = HttpServer(self._directory.resolve, limits)
+        self._metrics_page = HttpServer(self.metrics.serve, limits)
         self._stopping = False
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -132,6 +137,27 @@
             rng,
         )
 
+    def _watch_values(self) -> None:
+        watch = self.metrics.watch
+        watch(
+            "config_version",
+            "Version of the configuration in force.",
+            lambda: self.beliefs.config.version,
+        )
+        watch(
+            "config_age_seconds",
+            "Time since the configuration was proven current.",
+            self.beliefs.measure_config_age,
+        )
+        watch("in_progress", "Requests in progress.", lambda: self._ingress.in_progress)
+        watch("waiting", "Requests that wait for a place.", self._desk.count_waiting)
+        watch("vms", "VMs that take requests.", lambda: len(self.fleet.list_entries()))
+        watch(
+            "coordinating",
+            "Whether this VM gives out places for the others.",
+            lambda: float(self.fleet.is_coordinating),
+        )
+
     def is_ready(self) -> bool:
         """Tell whether this VM takes requests and can judge them."""
         limit = self._settings.promises.revoke * READY_AGE_SHARE
@@ -152,6 +178,8 @@
         await self._clients.start(*split_address(vm.client_address))
         await self._ready.start(*split_address(vm.ready_address))
         await self._resolver.start(*split_address(vm.directory_address))
+        if vm.metrics_address:
+            await self._metrics_page.start(*split_address(vm.metrics_address))
         LOG.info(
             "started",
             extra={
@@ -208,7 +236,8 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-        for server in (self._clients, self._ready, self._resolver):
+        servers = (self._clients, self._ready, self._resolver, self._metrics_page)
+        for server in servers:
             await server.close(0)
         await self.fleet.close()
         await self._client.close()
--- /dev/null
+++ b/fireflyquay/gateway/_gateway_metrics.py
@@ -0,0 +1,74 @@
+"""Metrics of a gateway in the Prometheus text format."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+
+from fireflyquay.links import HttpRequest, HttpResponder
+
+# Bounds in seconds: half, once and several times the usual objectives.
+SECONDS_BUCKETS = (0.01, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2, 4, 8, 15)
+CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+
+
+class GatewayMetrics:
+    """Count what happens to requests and what the gateway believes."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self._ended = self._count("requests", "Requests ended.", "route", "outcome")
+        self._attempts = self._count(
+            "attempts", "Requests sent to backend servers.", "service", "outcome"
+        )
+        self._waited = self._time("wait_seconds", "Time until a place.", "service")
+        self._taken = self._time(
+            "request_seconds", "Time from arrival to the end.", "route"
+        )
+        self._first = self._time(
+            "first_output_seconds", "Time from arrival to the first output.", "route"
+        )
+
+    def note_end(self, route: str, outcome: str, seconds: float) -> None:
+        """Count a request that ended."""
+        self._ended.labels(route, outcome).inc()
+        self._taken.labels(route).observe(seconds)
+
+    def note_wait(self, service: str, seconds: float) -> None:
+        """Count a request that got a place."""
+        self._waited.labels(service).observe(seconds)
+
+    def note_attempt(self, service: str, outcome: str) -> None:
+        """Count a request that was sent to a backend server."""
+        self._attempts.labels(service, outcome).inc()
+
+    def note_first_output(self, route: str, seconds: float) -> None:
+        """Count the first output that a client got."""
+        self._first.labels(route).observe(seconds)
+
+    def watch(self, name: str, text: str, read: Callable[[], float]) -> None:
+        """Serve a value that is read when it is asked for."""
+        gauge = Gauge(f"fireflyquay_gateway_{name}", text, registry=self.registry)
+        gauge.set_function(read)
+
+    async def serve(self, request: HttpRequest, responder: HttpResponder) -> None:
+        """Answer with all metrics."""
+        headers = {"Content-Type": CONTENT_TYPE}
+        await responder.send(200, headers, generate_latest(self.registry))
+
+    def _count(self, name: str, text: str, *labels: str) -> Counter:
+        name = f"fireflyquay_gateway_{name}"
+        return Counter(name, text, labels, registry=self.registry)
+
+    def _time(self, name: str, text: str, *labels: str) -> Histogram:
+        name = f"fireflyquay_gateway_{name}"
+        return Histogram(
+            name, text, labels, buckets=SECONDS_BUCKETS, registry=self.registry
+        )
--- a/fireflyquay/gateway/_ingress.py
+++ b/fireflyquay/gateway/_ingress.py
@@ -31,6 +31,7 @@
 from ._clock import AgeClock
 from ._dialect import Dialect, RequestFacts
 from ._forwarder import Forwarder
+from ._gateway_metrics import GatewayMetrics
 from ._slot_desk import SlotDesk
 
 LOG = logbook.Logger("requests")
@@ -57,6 +58,7 @@
         clock: AgeClock,
         desk: SlotDesk,
         forwarder: Forwarder,
+        metrics: GatewayMetrics,
         revoke_seconds: float,
         rng: random.Random,
     ) -> None:
@@ -67,6 +69,7 @@
         self._clock = clock
         self._desk = desk
         self._forwarder = forwarder
+        self._metrics = metrics
         self.set_revoke_seconds(revoke_seconds)
         self._rng = rng
         self._numbers = itertools.count(1)
@@ -186,6 +189,7 @@
         decision = await self._desk.acquire(ask)
         if isinstance(decision, Refusal):
             raise Rejected(decision.code, decision.reason, decision.retry_after)
+        self._metrics.note_wait(call.service, decision.waited)
         LOG.info(
             "granted",
             extra={
@@ -266,6 +270,8 @@
     def _log_end(
         self, facts: RequestFacts, call: Call | None, outcome: str, taken: float
     ) -> None:
+        route = "" if call is None else call.admission.route.name
+        self._metrics.note_end(route, outcome, taken)
         age = round(self._beliefs.measure_config_age(), 2)
         LOG.info(
             "ended",
@@ -273,7 +279,7 @@
                 "id": facts.attempt,
                 "outcome": outcome,
                 "taken": round(taken, 3),
-                "route": "" if call is None else call.admission.route.name,
+                "route": route,
                 "tried": [] if call is None else call.tried,
                 "config_version": self._beliefs.config.version,
                 "config_age": age if age < 1e6 else None,
--- a/fireflyquay/gateway/_settings.py
+++ b/fireflyquay/gateway/_settings.py
@@ -12,6 +12,9 @@
 from fireflyquay.world import Code, FireflyquayError
 
 Address = Annotated[str, Meta(pattern=r"^[0-9A-Za-z.:_-]{1,253}:[0-9]{1,5}$")]
+OptionalAddress = Annotated[
+    str, Meta(pattern=r"^([0-9A-Za-z.:_-]{1,253}:[0-9]{1,5})?$")
+]
 Name = Annotated[str, Meta(pattern=r"^[A-Za-z0-9._-]{1,64}$")]
 Port = Annotated[int, Meta(ge=1, le=65535)]
 Seconds = Annotated[float, Meta(gt=0, le=86400)]
@@ -37,8 +40,8 @@
     peer_port: Port
     # Addresses of some VMs of the fleet, which may be gone; only their hosts are used.
     seeds: tuple[str, ...] = ()
-    # Port of the metrics page on the client address's host; 0 serves none.
-    metrics_port: Annotated[int, Meta(ge=0, le=65535)] = 0
+    # Where metrics are served; empty serves none.
+    metrics_address: OptionalAddress = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/fireflyquay/gateway/_slot_desk.py
+++ b/fireflyquay/gateway/_slot_desk.py
@@ -173,6 +173,10 @@
                 withdrawal = Withdrawal(decision.number)
                 self.hand_out(self._coordinator.take(self._own, withdrawal, now))
 
+    def count_waiting(self) -> int:
+        """Return how many requests of this VM wait for a place."""
+        return len(self._pending)
+
     async def report_holding(self) -> None:
         """Tell the coordinator again and again what is held until cancelled."""
         loop = asyncio.get_running_loop()
