--- a/fireflyquay/dispatch/_backend_load.py
+++ b/fireflyquay/dispatch/_backend_load.py
@@ -90,8 +90,9 @@
         self.failure_share += SMOOTHING * (float(failed) - self.failure_share)
         if failed:
             return
-        if run.first_output_at is not None and output_tokens > 0:
-            observed = (now - run.first_output_at) / output_tokens
+        size = run.ask.output_tokens
+        if run.first_output_at is not None and output_tokens > 0 and size > 0:
+            observed = (now - run.first_output_at) / size
             self.step_seconds += SMOOTHING * (observed - self.step_seconds)
         if not run.ask.prompt_tokens:
             taken = now - run.granted_at
--- a/fireflyquay/dispatch/_coordinator.py
+++ b/fireflyquay/dispatch/_coordinator.py
@@ -46,12 +46,16 @@
     """Decide on asks; each VM has one, and most turn to the same."""
 
     def __init__(
-        self, config: ConfigBook, grantor: Grantor, repeats: RepeatBudget
+        self,
+        config: ConfigBook,
+        grantor: Grantor,
+        repeats: RepeatBudget,
+        quotas: QuotaBook,
     ) -> None:
         self._config = config
         self._grantor = grantor
         self._repeats = repeats
-        self.quotas = QuotaBook()
+        self.quotas = quotas
         self.crashes = CrashList()
         # VMs that turn to this one, this one excluded.
         self.followers: set[Incarnation] = set()
--- a/fireflyquay/dispatch/_quota.py
+++ b/fireflyquay/dispatch/_quota.py
@@ -22,7 +22,9 @@
     quota is refused before it takes a place from others.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, slack: float = 0.0) -> None:
+        # Units beyond each account's burst.
+        self._slack = slack
         self._buckets: dict[ClientAccountId, _Bucket] = {}
 
     def charge(
@@ -54,7 +56,7 @@
             self._fill(account, 1.0, now).level -= units
 
     def _fill(self, account: ClientAccount, share: float, now: float) -> _Bucket:
-        rate, burst = account.rate * share, account.burst * share
+        rate, burst = account.rate * share, (account.burst + self._slack) * share
         bucket = self._buckets.get(account.id)
         if bucket is None:
             bucket = self._buckets[account.id] = _Bucket(burst, now, rate, burst)
--- a/fireflyquay/dispatch/tests/builders.py
+++ b/fireflyquay/dispatch/tests/builders.py
@@ -11,6 +11,7 @@
     Grantor,
     GrantorSettings,
     Proof,
+    QuotaBook,
     RepeatBudget,
 )
 from fireflyquay.world import (
@@ -124,4 +125,4 @@
     accounts = (account,) if account else ()
     book.offer(make_config(accounts=accounts), Proof(1, 0.0))
     grantor = Grantor(GrantorSettings(), random.Random(seed))
-    return Coordinator(book, grantor, repeats or RepeatBudget(0.2, 10, 10))
+    return Coordinator(book, grantor, repeats or RepeatBudget(0.2, 10, 10), QuotaBook())
--- a/fireflyquay/gateway/_call.py
+++ b/fireflyquay/gateway/_call.py
@@ -11,7 +11,7 @@
 from fireflyquay.world import BackendServerId, Fingerprint, ServiceId
 
 from ._admission import Admission
-from ._dialect import RequestFacts
+from ._dialect import HeaderPairs, RequestFacts
 
 # What clients of streams bear between events and before the first one, as the platform
 # states: the longest of a fixed time, a multiple of the objective and one of the gap.
@@ -28,6 +28,8 @@
     NOT_RUN = "NOT_RUN"
     # Nothing was sent to the backend server.
     NOT_SENT = "NOT_SENT"
+    # The backend server ran it and failed; the response is held back.
+    FAILED = "FAILED"
     # It may have run; the client has no byte of a response.
     LOST = "LOST"
     # A stream broke off after the client got a part of it.
@@ -50,6 +52,8 @@
     tried: list[BackendServerId] = field(default_factory=list)
     # Whether a backend server may have run it.
     may_have_run: bool = False
+    # Status, headers and body of a failure that is passed on if nothing better comes.
+    held_failure: tuple[int, HeaderPairs, bytes] | None = None
     # Id of the last event that the client got.
     last_event: str = ""
 
--- a/fireflyquay/gateway/_forwarder.py
+++ b/fireflyquay/gateway/_forwarder.py
@@ -16,7 +16,7 @@
 from fireflyquay.world import BackendEntry, Code, RepeatRule
 
 from ._call import Call, Outcome, fingerprint_request
-from ._dialect import AnswerFacts, Dialect
+from ._dialect import Dialect
 from ._event_splitter import EventSplitter
 from ._gateway_metrics import GatewayMetrics
 from ._slot_desk import SlotDesk
@@ -195,23 +195,27 @@
         if is_success and self._call.admission.route.is_stream:
             await self._pass_events(stream)
             return Outcome.DELIVERED
-        await self._pass_whole(stream, answer)
-        return Outcome.DELIVERED
+        return await self._pass_whole(stream)
 
-    async def _pass_whole(self, stream: HttpStream, answer: AnswerFacts) -> None:
+    async def _pass_whole(self, stream: HttpStream) -> Outcome:
         body = bytearray()
         async for chunk in stream:
             body += chunk
             if len(body) > MAX_HELD_BYTES:
                 await self._pass_large(stream, body)
-                return
+                return Outcome.DELIVERED
         self._note_first_output()
         status, is_genuine = stream.status, True
         if status in PROMISING_STATUSES:
             # The backend server does not say that it has not run.
             status, is_genuine = BAD_GATEWAY, False
         headers = self._dialect.pass_answer(stream.raw_headers, is_genuine)
+        rule = self._call.admission.route.repeat_rule
+        if status >= 500 and rule is RepeatRule.IDEMPOTENT:
+            self._call.held_failure = (status, headers, bytes(body))
+            return Outcome.FAILED
         await self._call.responder.send(status, headers, bytes(body))
+        return Outcome.DELIVERED
 
     def _note_first_output(self) -> None:
         self.first_output_at = asyncio.get_running_loop().time()
--- a/fireflyquay/gateway/_gateway.py
+++ b/fireflyquay/gateway/_gateway.py
@@ -15,6 +15,7 @@
     Grantor,
     GrantorSettings,
     KnowledgeExchange,
+    QuotaBook,
     RepeatBudget,
 )
 from fireflyquay.links import HttpClient, HttpLimits, HttpServer
@@ -50,6 +51,9 @@
 # Part of the budget for repeats that is used: when the coordinator changes, the new one
 # does not know what the old one gave out.
 REPEAT_MARGIN = 0.6
+# Part of the slack of quotas that one coordinator gives out: the rest covers a second
+# one that takes over with full buckets.
+QUOTA_SLACK_SHARE = 0.5
 # VMs of a client's own availability zone that are enough for it.
 MIN_NEAR_ENTRIES = 2
 # Addresses in one answer, as many as clients take.
@@ -88,7 +92,12 @@
             promises.repeat_window,
         )
         grantor = Grantor(GrantorSettings(), rng)
-        self._coordinator = Coordinator(self.beliefs.config, grantor, repeats)
+        self._coordinator = Coordinator(
+            self.beliefs.config,
+            grantor,
+            repeats,
+            QuotaBook(promises.quota_slack * QUOTA_SLACK_SHARE),
+        )
         self._desk = SlotDesk(self.incarnation, self._coordinator)
         self.fleet = self._make_fleet(rng)
         self._desk.connect(self.fleet)
--- a/fireflyquay/gateway/_ingress.py
+++ b/fireflyquay/gateway/_ingress.py
@@ -110,7 +110,10 @@
             if call is not None and call.may_have_run:
                 rejected = Rejected(Code.BACKEND_FAILED, rejected.sentence)
             outcome = rejected.code.value
-            await self._refuse(facts, responder, rejected)
+            if call is not None and call.held_failure is not None:
+                await responder.send(*call.held_failure)
+            else:
+                await self._refuse(facts, responder, rejected)
         except TimeoutError:
             outcome = Code.BACKEND_TIMEOUT.value
             await self._end_late(call, facts, responder)
@@ -239,6 +242,8 @@
         return len(call.tried) < call.admission.route.max_attempts
 
     def _give_up(self, call: Call, outcome: Outcome) -> None:
+        if outcome is Outcome.FAILED:
+            raise Rejected(Code.BACKEND_FAILED, "The backend server failed.")
         if outcome is Outcome.CUT:
             call.responder.abort()
             raise CallerGoneError
--- a/fireflyquay/gateway/_settings.py
+++ b/fireflyquay/gateway/_settings.py
@@ -69,6 +69,8 @@
     repeat_ratio: Share
     repeat_slack: Annotated[float, Meta(ge=0)]
     repeat_window: Seconds
+    # Units beyond a quota that may run within its window besides its rate and burst.
+    quota_slack: Annotated[float, Meta(ge=0)]
     # Seconds that clients keep the list of addresses at most.
     max_keep: Seconds
 
