Forecast first outputs by prompts in order, and prefer backend servers on time

Cause: speeds were learned per request, so that a small prompt behind a large one made its backend server look forty times slower; the slowest engine broke the allowed pause of every stream beside a long prompt (gaps of 0.25 s) and was chosen like the others. Change: the forecast keeps when all granted prompts will be prefilled; rates are weighted by size; a backend server whose recent gaps exceed the allowed one counts as late, and a request waits for one on time for a part of its objective. Ruled out: lag of the coordinator (waits of 0 in all late requests).

--- a/fireflyquay/dispatch/_backend_load.py
+++ b/fireflyquay/dispatch/_backend_load.py
@@ -7,20 +7,29 @@
 from fireflyquay.world import BackendEntry, Incarnation
 
 from ._grant import Ask
+from ._running_rate import RunningRate
 
 AskKey = tuple[Incarnation, int]
 
-# Weight of one observation in a running mean: about ten observations are remembered.
-SMOOTHING = 0.1
 # Speeds assumed before anything was observed, those of a usual engine: seconds per
 # prompt token, per output token, and per plain request.
 INITIAL_PREFILL_SECONDS = 1 / 50_000
-INITIAL_STEP_SECONDS = 0.006
+INITIAL_STEP_SECONDS = 0.005
 INITIAL_PLAIN_SECONDS = 0.05
+# Amounts of observed work that the running rates remember: some ten usual requests.
+PREFILL_MEMORY_TOKENS = 50_000
+STEP_MEMORY_TOKENS = 3_000
+PLAIN_MEMORY_REQUESTS = 10
+# Steps of the batch between a prompt's end and its first output.
+FIRST_STEPS = 2
+# Weight of one request in the running share of failures.
+FAILURE_WEIGHT = 0.1
 # Share of failures among recent requests above which a backend server is avoided.
 FAILURE_LIMIT = 0.3
 # Seconds between requests that try an avoided backend server again.
 TRIAL_SECONDS = 1.0
+# Part of the longest gap between events that is remembered after each further stream.
+GAP_MEMORY = 0.85
 
 
 @dataclass(slots=True)
@@ -34,40 +43,68 @@
 
 @dataclass(slots=True)
 class BackendLoad:
-    """Track one backend server's places, speed and failures."""
+    """Track one backend server's places, speed and failures.
+
+    Engines prefill prompts one after another, so a prompt's first output waits for all
+    prompts before it.
+    """
 
     entry: BackendEntry
     runs: dict[AskKey, Run] = field(default_factory=dict)
-    # Running means in seconds.
-    prefill_seconds: float = INITIAL_PREFILL_SECONDS
-    step_seconds: float = INITIAL_STEP_SECONDS
-    plain_seconds: float = INITIAL_PLAIN_SECONDS
+    prefill: RunningRate = field(
+        default_factory=lambda: RunningRate(
+            INITIAL_PREFILL_SECONDS, PREFILL_MEMORY_TOKENS
+        )
+    )
+    step: RunningRate = field(
+        default_factory=lambda: RunningRate(INITIAL_STEP_SECONDS, STEP_MEMORY_TOKENS)
+    )
+    plain: RunningRate = field(
+        default_factory=lambda: RunningRate(
+            INITIAL_PLAIN_SECONDS, PLAIN_MEMORY_REQUESTS
+        )
+    )
+    # Loop times: when all granted prompts should be prefilled, and the last first
+    # output that was seen.
+    prefilled_at: float = 0.0
+    last_output_at: float = 0.0
+    # Seconds of the longest gap in recent streams.
+    longest_gap: float = 0.0
     # Share of recent requests that failed.
     failure_share: float = 0.0
     # Loop time until which nothing is granted.
     paused_until: float = 0.0
 
-    @property
-    def waiting_prompt_tokens(self) -> int:
-        """Return the prompt tokens of runs that have no output yet."""
-        return sum(
-            run.ask.prompt_tokens
-            for run in self.runs.values()
-            if run.first_output_at is None
-        )
-
-    def forecast_first_output(self, ask: Ask) -> float:
+    def forecast_first_output(self, ask: Ask, now: float) -> float:
         """Return the seconds to the first output if the ask were granted now."""
         if not ask.prompt_tokens:
             crowd = len(self.runs) / max(1, self.entry.slots)
-            return self.plain_seconds * (1.0 + 0.5 * crowd)
-        tokens = self.waiting_prompt_tokens + ask.prompt_tokens
-        return tokens * self.prefill_seconds + self.step_seconds * 2
+            return self.plain.rate * (1.0 + crowd)
+        backlog = max(0.0, self.prefilled_at - now)
+        own = ask.prompt_tokens * self.prefill.rate
+        return backlog + own + FIRST_STEPS * self.step.rate
+
+    def forecast_run(self, ask: Ask) -> float:
+        """Return the seconds that the ask would hold a place, without any backlog."""
+        if not ask.prompt_tokens:
+            return self.plain.rate
+        prefill = ask.prompt_tokens * self.prefill.rate
+        return prefill + ask.output_tokens * self.step.rate
+
+    def is_on_time(self, ask: Ask, waited: float, now: float) -> bool:
+        """Tell whether the ask would meet its objectives if it were granted now."""
+        if ask.max_gap and self.longest_gap > ask.max_gap:
+            return False
+        return waited + self.forecast_first_output(ask, now) <= ask.to_objective
 
-    def forecast_end(self, ask: Ask) -> float:
-        """Return the seconds to the last output if the ask were granted now."""
-        first = self.forecast_first_output(ask)
-        return first + ask.output_tokens * self.step_seconds
+    def start(self, key: AskKey, ask: Ask, granted_at: float) -> None:
+        """Count a run that was granted."""
+        if key in self.runs:
+            return
+        self.runs[key] = Run(ask, granted_at)
+        if ask.prompt_tokens:
+            begins = max(granted_at, self.prefilled_at)
+            self.prefilled_at = begins + ask.prompt_tokens * self.prefill.rate
 
     def note_first_output(self, key: AskKey, now: float) -> None:
         """Learn the speed of prefill from a run's first output."""
@@ -75,28 +112,42 @@
         if run is None or run.first_output_at is not None:
             return
         run.first_output_at = now
-        taken = max(0.0, now - run.granted_at)
+        begun, self.last_output_at = max(run.granted_at, self.last_output_at), now
         if not run.ask.prompt_tokens:
             return
-        tokens = run.ask.prompt_tokens + self.waiting_prompt_tokens
-        observed = max(0.0, taken - 2 * self.step_seconds) / tokens
-        self.prefill_seconds += SMOOTHING * (observed - self.prefill_seconds)
-
-    def note_end(self, key: AskKey, now: float, output_tokens: int, failed: bool):
+        taken = max(0.0, now - begun - FIRST_STEPS * self.step.rate)
+        self.prefill.note(taken, run.ask.prompt_tokens)
+        self._forecast_backlog(now)
+
+    def note_end(
+        self,
+        key: AskKey,
+        now: float,
+        output_tokens: int,
+        longest_gap: float,
+        failed: bool,
+    ) -> None:
         """End a run and learn from it."""
         run = self.runs.pop(key, None)
         if run is None:
             return
-        self.failure_share += SMOOTHING * (float(failed) - self.failure_share)
+        self.failure_share += FAILURE_WEIGHT * (float(failed) - self.failure_share)
         if failed:
+            self._forecast_backlog(now)
             return
-        size = run.ask.output_tokens
-        if run.first_output_at is not None and output_tokens > 0 and size > 0:
-            observed = (now - run.first_output_at) / size
-            self.step_seconds += SMOOTHING * (observed - self.step_seconds)
         if not run.ask.prompt_tokens:
-            taken = now - run.granted_at
-            self.plain_seconds += SMOOTHING * (taken - self.plain_seconds)
+            self.plain.note(now - run.granted_at, 1)
+            return
+        if run.first_output_at is not None and output_tokens > 1:
+            self.step.note(now - run.first_output_at, run.ask.output_tokens)
+            self.longest_gap = max(longest_gap, self.longest_gap * GAP_MEMORY)
+
+    def drop(self, key: AskKey, now: float) -> bool:
+        """Forget a run without learning from it; tell whether there was one."""
+        if self.runs.pop(key, None) is None:
+            return False
+        self._forecast_backlog(now)
+        return True
 
     def is_open(self, places: float, now: float) -> bool:
         """Tell whether another run may be granted."""
@@ -109,3 +160,11 @@
     def pause(self, until: float) -> None:
         """Grant nothing for a while."""
         self.paused_until = max(self.paused_until, until)
+
+    def _forecast_backlog(self, now: float) -> None:
+        waiting = sum(
+            run.ask.prompt_tokens
+            for run in self.runs.values()
+            if run.first_output_at is None
+        )
+        self.prefilled_at = now + waiting * self.prefill.rate
--- a/fireflyquay/dispatch/_control_message.py
+++ b/fireflyquay/dispatch/_control_message.py
@@ -39,6 +39,8 @@
     number: int
     backend: BackendServerId
     output_tokens: int
+    # Seconds between two events, the longest.
+    longest_gap: float
     failed: bool
 
 
--- a/fireflyquay/dispatch/_coordinator.py
+++ b/fireflyquay/dispatch/_coordinator.py
@@ -96,11 +96,8 @@
                 return self._settle(grantor.withdraw((sender, number), now))
             case FirstOutput(number, backend):
                 grantor.note_first_output((sender, number), backend, now)
-            case Ended(number, backend, output_tokens, failed):
-                key = (sender, number)
-                return self._settle(
-                    grantor.release(key, backend, output_tokens, failed, now)
-                )
+            case Ended():
+                return self._settle(grantor.release(sender, message, now))
             case Pause(backend, seconds):
                 grantor.pause(backend, now + seconds)
             case Crashed(fingerprint):
--- a/fireflyquay/dispatch/_grant.py
+++ b/fireflyquay/dispatch/_grant.py
@@ -35,6 +35,8 @@
     # timeout ends; the objective may have passed.
     to_objective: float
     to_give_up: float
+    # Seconds between two events that are on time; 0 where there are no events.
+    max_gap: float
     # Of caller, path and body.
     fingerprint: Fingerprint
     # Whether the request was sent to a backend server before.
--- a/fireflyquay/dispatch/_grantor.py
+++ b/fireflyquay/dispatch/_grantor.py
@@ -14,7 +14,8 @@
     ServiceId,
 )
 
-from ._backend_load import TRIAL_SECONDS, AskKey, BackendLoad, Run
+from ._backend_load import TRIAL_SECONDS, AskKey, BackendLoad
+from ._control_message import Ended
 from ._grant import Ask, Decision, Grant, Refusal
 
 # Seconds in which a grant reaches its owner; a lost packet takes 200 ms more.
@@ -27,6 +28,11 @@
 
     # Runs granted per slot of a backend server.
     window: float = 1.0
+    # Weight of the time that a run holds its place, against that to its first output.
+    run_weight: float = 0.2
+    # Part of its objective for which a request waits for a backend server that is on
+    # time while only late ones are open.
+    hope_share: float = 0.3
     # Part of its patience that a request may wait for a place; the rest is for its run.
     wait_share: float = 0.6
     # Bounds of what a refused client is told, in seconds: not so soon that the same
@@ -96,7 +102,7 @@
         for queue in self._services.values():
             queue.waiting = [item for item in queue.waiting if item.key != key]
             for load in queue.loads.values():
-                if load.runs.pop(key, None) is not None:
+                if load.drop(key, now):
                     return self._advance(queue, now)
         return []
 
@@ -106,22 +112,21 @@
         if load is not None:
             load.note_first_output(key, now)
 
-    def release(
-        self,
-        key: AskKey,
-        backend: BackendServerId,
-        output_tokens: int,
-        failed: bool,
-        now: float,
-    ) -> list[Decision]:
+    def release(self, owner: Incarnation, ended: Ended, now: float) -> list[Decision]:
         """End a run and give its place to the next."""
-        load = self._find(backend)
+        load = self._find(ended.backend)
         if load is None:
             return []
-        load.note_end(key, now, output_tokens, failed)
-        if failed:
+        load.note_end(
+            (owner, ended.number),
+            now,
+            ended.output_tokens,
+            ended.longest_gap,
+            ended.failed,
+        )
+        if ended.failed:
             load.pause(now + TRIAL_SECONDS * load.failure_share)
-        return self._advance(self._services[self._where[backend]], now)
+        return self._advance(self._services[self._where[ended.backend]], now)
 
     def pause(self, backend: BackendServerId, until: float) -> None:
         """Grant nothing at a backend server for a while."""
@@ -133,7 +138,7 @@
         """Count a run that was granted elsewhere."""
         load = self._find(backend)
         if load is not None:
-            load.runs.setdefault((ask.owner, ask.number), Run(ask, granted_at))
+            load.start((ask.owner, ask.number), ask, granted_at)
 
     def drop_unheld(
         self, owner: Incarnation, held: set[AskKey], now: float
@@ -146,7 +151,7 @@
                 for key, run in list(load.runs.items()):
                     is_old = run.granted_at < latest
                     if key[0] == owner and key not in held and is_old:
-                        del load.runs[key]
+                        load.drop(key, now)
             decisions += self._advance(queue, now)
         return decisions
 
@@ -157,7 +162,7 @@
             queue.waiting = [it for it in queue.waiting if it.ask.owner != owner]
             for load in queue.loads.values():
                 for key in [key for key in load.runs if key[0] == owner]:
-                    del load.runs[key]
+                    load.drop(key, now)
             decisions += self._advance(queue, now)
         return decisions
 
@@ -204,26 +209,32 @@
     def _place(
         self, queue: _ServiceQueue, item: _Waiting, now: float
     ) -> BackendLoad | None:
-        ask = item.ask
+        """Choose an open backend server, or none if waiting for another is better."""
+        ask, waited = item.ask, now - item.asked_at
         best: BackendLoad | None = None
-        best_score = (0.0, False, 0.0)
+        best_score = (False, 0.0, False, 0.0)
         for name, load in queue.loads.items():
             places = max(1.0, load.entry.slots * self._settings.window * self.share)
             if name in ask.excluded or not load.is_open(places, now):
                 continue
+            run_cost = self._settings.run_weight * load.forecast_run(ask)
             score = (
-                round(load.forecast_end(ask), 2),
+                not load.is_on_time(ask, waited, now),
+                round(load.forecast_first_output(ask, now) + run_cost, 3),
                 load.entry.zone != ask.zone,
                 self._rng.random(),
             )
             if best is None or score < best_score:
                 best, best_score = load, score
+        is_late = best_score[0]
+        if is_late and waited < self._settings.hope_share * ask.to_objective:
+            return None
         return best
 
     def _grant(self, load: BackendLoad, item: _Waiting, now: float) -> Grant:
         ask = item.ask
-        forecast = load.forecast_first_output(ask)
-        load.runs[item.key] = Run(ask, now)
+        forecast = load.forecast_first_output(ask, now)
+        load.start(item.key, ask, now)
         waited = now - item.asked_at
         return Grant(ask.owner, ask.number, load.entry.id, waited, forecast)
 
--- a/fireflyquay/dispatch/_quota.py
+++ b/fireflyquay/dispatch/_quota.py
@@ -22,8 +22,9 @@
     quota is refused before it takes a place from others.
     """
 
-    def __init__(self, slack: float = 0.0) -> None:
-        # Units beyond each account's burst.
+    def __init__(self, overshoot: float = 0.0, slack: float = 0.0) -> None:
+        # Part of each account's rate, and units, that are given out beyond its quota.
+        self._overshoot = overshoot
         self._slack = slack
         self._buckets: dict[ClientAccountId, _Bucket] = {}
 
@@ -56,7 +57,8 @@
             self._fill(account, 1.0, now).level -= units
 
     def _fill(self, account: ClientAccount, share: float, now: float) -> _Bucket:
-        rate, burst = account.rate * share, (account.burst + self._slack) * share
+        rate = account.rate * (1 + self._overshoot) * share
+        burst = (account.burst + self._slack) * share
         bucket = self._buckets.get(account.id)
         if bucket is None:
             bucket = self._buckets[account.id] = _Bucket(burst, now, rate, burst)
--- a/fireflyquay/dispatch/tests/test_coordinator.py
+++ b/fireflyquay/dispatch/tests/test_coordinator.py
@@ -38,7 +38,7 @@
     assert grants(coordinator.ask(make_ask(1, rank=2), 0.0)) == [(OWN, 1)]
     assert coordinator.ask(make_ask(2, rank=2), 0.1) == []
     assert coordinator.ask(make_ask(3, OTHER, rank=0), 0.2) == []
-    freed = coordinator.take(OWN, Ended(1, "s1", 50, False), 0.3)
+    freed = coordinator.take(OWN, Ended(1, "s1", 50, 0.0, False), 0.3)
     assert grants(freed) == [(OTHER, 3)]
 
 
@@ -48,7 +48,7 @@
     coordinator.ask(make_ask(1), 0.0)
     coordinator.ask(make_ask(2, to_objective=0.05), 0.0)
     coordinator.ask(make_ask(3, to_objective=1.0), 0.1)
-    freed = coordinator.take(OWN, Ended(1, "s1", 50, False), 0.2)
+    freed = coordinator.take(OWN, Ended(1, "s1", 50, 0.0, False), 0.2)
     assert grants(freed) == [(OWN, 3)]
 
 
@@ -90,7 +90,7 @@
     coordinator.take(OTHER, make_ask(1, OTHER, account=""), 0.0)
     coordinator.ask(make_ask(2), 0.0)
     coordinator.take(OWN, Withdrawal(2), 0.1)
-    coordinator.take(OTHER, Ended(1, "s1", 50, False), 0.2)
+    coordinator.take(OTHER, Ended(1, "s1", 50, 0.0, False), 0.2)
     assert grants(coordinator.ask(make_ask(3), 0.3)) == [(OWN, 3)]
 
 
@@ -123,7 +123,7 @@
     held = HeldRun(make_ask(7, OTHER), "s1", 0.4)
     coordinator.take(OTHER, Handover((held,), ((ACCOUNT, 10.0),), (("f", 2),)), 1.0)
     assert coordinator.ask(make_ask(1), 1.0) == []
-    freed = coordinator.take(OTHER, Ended(7, "s1", 50, False), 1.2)
+    freed = coordinator.take(OTHER, Ended(7, "s1", 50, 0.0, False), 1.2)
     assert grants(freed) == [(OWN, 1)]
 
 
@@ -163,7 +163,7 @@
     for number in range(200):
         now += 0.05
         for _, owner_number, backend in [it for it in running if it[0] <= now]:
-            coordinator.take(OWN, Ended(owner_number, backend, 50, False), now)
+            coordinator.take(OWN, Ended(owner_number, backend, 50, 0.0, False), now)
         running = [it for it in running if it[0] > now]
         for decision in coordinator.ask(make_ask(number, prompt=0), now):
             taken = 0.5 if decision.backend == "slow" else 0.1
@@ -180,7 +180,7 @@
         now = number * 0.1
         [grant] = coordinator.ask(make_ask(number, prompt=0), now)
         failed = grant.backend == "bad" and now < 6.0
-        coordinator.take(OWN, Ended(number, grant.backend, 0, failed), now + 0.05)
+        coordinator.take(OWN, Ended(number, grant.backend, 0, 0.0, failed), now + 0.05)
         chosen.append(grant.backend)
     assert chosen[20:60].count("bad") <= 10
     assert "bad" in chosen[60:]
--- a/fireflyquay/dispatch/tests/test_coordinator_machine.py
+++ b/fireflyquay/dispatch/tests/test_coordinator_machine.py
@@ -54,7 +54,7 @@
             return
         key = pick.choice(sorted(self.running))
         backend = self.running.pop(key)
-        message = Ended(key[1], backend, 50, failed)
+        message = Ended(key[1], backend, 50, 0.0, failed)
         self.note(self.coordinator.take(key[0], message, self.now))
 
     @rule(pick=st.randoms(use_true_random=False))
--- a/fireflyquay/gateway/_call.py
+++ b/fireflyquay/gateway/_call.py
@@ -54,6 +54,9 @@
     may_have_run: bool = False
     # Status, headers and body of a failure that is passed on if nothing better comes.
     held_failure: tuple[int, HeaderPairs, bytes] | None = None
+    # Loop time of the first output, and seconds of the longest gap after it.
+    first_output_at: float | None = None
+    longest_gap: float = 0.0
     # Id of the last event that the client got.
     last_event: str = ""
 
@@ -72,6 +75,12 @@
         )
         return min(whole, silence)
 
+    def measure_first_output(self) -> float | None:
+        """Return the seconds from arrival to the first output, None without one."""
+        if self.first_output_at is None:
+            return None
+        return round(self.first_output_at - self.arrived, 3)
+
 
 def fingerprint_request(call: Call) -> Fingerprint:
     """Return what a request has in common with a copy that the client sends again."""
--- a/fireflyquay/gateway/_forwarder.py
+++ b/fireflyquay/gateway/_forwarder.py
@@ -54,18 +54,18 @@
         desk: SlotDesk,
         metrics: GatewayMetrics,
     ) -> None:
-        self._client = client
-        self._dialect = dialect
-        self._desk = desk
-        self._metrics = metrics
+        self.client = client
+        self.dialect = dialect
+        self.desk = desk
+        self.metrics = metrics
 
     async def attempt(self, call: Call, ask: Ask, backend: BackendEntry) -> Outcome:
         """Send a call to a backend server; the place is released at the end."""
-        run = _Attempt(self._client, self._dialect, self._desk, call, ask, backend)
+        run = _Attempt(self, call, ask, backend)
         failed = True
         try:
             outcome = await run.carry_out()
-            self._metrics.note_attempt(call.service, outcome.value)
+            self.metrics.note_attempt(call.service, outcome.value)
             failed = outcome not in (Outcome.DELIVERED, Outcome.NOT_RUN)
             failed = failed or run.status >= 500
             return outcome
@@ -73,32 +73,28 @@
             failed = False
             raise
         finally:
-            self._desk.release(ask, backend.id, run.output_tokens, failed)
-            if run.first_output_at is not None:
-                seconds = run.first_output_at - call.arrived
-                self._metrics.note_first_output(call.admission.route.name, seconds)
+            self.desk.release(
+                ask, backend.id, run.output_tokens, run.longest_gap, failed
+            )
 
 
 class _Attempt:
     def __init__(
-        self,
-        client: HttpClient,
-        dialect: Dialect,
-        desk: SlotDesk,
-        call: Call,
-        ask: Ask,
-        backend: BackendEntry,
+        self, forwarder: Forwarder, call: Call, ask: Ask, backend: BackendEntry
     ) -> None:
-        self._client = client
-        self._dialect = dialect
-        self._desk = desk
+        self._client = forwarder.client
+        self._dialect = forwarder.dialect
+        self._desk = forwarder.desk
+        self._metrics = forwarder.metrics
         self._call = call
         self._ask = ask
         self._backend = backend
         self._splitter = EventSplitter()
         self.status = 0
         self.output_tokens = 0
-        self.first_output_at: float | None = None
+        self._output_at: float | None = None
+        # Seconds between two outputs of this attempt.
+        self.longest_gap = 0.0
 
     async def carry_out(self) -> Outcome:
         """Send the request and pass the response on."""
@@ -204,7 +200,7 @@
             if len(body) > MAX_HELD_BYTES:
                 await self._pass_large(stream, body)
                 return Outcome.DELIVERED
-        self._note_first_output()
+        self._note_output()
         status, is_genuine = stream.status, True
         if status in PROMISING_STATUSES:
             # The backend server does not say that it has not run.
@@ -217,9 +213,18 @@
         await self._call.responder.send(status, headers, bytes(body))
         return Outcome.DELIVERED
 
-    def _note_first_output(self) -> None:
-        self.first_output_at = asyncio.get_running_loop().time()
+    def _note_output(self) -> None:
+        call, now = self._call, asyncio.get_running_loop().time()
+        before, self._output_at = self._output_at, now
+        if before is not None:
+            self.longest_gap = max(self.longest_gap, now - before)
+            call.longest_gap = max(call.longest_gap, now - before)
+            return
         self._desk.note_first_output(self._ask, self._backend.id)
+        if call.first_output_at is None:
+            call.first_output_at = now
+            seconds = now - call.arrived
+            self._metrics.note_first_output(call.admission.route.name, seconds)
 
     async def _pass_large(self, stream: HttpStream, start: bytearray) -> None:
         headers = self._dialect.pass_answer(stream.raw_headers, True)
@@ -236,8 +241,7 @@
             whole = splitter.feed(chunk)
             if not whole:
                 continue
-            if self.first_output_at is None:
-                self._note_first_output()
+            self._note_output()
             self.output_tokens = splitter.events
             if not responder.started:
                 headers = self._dialect.pass_answer(stream.raw_headers, True)
--- a/fireflyquay/gateway/_gateway.py
+++ b/fireflyquay/gateway/_gateway.py
@@ -51,9 +51,10 @@
 # Part of the budget for repeats that is used: when the coordinator changes, the new one
 # does not know what the old one gave out.
 REPEAT_MARGIN = 0.6
-# Part of the slack of quotas that one coordinator gives out: the rest covers a second
-# one that takes over with full buckets.
-QUOTA_SLACK_SHARE = 0.5
+# Parts of the overshoot and slack of quotas that one coordinator gives out: the rest
+# covers what VMs decide by themselves when another one takes over.
+QUOTA_OVERSHOOT_SHARE = 0.5
+QUOTA_SLACK_SHARE = 0.75
 # VMs of a client's own availability zone that are enough for it.
 MIN_NEAR_ENTRIES = 2
 # Addresses in one answer, as many as clients take.
@@ -96,7 +97,10 @@
             self.beliefs.config,
             grantor,
             repeats,
-            QuotaBook(promises.quota_slack * QUOTA_SLACK_SHARE),
+            QuotaBook(
+                promises.quota_overshoot * QUOTA_OVERSHOOT_SHARE,
+                promises.quota_slack * QUOTA_SLACK_SHARE,
+            ),
         )
         self._desk = SlotDesk(self.incarnation, self._coordinator)
         self.fleet = self._make_fleet(rng)
--- a/fireflyquay/gateway/_ingress.py
+++ b/fireflyquay/gateway/_ingress.py
@@ -100,7 +100,7 @@
         loop = asyncio.get_running_loop()
         arrived = loop.time()
         facts = self._dialect.read_request(request)
-        outcome = "served"
+        outcome, reason = "served", ""
         call: Call | None = None
         try:
             call = self._open(request, responder, facts, arrived)
@@ -109,7 +109,7 @@
         except Rejected as rejected:
             if call is not None and call.may_have_run:
                 rejected = Rejected(Code.BACKEND_FAILED, rejected.sentence)
-            outcome = rejected.code.value
+            outcome, reason = rejected.code.value, rejected.sentence
             if call is not None and call.held_failure is not None:
                 await responder.send(*call.held_failure)
             else:
@@ -121,7 +121,7 @@
             outcome = Code.CALLER_GONE.value
             raise
         finally:
-            self._log_end(facts, call, outcome, loop.time() - arrived)
+            self._log_end(facts, call, outcome, reason, loop.time() - arrived)
 
     def _open(
         self,
@@ -164,7 +164,7 @@
             grant, ask = await self._acquire(call)
             backend = self._beliefs.backends.get(grant.backend)
             if backend is None or not self._beliefs.backends.takes_requests(backend.id):
-                self._desk.release(ask, grant.backend, 0, False)
+                self._desk.release(ask, grant.backend)
                 continue
             self._check_again(call, ask, grant)
             call.tried.append(backend.id)
@@ -184,7 +184,7 @@
         try:
             call.admission = self._admit(call.request, call.facts)
         except Rejected:
-            self._desk.release(ask, grant.backend, 0, False)
+            self._desk.release(ask, grant.backend)
             raise
 
     async def _acquire(self, call: Call) -> tuple[Grant, Ask]:
@@ -218,7 +218,7 @@
             next(self._numbers),
             call.facts.attempt,
             call.service,
-            NO_ACCOUNT if account is None else account.id,
+            _name_account(call.admission),
             (rank, route.rank),
             self._zone,
             call.facts.prompt_tokens,
@@ -226,6 +226,7 @@
             0.0 if account is None else _count_units(account, call.facts),
             route.target_latency - waited,
             call.patience - waited,
+            route.max_gap or 0.0,
             fingerprint_request(call),
             bool(call.tried),
             tuple(call.tried),
@@ -273,7 +274,12 @@
         await self._refuse(facts, responder, Rejected(code, "The time is up."))
 
     def _log_end(
-        self, facts: RequestFacts, call: Call | None, outcome: str, taken: float
+        self,
+        facts: RequestFacts,
+        call: Call | None,
+        outcome: str,
+        reason: str,
+        taken: float,
     ) -> None:
         route = "" if call is None else call.admission.route.name
         self._metrics.note_end(route, outcome, taken)
@@ -283,7 +289,11 @@
             extra={
                 "id": facts.attempt,
                 "outcome": outcome,
+                "reason": reason,
+                "account": "" if call is None else _name_account(call.admission),
                 "taken": round(taken, 3),
+                "first_output": None if call is None else call.measure_first_output(),
+                "longest_gap": 0.0 if call is None else round(call.longest_gap, 3),
                 "route": route,
                 "tried": [] if call is None else call.tried,
                 "config_version": self._beliefs.config.version,
@@ -292,6 +302,10 @@
         )
 
 
+def _name_account(admission: Admission) -> ClientAccountId:
+    return NO_ACCOUNT if admission.account is None else admission.account.id
+
+
 def _count_units(account: ClientAccount, facts: RequestFacts) -> float:
     if not account.counts_tokens:
         return 1.0
--- a/fireflyquay/gateway/_settings.py
+++ b/fireflyquay/gateway/_settings.py
@@ -69,7 +69,8 @@
     repeat_ratio: Share
     repeat_slack: Annotated[float, Meta(ge=0)]
     repeat_window: Seconds
-    # Units beyond a quota that may run within its window besides its rate and burst.
+    # Part of a quota, and units besides, that may run beyond it within its window.
+    quota_overshoot: Share
     quota_slack: Annotated[float, Meta(ge=0)]
     # Seconds that clients keep the list of addresses at most.
     max_keep: Seconds
--- a/fireflyquay/gateway/_slot_desk.py
+++ b/fireflyquay/gateway/_slot_desk.py
@@ -117,11 +117,16 @@
         self._tell(FirstOutput(ask.number, backend))
 
     def release(
-        self, ask: Ask, backend: BackendServerId, output_tokens: int, failed: bool
+        self,
+        ask: Ask,
+        backend: BackendServerId,
+        output_tokens: int = 0,
+        longest_gap: float = 0.0,
+        failed: bool = False,
     ) -> None:
         """End a run."""
         self._held.pop(ask.number, None)
-        self._tell(Ended(ask.number, backend, output_tokens, failed))
+        self._tell(Ended(ask.number, backend, output_tokens, longest_gap, failed))
 
     def pause(self, backend: BackendServerId, seconds: float) -> None:
         """Leave a backend server alone for a while."""
