Book the returns of refused clients where there is room

Change: each refusal books room after the backlog, within what clients honour; a request that was refused before waits for nine tenths of its patience.

--- a/fireflyquay/dispatch/_grant.py
+++ b/fireflyquay/dispatch/_grant.py
@@ -31,10 +31,11 @@
     output_tokens: int
     # Units of the client account's quota that the request takes.
     units: float
-    # Seconds from now to the objective, and to when the client leaves or the route's
-    # timeout ends; the objective may have passed.
+    # Seconds from now: to the objective, which may have passed; to when the client
+    # gives up waiting for output; to the end of its whole time.
     to_objective: float
     to_give_up: float
+    to_end: float
     # Seconds between two events that are on time; 0 where there are no events.
     max_gap: float
     # Of caller, path and body.
--- a/fireflyquay/dispatch/_grantor.py
+++ b/fireflyquay/dispatch/_grantor.py
@@ -17,9 +17,12 @@
 from ._backend_load import TRIAL_SECONDS, AskKey, BackendLoad
 from ._control_message import Ended
 from ._grant import Ask, Decision, Grant, Refusal
+from ._return_schedule import HONOURED_SHARE, ReturnSchedule
 
 # Seconds in which a grant reaches its owner; a lost packet takes 200 ms more.
 DELIVERY_SECONDS = 0.5
+# Seconds after which a service without backend servers may have one again.
+UNSERVED_RETRY_SECONDS = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,16 +38,16 @@
     hope_share: float = 0.3
     # Part of its patience that a request may wait for a place; the rest is for its run.
     wait_share: float = 0.6
-    # Bounds of what a refused client is told, in seconds: not so soon that the same
-    # queue meets it, and within what clients honour.
-    min_retry_after: float = 0.3
-    max_retry_after: float = 4.0
+    # The same for one that was refused before: another refusal is final.
+    return_wait_share: float = 0.9
 
 
 @dataclass(slots=True)
 class _Waiting:
     ask: Ask
     asked_at: float
+    # Loop time at which it is refused.
+    refused_at: float
 
     @property
     def key(self) -> AskKey:
@@ -55,6 +58,7 @@
     """Hold the backend servers and waiting requests of one service."""
 
     def __init__(self) -> None:
+        self.returns = ReturnSchedule()
         self.loads: dict[BackendServerId, BackendLoad] = {}
         self.waiting: list[_Waiting] = []
 
@@ -93,8 +97,13 @@
         """Let a request wait for a place; return all decisions that follow."""
         queue = self._services.get(ask.service)
         if queue is None or not queue.loads:
-            return [self._refuse(ask, Code.NO_BACKEND_SERVER, 1.0, "no backend server")]
-        queue.waiting.append(_Waiting(ask, now))
+            return [self._refuse_unserved(ask)]
+        settings, is_return = (
+            self._settings,
+            queue.returns.is_return(ask.fingerprint, now),
+        )
+        share = settings.return_wait_share if is_return else settings.wait_share
+        queue.waiting.append(_Waiting(ask, now, now + share * ask.to_give_up))
         return self._advance(queue, now)
 
     def withdraw(self, key: AskKey, now: float) -> list[Decision]:
@@ -192,7 +201,7 @@
             if load is not None:
                 decisions.append(self._grant(load, item, now))
                 continue
-            if now - item.asked_at >= self._settings.wait_share * item.ask.to_give_up:
+            if now >= item.refused_at:
                 decisions.append(self._give_up(queue, item, now))
                 continue
             kept.append(item)
@@ -239,12 +248,18 @@
         return Grant(ask.owner, ask.number, load.entry.id, waited, forecast)
 
     def _give_up(self, queue: _ServiceQueue, item: _Waiting, now: float) -> Refusal:
+        ask = item.ask
+        places = sum(load.entry.slots for load in queue.loads.values()) * self.share
+        average = next(iter(queue.loads.values()))
+        works = [average.forecast_run(other.ask) for other in queue.waiting]
+        backlog, work = sum(works) / places, average.forecast_run(ask) / places
+        fingerprint = ask.fingerprint
+        seconds = queue.returns.book(fingerprint, backlog, work, ask.to_end, now)
         waited = now - item.asked_at
         reason = f"waited {waited:.2f} s among {len(queue.waiting)}"
-        spread = self._rng.uniform(1.0, 2.0)
-        return self._refuse(item.ask, Code.OVERLOADED, spread, reason)
+        return Refusal(ask.owner, ask.number, Code.OVERLOADED, seconds, reason)
 
-    def _refuse(self, ask: Ask, code: Code, seconds: float, reason: str) -> Refusal:
-        settings = self._settings
-        bounded = min(settings.max_retry_after, max(settings.min_retry_after, seconds))
-        return Refusal(ask.owner, ask.number, code, bounded, reason)
+    def _refuse_unserved(self, ask: Ask) -> Refusal:
+        seconds = min(UNSERVED_RETRY_SECONDS, HONOURED_SHARE * ask.to_end)
+        code, reason = Code.NO_BACKEND_SERVER, "no backend server is registered"
+        return Refusal(ask.owner, ask.number, code, seconds, reason)
--- /dev/null
+++ b/fireflyquay/dispatch/_return_schedule.py
@@ -0,0 +1,60 @@
+"""When refused clients are asked to come back."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+
+from fireflyquay.world import Fingerprint
+
+# Part of the time that a client has left within which it honours an answer, as the
+# platform states, less a margin for the way.
+HONOURED_SHARE = 0.32
+# Seconds before which the same queue would meet it again.
+MIN_RETRY_SECONDS = 0.3
+# Refused requests that are remembered, and for how many seconds: as long as clients
+# stay away and wait.
+MAX_REMEMBERED = 4096
+REMEMBERED_SECONDS = 15.0
+
+
+class ReturnSchedule:
+    """Spread the returns of refused clients over the time in which there is room.
+
+    Answers a burst: clients that all came back after the same pause would make the next
+    one.
+    """
+
+    def __init__(self) -> None:
+        # Loop time from which there is room that nobody was promised.
+        self._free_at = 0.0
+        self._refused: OrderedDict[Fingerprint, float] = OrderedDict()
+
+    def book(
+        self,
+        fingerprint: Fingerprint,
+        backlog: float,
+        work: float,
+        to_end: float,
+        now: float,
+    ) -> float:
+        """Return the seconds after which a refused client should come back.
+
+        The backlog is how many seconds the waiting requests take, and the work how many
+        this one adds.
+        """
+        self._free_at = max(self._free_at, now + backlog) + work
+        limit = max(MIN_RETRY_SECONDS, HONOURED_SHARE * to_end)
+        seconds = max(MIN_RETRY_SECONDS, self._free_at - now)
+        if seconds > limit:
+            seconds = limit
+            self._free_at = min(self._free_at, now + limit)
+        self._refused[fingerprint] = now
+        self._refused.move_to_end(fingerprint)
+        while len(self._refused) > MAX_REMEMBERED:
+            self._refused.popitem(last=False)
+        return seconds
+
+    def is_return(self, fingerprint: Fingerprint, now: float) -> bool:
+        """Tell whether a request was refused lately."""
+        refused_at = self._refused.get(fingerprint)
+        return refused_at is not None and now - refused_at < REMEMBERED_SECONDS
--- a/fireflyquay/dispatch/tests/builders.py
+++ b/fireflyquay/dispatch/tests/builders.py
@@ -78,6 +78,7 @@
         "units": float(prompt + output),
         "to_objective": 1.0,
         "to_give_up": 4.0,
+        "to_end": 15.0,
         "max_gap": 0.2,
         "fingerprint": f"{number:016x}",
     }
--- a/fireflyquay/gateway/_ingress.py
+++ b/fireflyquay/gateway/_ingress.py
@@ -226,6 +226,7 @@
             0.0 if account is None else _count_units(account, call.facts),
             route.target_latency - waited,
             call.patience - waited,
+            call.ends_at - now,
             route.max_gap or 0.0,
             fingerprint_request(call),
             bool(call.tried),
--- a/fireflyquay/gateway/_slot_desk.py
+++ b/fireflyquay/gateway/_slot_desk.py
@@ -240,6 +240,7 @@
             pending.ask,
             to_objective=pending.ask.to_objective - waited,
             to_give_up=pending.ask.to_give_up - waited,
+            to_end=pending.ask.to_end - waited,
         )
         pending.asked_at = pending.sent_at = now
         pending.target = target
