--- a/fireflyquay/daemons/_entry_commands.py
+++ b/fireflyquay/daemons/_entry_commands.py
@@ -4,11 +4,13 @@
 
 import argparse
 
+from fireflyquay.checks import parse_document, read_text
+from fireflyquay.gateway import GatewaySettings
 from fireflyquay.world import Code, FireflyquayError
 
 from ._context import Context, add_json_option
 from ._output import ExitCode
-from ._settings import check_settings, load_settings, read_text
+from ._settings import check_settings, load_settings
 
 
 def add_entry_commands(commands: argparse._SubParsersAction) -> None:
@@ -22,6 +24,9 @@
     actions = config.add_subparsers(dest="action", required=True)
     check = actions.add_parser("check", help="print every fault of a settings file")
     check.add_argument("file", help="settings in TOML")
+    check.add_argument(
+        "--gateway", action="store_true", help="the file holds a gateway's settings"
+    )
     add_json_option(check)
     check.set_defaults(run=check_config)
 
@@ -42,7 +47,11 @@
 async def check_config(context: Context) -> ExitCode:
     """Print every fault of a settings file."""
     path = context.arguments.file
-    faults = check_settings(read_text(path, Code.BAD_SETTINGS))
+    text = read_text(path, Code.BAD_SETTINGS)
+    if context.arguments.gateway:
+        faults = list(parse_document(text, GatewaySettings)[1])
+    else:
+        faults = check_settings(text)
     text = "\n".join(fault.sentence for fault in faults)
     context.print(faults, text or f"{path} has no faults.")
     return ExitCode.FAILED if faults else ExitCode.OK
--- a/fireflyquay/daemons/tests/test_command_line.py
+++ b/fireflyquay/daemons/tests/test_command_line.py
@@ -321,3 +321,12 @@
     http.replies.pop("/v1/notice")
     code, printed = run(capsys, *apply, *ENTRIES)
     assert (code, "No entry VM took the notice" in printed.err) == (0, True)
+
+
+def test_config_check_of_a_gateway(tmp_path, capsys):
+    example = EXAMPLE.with_name("gateway.toml")
+    assert main(["config", "check", "--gateway", str(example)]) == 0
+    bad = tmp_path / "bad.toml"
+    bad.write_text(example.read_text().replace("revoke = 5.0", 'revoke = "soon"'))
+    assert main(["config", "check", "--gateway", str(bad)]) == 1
+    assert "promises.revoke" in capsys.readouterr().out
--- a/fireflyquay/dispatch/_grantor.py
+++ b/fireflyquay/dispatch/_grantor.py
@@ -21,6 +21,9 @@
 
 # Seconds in which a grant reaches its owner; a lost packet takes 200 ms more.
 DELIVERY_SECONDS = 0.5
+# Backend servers that are compared for one request: a grant costs the same however many
+# there are, and the best of so many is nearly the best of all.
+MAX_CANDIDATES = 24
 # Seconds after which a service without backend servers may have one again.
 UNSERVED_RETRY_SECONDS = 1.0
 
@@ -61,6 +64,8 @@
         self.returns = ReturnSchedule()
         self.loads: dict[BackendServerId, BackendLoad] = {}
         self.waiting: list[_Waiting] = []
+        # Loop time at which the first of them is refused.
+        self.next_refusal_at = float("inf")
 
 
 class Grantor:
@@ -103,7 +108,9 @@
             queue.returns.is_return(ask.fingerprint, now),
         )
         share = settings.return_wait_share if is_return else settings.wait_share
-        queue.waiting.append(_Waiting(ask, now, now + share * ask.to_give_up))
+        refused_at = now + share * ask.to_give_up
+        queue.waiting.append(_Waiting(ask, now, refused_at))
+        queue.next_refusal_at = min(queue.next_refusal_at, refused_at)
         return self._advance(queue, now)
 
     def withdraw(self, key: AskKey, now: float) -> list[Decision]:
@@ -194,18 +201,29 @@
     def _advance(self, queue: _ServiceQueue, now: float) -> list[Decision]:
         if not queue.waiting:
             return []
+        open_loads = [
+            load
+            for load in queue.loads.values()
+            if load.is_open(self._count_places(load), now)
+        ]
+        if not open_loads and now < queue.next_refusal_at:
+            return []
         decisions: list[Decision] = []
         kept: list[_Waiting] = []
         for item in self._order(queue.waiting, now):
-            load = self._place(queue, item, now)
+            load = self._place(open_loads, item, now)
             if load is not None:
                 decisions.append(self._grant(load, item, now))
-                continue
-            if now >= item.refused_at:
+                if not load.is_open(self._count_places(load), now):
+                    open_loads.remove(load)
+            elif now >= item.refused_at:
                 decisions.append(self._give_up(queue, item, now))
-                continue
-            kept.append(item)
+            else:
+                kept.append(item)
         queue.waiting = kept
+        queue.next_refusal_at = min(
+            (item.refused_at for item in kept), default=float("inf")
+        )
         return decisions
 
     def _order(self, waiting: Sequence[_Waiting], now: float) -> list[_Waiting]:
@@ -215,16 +233,21 @@
 
         return sorted(waiting, key=sort_key)
 
+    def _count_places(self, load: BackendLoad) -> float:
+        return max(1.0, load.entry.slots * self._settings.window * self.share)
+
     def _place(
-        self, queue: _ServiceQueue, item: _Waiting, now: float
+        self, open_loads: Sequence[BackendLoad], item: _Waiting, now: float
     ) -> BackendLoad | None:
         """Choose an open backend server, or none if waiting for another is better."""
         ask, waited = item.ask, now - item.asked_at
+        candidates = open_loads
+        if len(candidates) > MAX_CANDIDATES:
+            candidates = self._rng.sample(open_loads, MAX_CANDIDATES)
         best: BackendLoad | None = None
         best_score = (False, 0.0, False, 0.0)
-        for name, load in queue.loads.items():
-            places = max(1.0, load.entry.slots * self._settings.window * self.share)
-            if name in ask.excluded or not load.is_open(places, now):
+        for load in candidates:
+            if load.entry.id in ask.excluded:
                 continue
             run_cost = self._settings.run_weight * load.forecast_run(ask)
             score = (
--- /dev/null
+++ b/tests/test_wire_names.py
@@ -0,0 +1,51 @@
+"""Checks that names of the platform's wire stand in its folder only."""
+
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parent.parent
+FOLDERS = ("fireflyquay", "standins", "measure", "proofs", "demo")
+WIRE_NAMES = """
+    x-response-seal x-not-executed x-expect-instance x-expect-version x-token-usage
+    x-prompt-prefix x-worker-load x-instance-id x-tenant x-deadline-ms x-length-hint
+    x-kv-backup kv-from kv-fetch api-key last-event-id
+    pathprefix trafficsplit targetlatencyms targetgapms streamresume maxattempts
+    apikeys rateperS plaintokens kvcapacity kvtokenbytes currentrev allowstale
+    warmupleftms heartbeatms revokems drainms portrange fireflyquay_node_file
+""".lower().split()
+# Headers of the project's own interface that are spelled alike.
+OWN_USES = {
+    ("last-event-id", "fireflyquay/daemons/_caller_api.py"),
+    ("last-event-id", "fireflyquay/daemons/_replies.py"),
+    ("last-event-id", "fireflyquay/client/_attempt.py"),
+}
+
+
+def list_sources():
+    for folder in FOLDERS:
+        yield from sorted((ROOT / folder).rglob("*.py"))
+
+
+@pytest.mark.parametrize("name", WIRE_NAMES)
+def test_a_wire_name_stands_in_the_platform_folder_only(name):
+    found = [
+        place
+        for path in list_sources()
+        if name in path.read_text().lower()
+        and (name, place := str(path.relative_to(ROOT))) not in OWN_USES
+    ]
+    assert not found
+
+
+def test_nothing_outside_imports_the_platform_folder():
+    found = [path for path in list_sources() if "fleetwire" in path.read_text()]
+    assert not found
+
+
+def test_the_platform_folder_stays_small():
+    files = (ROOT / "platform").rglob("*.py")
+    sources = [path for path in files if "tests" not in path.parts]
+    lines = [line for path in sources for line in path.read_text().splitlines()]
+    assert sum(1 for line in lines if line.strip()) < 1200
+    assert not (ROOT / "platform" / "__init__.py").exists()
