--- a/fireflyquay/dispatch/_backend_load.py
+++ b/fireflyquay/dispatch/_backend_load.py
@@ -86,10 +86,16 @@
 
     def forecast_run(self, ask: Ask) -> float:
         """Return the seconds that the ask would hold a place, without any backlog."""
-        if not ask.prompt_tokens:
-            return self.plain.rate
-        prefill = ask.prompt_tokens * self.prefill.rate
-        return prefill + ask.output_tokens * self.step.rate
+        return self.forecast_work(1, ask.prompt_tokens, ask.output_tokens)
+
+    def forecast_work(
+        self, requests: int, prompt_tokens: int, output_tokens: int
+    ) -> float:
+        """Return the seconds that requests would hold a place one after another."""
+        if not prompt_tokens:
+            return requests * self.plain.rate
+        prefill = prompt_tokens * self.prefill.rate
+        return prefill + output_tokens * self.step.rate
 
     def is_on_time(self, ask: Ask, waited: float, now: float) -> bool:
         """Tell whether the ask would meet its objectives if it were granted now."""
--- a/fireflyquay/dispatch/_grantor.py
+++ b/fireflyquay/dispatch/_grantor.py
@@ -18,6 +18,7 @@
 from ._control_message import Ended
 from ._grant import Ask, Decision, Grant, Refusal
 from ._return_schedule import HONOURED_SHARE, ReturnSchedule
+from ._waiting_line import WaitingAsk, WaitingLine
 
 # Seconds in which a grant reaches its owner; a lost packet takes 200 ms more.
 DELIVERY_SECONDS = 0.5
@@ -45,27 +46,13 @@
     return_wait_share: float = 0.9
 
 
-@dataclass(slots=True)
-class _Waiting:
-    ask: Ask
-    asked_at: float
-    # Loop time at which it is refused.
-    refused_at: float
-
-    @property
-    def key(self) -> AskKey:
-        return self.ask.owner, self.ask.number
-
-
 class _ServiceQueue:
     """Hold the backend servers and waiting requests of one service."""
 
     def __init__(self) -> None:
         self.returns = ReturnSchedule()
         self.loads: dict[BackendServerId, BackendLoad] = {}
-        self.waiting: list[_Waiting] = []
-        # Loop time at which the first of them is refused.
-        self.next_refusal_at = float("inf")
+        self.waiting = WaitingLine()
 
 
 class Grantor:
@@ -109,14 +96,13 @@
         )
         share = settings.return_wait_share if is_return else settings.wait_share
         refused_at = now + share * ask.to_give_up
-        queue.waiting.append(_Waiting(ask, now, refused_at))
-        queue.next_refusal_at = min(queue.next_refusal_at, refused_at)
+        queue.waiting.add(WaitingAsk(ask, now, refused_at))
         return self._advance(queue, now)
 
     def withdraw(self, key: AskKey, now: float) -> list[Decision]:
         """Drop a request whose client left, waiting or running."""
         for queue in self._services.values():
-            queue.waiting = [item for item in queue.waiting if item.key != key]
+            queue.waiting.remove(key)
             for load in queue.loads.values():
                 if load.drop(key, now):
                     return self._advance(queue, now)
@@ -175,7 +161,7 @@
         """Drop all requests of an entry VM that is gone."""
         decisions: list[Decision] = []
         for queue in self._services.values():
-            queue.waiting = [it for it in queue.waiting if it.ask.owner != owner]
+            queue.waiting.remove_owner(owner)
             for load in queue.loads.values():
                 for key in [key for key in load.runs if key[0] == owner]:
                     load.drop(key, now)
@@ -206,38 +192,26 @@
             for load in queue.loads.values()
             if load.is_open(self._count_places(load), now)
         ]
-        if not open_loads and now < queue.next_refusal_at:
-            return []
         decisions: list[Decision] = []
-        kept: list[_Waiting] = []
-        for item in self._order(queue.waiting, now):
+        for item in queue.waiting.list_next(now):
+            if not open_loads:
+                break
             load = self._place(open_loads, item, now)
-            if load is not None:
-                decisions.append(self._grant(load, item, now))
-                if not load.is_open(self._count_places(load), now):
-                    open_loads.remove(load)
-            elif now >= item.refused_at:
-                decisions.append(self._give_up(queue, item, now))
-            else:
-                kept.append(item)
-        queue.waiting = kept
-        queue.next_refusal_at = min(
-            (item.refused_at for item in kept), default=float("inf")
-        )
+            if load is None:
+                continue
+            queue.waiting.remove(item.key)
+            decisions.append(self._grant(load, item, now))
+            if not load.is_open(self._count_places(load), now):
+                open_loads.remove(load)
+        for item in queue.waiting.take_expired(now):
+            decisions.append(self._give_up(queue, item, now))
         return decisions
 
-    def _order(self, waiting: Sequence[_Waiting], now: float) -> list[_Waiting]:
-        def sort_key(item: _Waiting) -> tuple[tuple[int, int], bool, float]:
-            is_late = now - item.asked_at > item.ask.to_objective
-            return item.ask.rank, is_late, item.asked_at
-
-        return sorted(waiting, key=sort_key)
-
     def _count_places(self, load: BackendLoad) -> float:
         return max(1.0, load.entry.slots * self._settings.window * self.share)
 
     def _place(
-        self, open_loads: Sequence[BackendLoad], item: _Waiting, now: float
+        self, open_loads: Sequence[BackendLoad], item: WaitingAsk, now: float
     ) -> BackendLoad | None:
         """Choose an open backend server, or none if waiting for another is better."""
         ask, waited = item.ask, now - item.asked_at
@@ -263,19 +237,21 @@
             return None
         return best
 
-    def _grant(self, load: BackendLoad, item: _Waiting, now: float) -> Grant:
+    def _grant(self, load: BackendLoad, item: WaitingAsk, now: float) -> Grant:
         ask = item.ask
         forecast = load.forecast_first_output(ask, now)
         load.start(item.key, ask, now)
         waited = now - item.asked_at
         return Grant(ask.owner, ask.number, load.entry.id, waited, forecast)
 
-    def _give_up(self, queue: _ServiceQueue, item: _Waiting, now: float) -> Refusal:
+    def _give_up(self, queue: _ServiceQueue, item: WaitingAsk, now: float) -> Refusal:
         ask = item.ask
         places = sum(load.entry.slots for load in queue.loads.values()) * self.share
         average = next(iter(queue.loads.values()))
-        works = [average.forecast_run(other.ask) for other in queue.waiting]
-        backlog, work = sum(works) / places, average.forecast_run(ask) / places
+        backlog = average.forecast_work(
+            len(queue.waiting), queue.waiting.prompt_tokens, queue.waiting.output_tokens
+        )
+        backlog, work = backlog / places, average.forecast_run(ask) / places
         fingerprint = ask.fingerprint
         seconds = queue.returns.book(fingerprint, backlog, work, ask.to_end, now)
         waited = now - item.asked_at
--- /dev/null
+++ b/fireflyquay/dispatch/tests/test_waiting_line.py
@@ -0,0 +1,84 @@
+"""The order in which waiting requests get places."""
+
+from fireflyquay.dispatch._return_schedule import ReturnSchedule
+from fireflyquay.dispatch._running_rate import RunningRate
+from fireflyquay.dispatch._waiting_line import WaitingAsk, WaitingLine
+
+from .builders import OTHER, OWN, make_ask
+
+
+def make_line(*asks):
+    line = WaitingLine()
+    for at, refused_at, ask in asks:
+        line.add(WaitingAsk(ask, at, refused_at))
+    return line
+
+
+def numbers(items):
+    return [item.ask.number for item in items]
+
+
+def test_rank_goes_before_lateness_and_arrival():
+    line = make_line(
+        (0.0, 9.0, make_ask(1, rank=1, to_objective=0.1)),
+        (0.1, 9.0, make_ask(2, rank=1)),
+        (0.2, 9.0, make_ask(3, rank=0, to_objective=0.0)),
+        (0.3, 9.0, make_ask(4, rank=0)),
+    )
+    assert numbers(line.list_next(0.5)) == [4, 3, 2, 1]
+
+
+def test_what_is_removed_is_not_listed_nor_refused():
+    line = make_line((0.0, 1.0, make_ask(1)), (0.0, 1.0, make_ask(2, OTHER)))
+    line.remove((OWN, 1))
+    assert numbers(line.list_next(0.1)) == [2]
+    line.remove_owner(OTHER)
+    assert line.take_expired(5.0) == []
+    assert len(line) == line.prompt_tokens == line.output_tokens == 0
+
+
+def test_asks_expire_in_the_order_of_their_times():
+    line = make_line(
+        (0.0, 3.0, make_ask(1)), (0.0, 1.0, make_ask(2)), (0.0, 2.0, make_ask(3))
+    )
+    assert numbers(line.take_expired(0.5)) == []
+    assert numbers(line.take_expired(2.0)) == [2, 3]
+    assert numbers(line.list_next(2.0)) == [1]
+
+
+def test_a_rank_that_waits_does_not_hide_the_next():
+    asks = [(0.0, 9.0, make_ask(n, rank=0)) for n in range(50)]
+    line = make_line(*asks, (0.0, 9.0, make_ask(99, rank=1)))
+    assert 99 in numbers(line.list_next(0.1))
+
+
+def test_returns_are_spread_behind_the_backlog():
+    schedule = ReturnSchedule()
+    times = [schedule.book(f"f{n}", 1.0, 0.1, 30.0, now=0.0) for n in range(5)]
+    assert times == sorted(times)
+    assert times[0] > 1.0
+    assert all(
+        later - sooner > 0.09 for sooner, later in zip(times, times[1:], strict=False)
+    )
+
+
+def test_a_return_is_asked_within_what_the_client_honours():
+    schedule = ReturnSchedule()
+    times = [schedule.book(f"f{n}", 20.0, 5.0, 6.0, now=0.0) for n in range(9)]
+    assert max(times) <= 2.0
+
+
+def test_a_return_is_known_for_a_while():
+    schedule = ReturnSchedule()
+    schedule.book("f1", 1.0, 0.1, 30.0, now=0.0)
+    assert schedule.is_return("f1", 2.0)
+    assert not schedule.is_return("f2", 2.0)
+    assert not schedule.is_return("f1", 60.0)
+
+
+def test_a_rate_is_learned_from_large_pieces_rather_than_small_ones():
+    rate = RunningRate(0.001, 1000)
+    for _ in range(20):
+        rate.note(1.0, 500)
+        rate.note(0.5, 5)
+    assert abs(rate.rate - 1.5 / 505) < 1e-4
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -13,6 +13,8 @@
 from demo._scene import CONTRACTS, REGION, ZONES, format_contract, format_kinds
 from fireflyquay.daemons import EntrySettings, KindSettings, load_settings
 from fireflyquay.daemons._contract_file import load_backend, load_contract
+from fireflyquay.gateway import GatewaySettings
+from fireflyquay.gateway._gateway_metrics import GatewayMetrics
 from fireflyquay.links import Metrics
 from fireflyquay.world import Code
 
@@ -104,3 +106,22 @@
     told = asyncio.run(asyncio.wait_for(run(), 60.0))
     assert told[0].startswith("fq1.")
     assert len(told) > 1
+
+
+def test_every_gateway_setting_has_its_row():
+    hints = get_type_hints(GatewaySettings)
+    names = [
+        f"{section}.{field.name}"
+        for section, kind in hints.items()
+        for field in fields(kind)
+    ]
+    assert not [name for name in names if f"`{name}`" not in REFERENCE]
+
+
+def test_every_gateway_metric_is_described():
+    metrics = GatewayMetrics()
+    names = {
+        family.name for family in metrics.registry.collect() if family.type != "gauge"
+    }
+    assert names
+    assert not [name for name in names if f"`{name}`" not in OPERATIONS]
