Answer VMs that the membership does not know yet

Ruled out: a dead connection (other messages passed), the coordinator's load. Change: asks for knowledge and handovers introduce their sender. Peer links get the socket options that end silent connections.

--- a/fireflyquay/dispatch/__init__.py
+++ b/fireflyquay/dispatch/__init__.py
@@ -15,6 +15,7 @@
     Holding,
     KnowledgeMessage,
     Pause,
+    Probe,
     Queued,
     Withdrawal,
 )
@@ -43,6 +44,7 @@
     "KnowledgeExchange",
     "KnowledgeMessage",
     "Pause",
+    "Probe",
     "Queued",
     "Withdrawal",
     "Ask",
--- a/fireflyquay/dispatch/_control_message.py
+++ b/fireflyquay/dispatch/_control_message.py
@@ -7,6 +7,7 @@
     BackendEntry,
     BackendServerId,
     ClientAccountId,
+    EntryVm,
     FleetConfig,
     Incarnation,
 )
@@ -69,6 +70,8 @@
 class Handover(Message):
     """Tell a new coordinator what the sender holds and has lately used."""
 
+    # The sender, which the receiver may not know as a member yet.
+    vm: EntryVm
     runs: tuple[HeldRun, ...]
     # Quota units that were given out lately.
     usage: tuple[tuple[ClientAccountId, float], ...]
@@ -91,6 +94,8 @@
 
     number: int
     is_ready: bool
+    # The sender, which the receiver may not know as a member yet.
+    vm: EntryVm
 
 
 class ProbeAnswer(Message):
--- a/fireflyquay/dispatch/_knowledge_exchange.py
+++ b/fireflyquay/dispatch/_knowledge_exchange.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 
 from fireflyquay.decisions import Message
-from fireflyquay.world import Incarnation
+from fireflyquay.world import EntryVm, Incarnation
 
 from ._backend_book import BackendBook
 from ._config_book import ConfigBook
@@ -35,10 +35,12 @@
 
     def __init__(
         self,
+        own: EntryVm,
         config: ConfigBook,
         backends: BackendBook,
         read_newer: Callable[[], bool] = lambda: False,
     ) -> None:
+        self._own = own
         self._config = config
         self._backends = backends
         # Has a newer configuration read from the store; tells whether that can be done.
@@ -53,7 +55,7 @@
 
     def make_probe(self, is_ready: bool, now: float) -> Probe:
         """Return a question for another VM."""
-        return Probe(self._number(now), is_ready)
+        return Probe(self._number(now), is_ready, self._own)
 
     def take(
         self, sender: Incarnation, message: KnowledgeMessage, now: float
--- a/fireflyquay/dispatch/tests/builders.py
+++ b/fireflyquay/dispatch/tests/builders.py
@@ -22,8 +22,10 @@
     ClientAccount,
     ClientAccountId,
     ClientLimits,
+    EntryVm,
     FleetConfig,
     Incarnation,
+    RegionId,
     RepeatRule,
     Route,
     ServiceId,
@@ -85,6 +87,10 @@
     return Ask(**{**fields, **changes})
 
 
+def make_vm(name: Incarnation = OWN) -> EntryVm:
+    return EntryVm(name, ZoneId("a"), RegionId("r"), "10.0.0.9", 80, 81)
+
+
 def make_account(
     rate: float = 0.0, burst: float = 0.0, keys: tuple[str, ...] = ("key-1",)
 ) -> ClientAccount:
--- a/fireflyquay/dispatch/tests/test_beliefs.py
+++ b/fireflyquay/dispatch/tests/test_beliefs.py
@@ -5,7 +5,15 @@
 from fireflyquay.dispatch._control_message import ConfigNews, Probe, ProbeAnswer
 from fireflyquay.world import BackendPhase
 
-from .builders import OTHER, OWN, make_account, make_config, make_entry, make_route
+from .builders import (
+    OTHER,
+    OWN,
+    make_account,
+    make_config,
+    make_entry,
+    make_route,
+    make_vm,
+)
 
 
 def test_an_older_version_changes_nothing():
@@ -72,7 +80,7 @@
     if version:
         config.offer(make_config(version), Proof(version, proven_at))
         backends.replace_all([make_entry("s1")], Proof(version, proven_at))
-    exchange = KnowledgeExchange(config, backends)
+    exchange = KnowledgeExchange(make_vm(OWN), config, backends)
     exchange.config, exchange.backends = config, backends
     return exchange
 
@@ -127,9 +135,9 @@
 
 def test_unready_vms_are_told_to_all_who_ask():
     exchange = make_exchange(4)
-    exchange.take(OWN, Probe(1, False), 1.0)
-    [answer], _ = exchange.take(OTHER, Probe(2, True), 1.0)
+    exchange.take(OWN, Probe(1, False, make_vm(OWN)), 1.0)
+    [answer], _ = exchange.take(OTHER, Probe(2, True, make_vm(OTHER)), 1.0)
     assert answer.unready == (OWN,)
-    exchange.take(OWN, Probe(3, True), 1.0)
-    [answer], _ = exchange.take(OTHER, Probe(4, True), 1.0)
+    exchange.take(OWN, Probe(3, True, make_vm(OWN)), 1.0)
+    [answer], _ = exchange.take(OTHER, Probe(4, True, make_vm(OTHER)), 1.0)
     assert answer.unready == ()
--- a/fireflyquay/dispatch/tests/test_coordinator.py
+++ b/fireflyquay/dispatch/tests/test_coordinator.py
@@ -25,6 +25,7 @@
     make_ask,
     make_coordinator,
     make_entry,
+    make_vm,
 )
 
 
@@ -121,7 +122,9 @@
     coordinator = make_coordinator()
     coordinator.set_backends([make_entry("s1", slots=1)])
     held = HeldRun(make_ask(7, OTHER), "s1", 0.4)
-    coordinator.take(OTHER, Handover((held,), ((ACCOUNT, 10.0),), (("f", 2),)), 1.0)
+    usage, crashes = ((ACCOUNT, 10.0),), (("f", 2),)
+    handover = Handover(make_vm(OTHER), (held,), usage, crashes)
+    coordinator.take(OTHER, handover, 1.0)
     assert coordinator.ask(make_ask(1), 1.0) == []
     freed = coordinator.take(OTHER, Ended(7, "s1", 50, 0.0, False), 1.2)
     assert grants(freed) == [(OWN, 1)]
--- a/fireflyquay/gateway/_fleet.py
+++ b/fireflyquay/gateway/_fleet.py
@@ -23,8 +23,10 @@
     Coordinator,
     CoordinatorMessage,
     FollowerMessage,
+    Handover,
     KnowledgeExchange,
     KnowledgeMessage,
+    Probe,
 )
 from fireflyquay.links import PeerLink
 from fireflyquay.world import (
@@ -86,6 +88,8 @@
         self._closing: set[asyncio.Task[None]] = set()
         self._ranked_for: tuple[Incarnation, ...] = ()
         self._ranking: tuple[Incarnation, ...] = (own.incarnation,)
+        # VMs that turned here, whom the membership may not know yet.
+        self._introduced: dict[Incarnation, EntryVm] = {}
         # Loop times until which silent VMs are passed over.
         self._distrusted: dict[Incarnation, float] = {}
         self._heard_at: dict[Incarnation, float] = {}
@@ -96,6 +100,10 @@
         """Tell whether this VM coordinates, as far as it knows."""
         return self.choose_coordinator() == self._own.incarnation
 
+    def describe_own(self) -> EntryVm:
+        """Return the own VM."""
+        return self._own
+
     async def start(self) -> None:
         """Listen for other VMs."""
         await self._link.start(self._own.host, self._own.peer_port)
@@ -136,8 +144,9 @@
     def send(self, target: Incarnation, message: Message) -> None:
         """Send a message to a VM that is known."""
         record = self._membership.get(target)
-        if record is not None:
-            self._link.send(record.vm, message)
+        vm = self._introduced.get(target) if record is None else record.vm
+        if vm is not None:
+            self._link.send(vm, message)
 
     def distrust(self, target: Incarnation) -> None:
         """Pass over a silent VM for a while."""
@@ -191,6 +200,8 @@
     def _deliver(self, sender: Incarnation, message: Message) -> None:
         now = asyncio.get_running_loop().time()
         self._heard_at[sender] = now
+        if isinstance(message, Probe | Handover) and message.vm.incarnation == sender:
+            self._introduced[sender] = message.vm
         if isinstance(message, CoordinatorMessage):
             self._desk.serve(sender, message)
             self._update_share()
@@ -225,6 +236,7 @@
             if kind is ChangeKind.LOST:
                 self._exchange.forget(name)
                 self._heard_at.pop(name, None)
+                self._introduced.pop(name, None)
                 self._probed_since.pop(name, None)
                 self._distrusted.pop(name, None)
                 self._desk.hand_out(self._coordinator.forget(name, now))
--- a/fireflyquay/gateway/_gateway.py
+++ b/fireflyquay/gateway/_gateway.py
@@ -156,7 +156,10 @@
             self._coordinator,
             self._desk,
             KnowledgeExchange(
-                self.beliefs.config, self.beliefs.backends, self.beliefs.read_newer
+                own,
+                self.beliefs.config,
+                self.beliefs.backends,
+                self.beliefs.read_newer,
             ),
             self._clock,
             self.is_ready,
--- a/fireflyquay/gateway/_slot_desk.py
+++ b/fireflyquay/gateway/_slot_desk.py
@@ -30,7 +30,13 @@
     Queued,
     Withdrawal,
 )
-from fireflyquay.world import BackendServerId, ClientAccountId, Fingerprint, Incarnation
+from fireflyquay.world import (
+    BackendServerId,
+    ClientAccountId,
+    EntryVm,
+    Fingerprint,
+    Incarnation,
+)
 
 LOG = logbook.Logger("places")
 
@@ -50,6 +56,10 @@
     def choose_coordinator(self) -> Incarnation:
         """Return the VM to turn to, the own one if there is no other."""
 
+    @abstractmethod
+    def describe_own(self) -> EntryVm:
+        """Return the own VM."""
+
     @abstractmethod
     def send(self, target: Incarnation, message: Message) -> None:
         """Send a message to another VM."""
@@ -265,7 +275,9 @@
         for _, account, units in self._usage:
             usage[account] = usage.get(account, 0.0) + units
         crashes = tuple(self._coordinator.crashes.list_counts().items())
-        return Handover(self._list_held(now), tuple(usage.items()), crashes)
+        assert self._peers is not None
+        own = self._peers.describe_own()
+        return Handover(own, self._list_held(now), tuple(usage.items()), crashes)
 
     def _list_held(self, now: float) -> tuple[HeldRun, ...]:
         return tuple(
--- a/fireflyquay/links/_peer.py
+++ b/fireflyquay/links/_peer.py
@@ -11,6 +11,8 @@
 from fireflyquay.decisions import Message
 from fireflyquay.world import EntryVm, Incarnation
 
+from ._sockets import configure_socket
+
 FRAME_HEADER_BYTES = 4
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 MAX_WAITING_MESSAGES = 20_000
@@ -95,6 +97,7 @@
     async def _send_while_connected(self) -> None:
         connect = asyncio.open_connection(self._address.host, self._address.port)
         reader, writer = await asyncio.wait_for(connect, CONNECT_TIMEOUT_S)
+        configure_socket(writer)
         closed = asyncio.ensure_future(reader.read(1))
         closed.add_done_callback(lambda _: self._wake.set())
         try:
@@ -182,6 +185,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self._incoming.add(writer)
+        configure_socket(writer)
         try:
             while True:
                 self._take_frame(await self._read_frame(reader))
