--- a/fireflyquay/dispatch/_backend_load.py
+++ b/fireflyquay/dispatch/_backend_load.py
@@ -26,6 +26,8 @@
 FAILURE_WEIGHT = 0.1
 # Share of failures among recent requests above which a backend server is avoided.
 FAILURE_LIMIT = 0.3
+# The same as a multiple of the share among its peers.
+FAILURE_FACTOR = 2.0
 # Seconds between requests that try an avoided backend server again.
 TRIAL_SECONDS = 1.0
 # Part of the longest gap between events that is remembered after each further stream.
@@ -157,11 +159,14 @@
 
     def is_open(self, places: float, now: float) -> bool:
         """Tell whether another run may be granted."""
-        if now < self.paused_until:
-            return False
-        if self.failure_share > FAILURE_LIMIT and self.runs:
-            return False
-        return len(self.runs) < places
+        return now >= self.paused_until and len(self.runs) < places
+
+    def fails_more_than(self, others: float) -> bool:
+        """Tell whether it fails far more often than the others' usual share.
+
+        Requests that fail everywhere say nothing of one backend server.
+        """
+        return self.failure_share > max(FAILURE_LIMIT, FAILURE_FACTOR * others)
 
     def pause(self, until: float) -> None:
         """Grant nothing for a while."""
--- a/fireflyquay/dispatch/_grantor.py
+++ b/fireflyquay/dispatch/_grantor.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections import defaultdict
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
@@ -17,6 +18,7 @@
 from ._backend_load import TRIAL_SECONDS, AskKey, BackendLoad
 from ._control_message import Ended
 from ._grant import Ask, Decision, Grant, Refusal
+from ._rank_record import RankRecord
 from ._return_schedule import HONOURED_SHARE, ReturnSchedule
 from ._waiting_line import WaitingAsk, WaitingLine
 
@@ -40,10 +42,15 @@
     # Part of its objective for which a request waits for a backend server that is on
     # time while only late ones are open.
     hope_share: float = 0.3
-    # Part of its patience that a request may wait for a place; the rest is for its run.
-    wait_share: float = 0.6
-    # The same for one that was refused before: another refusal is final.
-    return_wait_share: float = 0.9
+    # Parts of its patience and of its whole time that a request may wait for a place:
+    # a client that has little time left is better told at once.
+    wait_share: float = 0.8
+    end_share: float = 0.3
+    # Part of the best served rank's share of places below which a rank goes first: all
+    # kinds of requests must be served at least a quarter as often as others.
+    least_share: float = 0.2
+    # Part of the objective for which a request waits at most by the forecast.
+    forecast_share: float = 1.0
 
 
 class _ServiceQueue:
@@ -51,9 +58,25 @@
 
     def __init__(self) -> None:
         self.returns = ReturnSchedule()
+        self.records: defaultdict[tuple[int, int], RankRecord] = defaultdict(RankRecord)
         self.loads: dict[BackendServerId, BackendLoad] = {}
         self.waiting = WaitingLine()
 
+    def find_starving(self, least_share: float) -> tuple[int, int] | None:
+        """Return the rank that gets far less than the best served one, if any."""
+        if len(self.records) < 2:
+            return None
+        best = max(record.granted_share for record in self.records.values())
+        rank = min(self.records, key=lambda rank: self.records[rank].granted_share)
+        if self.records[rank].granted_share < least_share * best:
+            return rank
+        return None
+
+    def measure_failures(self) -> float:
+        """Return the usual share of failures, that of the middle backend server."""
+        shares = sorted(load.failure_share for load in self.loads.values())
+        return shares[(len(shares) - 1) // 2]
+
 
 class Grantor:
     """Decide who runs where, for all entry VMs that ask it.
@@ -90,14 +113,18 @@
         queue = self._services.get(ask.service)
         if queue is None or not queue.loads:
             return [self._refuse_unserved(ask)]
-        settings, is_return = (
-            self._settings,
-            queue.returns.is_return(ask.fingerprint, now),
+        settings = self._settings
+        patience = min(
+            settings.wait_share * ask.to_give_up, settings.end_share * ask.to_end
         )
-        share = settings.return_wait_share if is_return else settings.wait_share
-        refused_at = now + share * ask.to_give_up
-        queue.waiting.add(WaitingAsk(ask, now, refused_at))
-        return self._advance(queue, now)
+        latest_start = now + ask.to_objective - self._forecast_least(queue, ask)
+        item = WaitingAsk(ask, now, now + patience, latest_start)
+        queue.waiting.add(item)
+        decisions = self._advance(queue, now)
+        if not item.is_over and self._is_hopeless(queue, ask, now):
+            queue.waiting.remove(item.key)
+            decisions.append(self._give_up(queue, item, now))
+        return decisions
 
     def withdraw(self, key: AskKey, now: float) -> list[Decision]:
         """Drop a request whose client left, waiting or running."""
@@ -126,9 +153,10 @@
             ended.longest_gap,
             ended.failed,
         )
-        if ended.failed:
-            load.pause(now + TRIAL_SECONDS * load.failure_share)
-        return self._advance(self._services[self._where[ended.backend]], now)
+        queue = self._services[self._where[ended.backend]]
+        if ended.failed and load.fails_more_than(queue.measure_failures()):
+            load.pause(now + TRIAL_SECONDS)
+        return self._advance(queue, now)
 
     def pause(self, backend: BackendServerId, until: float) -> None:
         """Grant nothing at a backend server for a while."""
@@ -187,20 +215,24 @@
     def _advance(self, queue: _ServiceQueue, now: float) -> list[Decision]:
         if not queue.waiting:
             return []
+        usual = queue.measure_failures()
         open_loads = [
             load
             for load in queue.loads.values()
             if load.is_open(self._count_places(load), now)
+            # One request at a time tries a backend server that fails.
+            and not (load.runs and load.fails_more_than(usual))
         ]
         decisions: list[Decision] = []
-        for item in queue.waiting.list_next(now):
+        starving = queue.find_starving(self._settings.least_share)
+        for item in queue.waiting.list_next(now, starving):
             if not open_loads:
                 break
             load = self._place(open_loads, item, now)
             if load is None:
                 continue
             queue.waiting.remove(item.key)
-            decisions.append(self._grant(load, item, now))
+            decisions.append(self._grant(queue, load, item, now))
             if not load.is_open(self._count_places(load), now):
                 open_loads.remove(load)
         for item in queue.waiting.take_expired(now):
@@ -237,15 +269,35 @@
             return None
         return best
 
-    def _grant(self, load: BackendLoad, item: WaitingAsk, now: float) -> Grant:
+    def _grant(
+        self, queue: _ServiceQueue, load: BackendLoad, item: WaitingAsk, now: float
+    ) -> Grant:
         ask = item.ask
         forecast = load.forecast_first_output(ask, now)
         load.start(item.key, ask, now)
+        queue.records[ask.rank].note_grant(now)
         waited = now - item.asked_at
         return Grant(ask.owner, ask.number, load.entry.id, waited, forecast)
 
+    def _forecast_least(self, queue: _ServiceQueue, ask: Ask) -> float:
+        """Return the seconds to the first output at an idle backend server."""
+        load = next(iter(queue.loads.values()))
+        return load.forecast_work(1, ask.prompt_tokens, 0)
+
+    def _is_hopeless(self, queue: _ServiceQueue, ask: Ask, now: float) -> bool:
+        """Tell whether those before the ask keep it from its objective.
+
+        One that was refused before waits all the same: another refusal is final.
+        """
+        if queue.returns.is_return(ask.fingerprint, now):
+            return False
+        waiting = queue.waiting.count(ask.rank, now)
+        wait = queue.records[ask.rank].estimate_wait(waiting, now)
+        return wait > self._settings.forecast_share * max(0.0, ask.to_objective)
+
     def _give_up(self, queue: _ServiceQueue, item: WaitingAsk, now: float) -> Refusal:
         ask = item.ask
+        queue.records[ask.rank].note_refusal()
         places = sum(load.entry.slots for load in queue.loads.values()) * self.share
         average = next(iter(queue.loads.values()))
         backlog = average.forecast_work(
--- a/fireflyquay/dispatch/_waiting_line.py
+++ b/fireflyquay/dispatch/_waiting_line.py
@@ -27,6 +27,8 @@
     asked_at: float
     # Loop time at which it is refused.
     refused_at: float
+    # Loop time after which it can't be on time.
+    latest_start: float
     # Whether it got a decision or was withdrawn.
     is_over: bool = False
 
@@ -36,8 +38,8 @@
         return self.ask.owner, self.ask.number
 
     def is_late(self, now: float) -> bool:
-        """Tell whether its objective has passed."""
-        return now - self.asked_at > self.ask.to_objective
+        """Tell whether it can't be on time any more."""
+        return now > self.latest_start
 
 
 @dataclass(slots=True)
@@ -102,6 +104,14 @@
         for key in [key for key in self._by_key if key[0] == owner]:
             self.remove(key)
 
+    def count(self, rank: tuple[int, int], now: float) -> int:
+        """Return how many asks of a rank can still be on time."""
+        line = self._ranks.get(rank)
+        if line is None:
+            return 0
+        line.settle(now)
+        return len(line.on_time)
+
     def take_expired(self, now: float) -> list[WaitingAsk]:
         """Remove and return the asks that are to be refused by now."""
         expired = []
@@ -114,8 +124,17 @@
                 expired.append(item)
         return expired
 
-    def list_next(self, now: float) -> Iterator[WaitingAsk]:
-        """Return the asks to try in order; those that get a place are removed."""
+    def list_next(
+        self, now: float, first: tuple[int, int] | None = None
+    ) -> Iterator[WaitingAsk]:
+        """Return the asks to try in order; those that get a place are removed.
+
+        One ask of the first rank, if given, goes before all others.
+        """
+        if first in self._ranks:
+            line = self._ranks[first]
+            line.settle(now)
+            yield from itertools.islice(_list_first(line.on_time), 1)
         for rank in sorted(self._ranks):
             line = self._ranks[rank]
             line.settle(now)
--- a/fireflyquay/dispatch/tests/builders.py
+++ b/fireflyquay/dispatch/tests/builders.py
@@ -127,10 +127,10 @@
 def make_coordinator(
     account: ClientAccount | None = None,
     repeats: RepeatBudget | None = None,
-    seed: int = 1,
+    settings: GrantorSettings | None = None,
 ) -> Coordinator:
     book = ConfigBook()
     accounts = (account,) if account else ()
     book.offer(make_config(accounts=accounts), Proof(1, 0.0))
-    grantor = Grantor(GrantorSettings(), random.Random(seed))
+    grantor = Grantor(settings or GrantorSettings(), random.Random(1))
     return Coordinator(book, grantor, repeats or RepeatBudget(0.2, 10, 10), QuotaBook())
--- a/fireflyquay/dispatch/tests/test_coordinator.py
+++ b/fireflyquay/dispatch/tests/test_coordinator.py
@@ -189,6 +189,18 @@
     assert "bad" in chosen[60:]
 
 
+def test_failures_at_all_backend_servers_cost_no_places():
+    coordinator = make_coordinator()
+    names = ["s1", "s2", "s3"]
+    coordinator.set_backends([make_entry(name, 2) for name in names])
+    for number in range(60):
+        now = number * 0.02
+        [grant] = coordinator.ask(make_ask(number, prompt=0), now)
+        coordinator.take(OWN, Ended(number, grant.backend, 0, 0.0, True), now + 0.01)
+    asks = [make_ask(100 + number, prompt=0) for number in range(6)]
+    assert len(grants([d for ask in asks for d in coordinator.ask(ask, 1.3)])) == 6
+
+
 def test_a_new_start_of_a_backend_server_begins_without_runs():
     coordinator = make_coordinator()
     coordinator.set_backends([make_entry("s1", slots=1, born=1)])
@@ -206,6 +218,30 @@
             assert decision.backend == "s2"
 
 
+def test_no_rank_starves_under_lasting_overload():
+    coordinator = make_coordinator()
+    coordinator.set_backends([make_entry("s1", slots=4)])
+    ends, ranks, served, number = [], {}, {0: 0, 1: 0}, 0
+    for step in range(2000):
+        now = step * 0.01
+        decisions = coordinator.advance(now)
+        for at, name in [it for it in ends if it[0] <= now]:
+            ends.remove((at, name))
+            decisions += coordinator.take(OWN, Ended(name, "s1", 9, 0.0, False), now)
+        for rank in (0, 0, 1):
+            number += 1
+            ranks[number] = rank
+            ask = make_ask(number, rank=rank, prompt=0, to_objective=0.3)
+            decisions += coordinator.ask(ask, now)
+        for decision in decisions:
+            if isinstance(decision, Grant):
+                served[ranks[decision.number]] += 1
+                ends.append((now + 0.03, decision.number))
+    # Twice as many of rank 0 ask; without the rule, rank 1 would get nothing.
+    assert served[1] > 0.08 * served[0]
+    assert served[0] > 2 * served[1]
+
+
 def test_ties_are_broken_by_zone():
     coordinator = make_coordinator()
     coordinator.set_backends([make_entry("far", 9, zone="b"), make_entry("near", 9)])
--- a/fireflyquay/dispatch/tests/test_coordinator_machine.py
+++ b/fireflyquay/dispatch/tests/test_coordinator_machine.py
@@ -3,7 +3,14 @@
 from hypothesis import settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from fireflyquay.dispatch import Ended, Grant, Holding, Refusal, Withdrawal
+from fireflyquay.dispatch import (
+    Ended,
+    Grant,
+    GrantorSettings,
+    Holding,
+    Refusal,
+    Withdrawal,
+)
 
 from .builders import OTHER, OWN, make_ask, make_coordinator, make_entry
 
@@ -14,7 +21,9 @@
 class CoordinatorMachine(RuleBasedStateMachine):
     def __init__(self):
         super().__init__()
-        self.coordinator = make_coordinator()
+        # Strict ranks: the rule against starving ranks has a test of its own.
+        settings = GrantorSettings(least_share=0.0)
+        self.coordinator = make_coordinator(settings=settings)
         self.coordinator.set_backends(
             [make_entry(name, slots) for name, slots in SLOTS.items()]
         )
--- a/fireflyquay/dispatch/tests/test_waiting_line.py
+++ b/fireflyquay/dispatch/tests/test_waiting_line.py
@@ -1,5 +1,6 @@
 """The order in which waiting requests get places."""
 
+from fireflyquay.dispatch._rank_record import RankRecord
 from fireflyquay.dispatch._return_schedule import ReturnSchedule
 from fireflyquay.dispatch._running_rate import RunningRate
 from fireflyquay.dispatch._waiting_line import WaitingAsk, WaitingLine
@@ -10,7 +11,7 @@
 def make_line(*asks):
     line = WaitingLine()
     for at, refused_at, ask in asks:
-        line.add(WaitingAsk(ask, at, refused_at))
+        line.add(WaitingAsk(ask, at, refused_at, at + ask.to_objective))
     return line
 
 
@@ -82,3 +83,13 @@
         rate.note(1.0, 500)
         rate.note(0.5, 5)
     assert abs(rate.rate - 1.5 / 505) < 1e-4
+
+
+def test_a_rank_that_gets_no_places_waits_long():
+    forecast = RankRecord()
+    assert forecast.estimate_wait(3, 1.0) == 0.0
+    assert forecast.estimate_wait(20, 1.0) >= 10
+    for number in range(40):
+        forecast.note_grant(1.0 + number / 100)
+    assert forecast.estimate_wait(20, 1.5) < 1.0
+    assert forecast.estimate_wait(20, 9.0) >= 10
