Log how broken streams end, what a reload leaves and what can't be read

Change: such streams end as STREAM_LOST; the reload's line names what needs a restart; a line names unreadable registrations.

--- a/fireflyquay/gateway/_beliefs.py
+++ b/fireflyquay/gateway/_beliefs.py
@@ -9,6 +9,7 @@
 
 from fireflyquay.dispatch import BackendBook, ConfigBook, Proof
 from fireflyquay.links import HttpFailure
+from fireflyquay.world import BackendServerId
 
 from ._clock import AgeClock
 from ._dialect import FleetSource
@@ -47,6 +48,8 @@
         # Set when another VM knows a newer configuration.
         self._config_wanted = asyncio.Event()
         self._after_outage_until = float("-inf")
+        # Names of registrations that can't be read, as last logged.
+        self._unreadable: tuple[BackendServerId, ...] = ()
         # Called after any change.
         self.on_change: Callable[[], None] = lambda: None
 
@@ -133,6 +136,9 @@
         proof = Proof(read.revision, sent_at)
         is_after = self._clock.read() < self._after_outage_until
         changes = self.backends.replace_all(read.entries, proof, is_after)
+        if read.unreadable != self._unreadable:
+            self._unreadable = read.unreadable
+            LOG.warning("registrations unreadable", extra={"names": read.unreadable})
         if not changes:
             return
         LOG.info(
--- a/fireflyquay/gateway/_gateway.py
+++ b/fireflyquay/gateway/_gateway.py
@@ -249,18 +249,24 @@
         await self._end()
 
     def reload(self, settings: GatewaySettings) -> None:
-        """Take changed settings; those of the VM itself need a restart."""
+        """Take the bound for removed keys; other changes need a restart."""
         old = self._settings
         if settings.vm != old.vm:
             LOG.warning("settings of the VM need a restart", extra={"vm": old.vm.name})
-        changed = [
+        promises = replace(old.promises, revoke=settings.promises.revoke)
+        waiting = [
             name
-            for name in ("store", "promises", "log")
-            if getattr(settings, name) != getattr(old, name)
+            for name, current in (("store", old.store), ("log", old.log))
+            if getattr(settings, name) != current
         ]
-        self._settings = replace(settings, vm=old.vm)
-        self._ingress.set_revoke_seconds(settings.promises.revoke)
-        LOG.info("settings reloaded", extra={"changed": changed})
+        if settings.promises != promises:
+            waiting.append("promises")
+        self._settings = replace(old, promises=promises)
+        self._ingress.set_revoke_seconds(promises.revoke)
+        LOG.info(
+            "settings reloaded",
+            extra={"revoke": promises.revoke, "need_restart": waiting},
+        )
 
     async def _end(self) -> None:
         tasks = tuple(self._tasks)
--- a/fireflyquay/gateway/_ingress.py
+++ b/fireflyquay/gateway/_ingress.py
@@ -30,7 +30,7 @@
 from ._call import Call, Outcome, fingerprint_request
 from ._clock import AgeClock
 from ._dialect import Dialect, RequestFacts
-from ._forwarder import Forwarder
+from ._forwarder import PROMISING_STATUSES, Forwarder
 from ._gateway_metrics import GatewayMetrics
 from ._slot_desk import SlotDesk
 
@@ -107,7 +107,8 @@
             async with asyncio.timeout_at(call.ends_at):
                 await self._run(call)
         except Rejected as rejected:
-            if call is not None and call.may_have_run:
+            is_promise = read_status(rejected.code) in PROMISING_STATUSES
+            if is_promise and call is not None and call.may_have_run:
                 rejected = Rejected(Code.BACKEND_FAILED, rejected.sentence)
             outcome, reason = rejected.code.value, rejected.sentence
             if call is not None and call.held_failure is not None:
@@ -117,7 +118,7 @@
         except TimeoutError:
             outcome = Code.BACKEND_TIMEOUT.value
             await self._end_late(call, facts, responder)
-        except asyncio.CancelledError:
+        except (asyncio.CancelledError, CallerGoneError):
             outcome = Code.CALLER_GONE.value
             raise
         finally:
@@ -247,8 +248,7 @@
         if outcome is Outcome.FAILED:
             raise Rejected(Code.BACKEND_FAILED, "The backend server failed.")
         if outcome is Outcome.CUT:
-            call.responder.abort()
-            raise CallerGoneError
+            raise Rejected(Code.STREAM_LOST, "The stream broke off midway.")
         if outcome is Outcome.NOT_RUN:
             raise Rejected(
                 Code.OVERLOADED, "The backend server declined.", RETRY_SECONDS
