--- a/fireflyquay/dispatch/_backend_book.py
+++ b/fireflyquay/dispatch/_backend_book.py
@@ -7,7 +7,7 @@
 import msgspec
 from xxhash import xxh64_intdigest
 
-from fireflyquay.world import BackendEntry, BackendPhase, BackendServerId, ServiceId
+from fireflyquay.world import BackendEntry, BackendPhase, BackendServerId
 
 from ._proof import Proof
 
@@ -66,14 +66,6 @@
         entry = self._entries.get(name)
         return entry is not None and entry.phase is BackendPhase.READY
 
-    def list_ready(self, service: ServiceId) -> list[BackendEntry]:
-        """Return the service's backend servers that may be given new requests."""
-        return [
-            entry
-            for entry in self._entries.values()
-            if entry.service == service and entry.phase is BackendPhase.READY
-        ]
-
     def list_all(self) -> list[BackendEntry]:
         """Return all registered backend servers."""
         return list(self._entries.values())
--- a/fireflyquay/gateway/_event_splitter.py
+++ b/fireflyquay/gateway/_event_splitter.py
@@ -32,10 +32,6 @@
         rest, self._rest = self._rest, b""
         return rest
 
-    def drop_rest(self) -> None:
-        """Forget the start of an event that will not be completed."""
-        self._rest = b""
-
     def _note(self, whole: bytes) -> None:
         for line in whole.split(b"\n"):
             if line.startswith(b"id:"):
--- a/fireflyquay/gateway/_settings.py
+++ b/fireflyquay/gateway/_settings.py
@@ -67,8 +67,6 @@
     revoke: Seconds
     # Seconds in which a stopping VM ends its requests.
     stop_grace: Seconds
-    # Seconds from a backend server's leaving until it gets nothing new.
-    leave: Seconds
     # Repeats for each request, repeats besides, and the window in seconds.
     repeat_ratio: Share
     repeat_slack: Annotated[float, Meta(ge=0)]
