--- a/fireflyquay/gateway/_ingress.py
+++ b/fireflyquay/gateway/_ingress.py
@@ -44,6 +44,8 @@
 # Least seconds before a refused client comes back when there is no forecast.
 RETRY_SECONDS = 0.5
 NO_ACCOUNT = ClientAccountId("")
+# What the log says of a request that got its response; else it names a code.
+SERVED = "served"
 
 
 class Ingress:
@@ -100,12 +102,13 @@
         loop = asyncio.get_running_loop()
         arrived = loop.time()
         facts = self._dialect.read_request(request)
-        outcome, reason = "served", ""
+        outcome, reason = Code.INTERNAL.value, ""
         call: Call | None = None
         try:
             call = self._open(request, responder, facts, arrived)
             async with asyncio.timeout_at(call.ends_at):
                 await self._run(call)
+            outcome = SERVED
         except Rejected as rejected:
             is_promise = read_status(rejected.code) in PROMISING_STATUSES
             if is_promise and call is not None and call.may_have_run:
@@ -116,8 +119,9 @@
             else:
                 await self._refuse(facts, responder, rejected)
         except TimeoutError:
-            outcome = Code.BACKEND_TIMEOUT.value
-            await self._end_late(call, facts, responder)
+            late = _judge_late(call)
+            outcome, reason = late.code.value, late.sentence
+            await self._refuse(facts, responder, late)
         except (asyncio.CancelledError, CallerGoneError):
             outcome = Code.CALLER_GONE.value
             raise
@@ -266,14 +270,6 @@
         )
         await responder.send(read_status(rejected.code), headers, body)
 
-    async def _end_late(
-        self, call: Call | None, facts: RequestFacts, responder: HttpResponder
-    ) -> None:
-        code = Code.BACKEND_TIMEOUT
-        if call is not None and not call.may_have_run:
-            code = Code.DEADLINE_UNREACHABLE
-        await self._refuse(facts, responder, Rejected(code, "The time is up."))
-
     def _log_end(
         self,
         facts: RequestFacts,
@@ -303,6 +299,13 @@
         )
 
 
+def _judge_late(call: Call | None) -> Rejected:
+    """Return the answer to a request whose time is up."""
+    if call is not None and not call.may_have_run:
+        return Rejected(Code.DEADLINE_UNREACHABLE, "The time was up while it waited.")
+    return Rejected(Code.BACKEND_TIMEOUT, "The time was up while it ran.")
+
+
 def _name_account(admission: Admission) -> ClientAccountId:
     return NO_ACCOUNT if admission.account is None else admission.account.id
 
