--- a/fireflyquay/dispatch/tests/test_coordinator.py
+++ b/fireflyquay/dispatch/tests/test_coordinator.py
@@ -6,6 +6,7 @@
     Crashed,
     Detach,
     Ended,
+    FirstOutput,
     Grant,
     GrantorSettings,
     Handover,
@@ -176,6 +177,21 @@
     assert counts["fast"] > 3 * counts["slow"]
 
 
+def test_a_backend_server_with_long_gaps_is_passed_over():
+    coordinator = make_coordinator()
+    coordinator.set_backends([make_entry("rough", 9)])
+    coordinator.ask(make_ask(1), 0.0)
+    coordinator.take(OWN, FirstOutput(1, "rough"), 0.1)
+    coordinator.take(OWN, Ended(1, "rough", 50, 0.3, False), 0.5)
+    coordinator.set_backends([make_entry("rough", 9), make_entry("smooth", 9)])
+    decisions = [
+        decision
+        for number in range(2, 7)
+        for decision in coordinator.ask(make_ask(number), 1.0)
+    ]
+    assert [decision.backend for decision in decisions] == ["smooth"] * 5
+
+
 def test_a_failing_backend_server_is_left_and_tried_again():
     coordinator = make_coordinator()
     coordinator.set_backends([make_entry("bad", 10), make_entry("good", 10)])
