Let VMs find each other through the store when their seeds are gone

Cause: a VM learned of others from its seeds and from gossip only. One whose seeds were all gone found nobody, took itself for the whole fleet and gave out whole quotas and places. Change: each VM registers its address once; one that is alone after 1.5 s lists the registrations, a coordinator does so every 20 s and removes those that were silent for a minute. Removals are conditional on the revision; a VM that misses its own registration makes it again.

--- a/fireflyquay/gateway/__init__.py
+++ b/fireflyquay/gateway/__init__.py
@@ -9,6 +9,7 @@
     FleetSource,
     HeaderPairs,
     RequestFacts,
+    VmRegistration,
 )
 from ._gateway import Gateway
 from ._settings import (
@@ -37,6 +38,7 @@
     "PromiseSettings",
     "RequestFacts",
     "StoreSettings",
+    "VmRegistration",
     "VmSettings",
     "load_gateway_settings",
     "split_address",
--- a/fireflyquay/gateway/_dialect.py
+++ b/fireflyquay/gateway/_dialect.py
@@ -15,6 +15,7 @@
     Code,
     FleetConfig,
     ModelName,
+    VmListing,
 )
 
 HeaderPairs = list[tuple[bytes | str, bytes | str]]
@@ -74,8 +75,18 @@
     unreadable: tuple[BackendServerId, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class VmRegistration:
+    """Hold where a VM says that it runs."""
+
+    name: str
+    listing: VmListing
+    # Of the store, at the registration's last change.
+    revision: int
+
+
 class FleetSource(ABC):
-    """Read the platform's store; failures raise HttpFailure."""
+    """Read the platform's store and register VMs; failures raise HttpFailure."""
 
     @abstractmethod
     async def read_config(self) -> ConfigRead:
@@ -85,6 +96,18 @@
     async def list_backends(self) -> BackendsRead:
         """Return all registered backend servers."""
 
+    @abstractmethod
+    async def register_vm(self, listing: VmListing) -> None:
+        """Register a VM at its address; doing so again changes nothing."""
+
+    @abstractmethod
+    async def list_vms(self) -> tuple[VmRegistration, ...]:
+        """Return all registered VMs, also ones that no longer run."""
+
+    @abstractmethod
+    async def remove_vm(self, registration: VmRegistration) -> None:
+        """Remove a registration unless it has changed."""
+
 
 class Dialect(ABC):
     """Translate between the platform's headers and bodies and this package's types."""
--- a/fireflyquay/gateway/_fleet.py
+++ b/fireflyquay/gateway/_fleet.py
@@ -37,6 +37,7 @@
 )
 
 from ._clock import AgeClock
+from ._discovery import Neighbours
 from ._slot_desk import Peers, SlotDesk
 
 LOG = logbook.Logger("fleet")
@@ -57,7 +58,7 @@
 ASK_OTHERS_SECONDS = 1.2
 
 
-class Fleet(Peers):
+class Fleet(Peers, Neighbours):
     """Exchange messages with other VMs."""
 
     def __init__(
@@ -127,6 +128,18 @@
             and record.vm.incarnation not in unready
         ]
 
+    def list_addresses(self) -> set[tuple[str, int]]:
+        """Return the peer addresses of the VMs that run, the own one included."""
+        vms = [record.vm for record in self._membership.live()]
+        return {(vm.host, vm.peer_port) for vm in vms}
+
+    def introduce(self, listings: Sequence[VmListing]) -> None:
+        """Tell VMs that may run of this one."""
+        now = asyncio.get_running_loop().time()
+        hosts = {(it.host, it.peer_port) for it in listings}
+        seeds = [it for it in self._seeds if (it.host, it.peer_port) not in hosts]
+        self._carry_out(self._membership.seed(now, [*listings, *seeds]))
+
     def choose_coordinator(self) -> Incarnation:
         """Return the first VM in rank that is not silent."""
         names = self._membership.live_names()
--- a/fireflyquay/gateway/_gateway.py
+++ b/fireflyquay/gateway/_gateway.py
@@ -25,6 +25,7 @@
 from ._clock import AgeClock, BootClock
 from ._dialect import Dialect, FleetSource
 from ._directory import Directory
+from ._discovery import Discovery
 from ._fleet import Fleet
 from ._forwarder import Forwarder
 from ._gateway_metrics import GatewayMetrics
@@ -110,6 +111,9 @@
         self._desk = SlotDesk(self.incarnation, self._coordinator)
         self.fleet = self._make_fleet(rng)
         self._desk.connect(self.fleet)
+        own = self.fleet.describe_own()
+        listing = VmListing(own.host, own.peer_port, own.zone, own.region)
+        self._discovery = Discovery(source, listing, self.fleet)
         self._ingress = Ingress(
             self.incarnation,
             ZoneId(vm.zone),
@@ -204,6 +208,8 @@
         await self.fleet.start()
         self._spawn(self.fleet.keep_membership())
         self._spawn(self.fleet.keep_knowledge())
+        self._spawn(self._discovery.register())
+        self._spawn(self._discovery.look_around())
         self._spawn(self._desk.tick())
         self._spawn(self._desk.report_holding())
         await self._clients.start(*split_address(vm.client_address))
