--- a/docs/examples/drive_node.py
+++ b/docs/examples/drive_node.py
@@ -2,18 +2,20 @@
 
 import random
 
-from fireflyquay.decisions import (
+from fireflyquay.contracts import (
     BACKEND_CODEC,
     CONTRACT_CODEC,
+    StoredValue,
+    StoreList,
+    StoreListing,
+)
+from fireflyquay.decisions import (
     CallStore,
     Dispatch,
     Node,
     Record,
     Refuse,
     RunReport,
-    StoredValue,
-    StoreList,
-    StoreListing,
 )
 from fireflyquay.world import (
     BackendKind,
--- a/fireflyquay/decisions/_record_codec.py
+++ b/fireflyquay/contracts/_record_codec.py
@@ -17,6 +17,9 @@
 )
 
 FORMAT = 1
+# Where records stand in the store.
+CONTRACTS_PREFIX = "contracts/"
+BACKENDS_PREFIX = "backends/"
 _MAX_PORT = 65535
 RecordT = TypeVar("RecordT", ContractRecord, BackendRecord)
 
--- a/fireflyquay/daemons/_answer.py
+++ b/fireflyquay/daemons/_answer.py
@@ -6,7 +6,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from fireflyquay.decisions import Redirect, Refuse
+from fireflyquay.decisions import (
+    Redirect,
+    Refuse,
+)
 from fireflyquay.links import RunChunk, RunFinished
 
 MAX_UNREAD_BYTES = 256 * 1024
--- a/fireflyquay/daemons/_caller_api.py
+++ b/fireflyquay/daemons/_caller_api.py
@@ -7,7 +7,12 @@
 
 import msgspec
 
-from fireflyquay.decisions import Node, StoredValue
+from fireflyquay.contracts import (
+    StoredValue,
+)
+from fireflyquay.decisions import (
+    Node,
+)
 from fireflyquay.links import (
     CallerGoneError,
     HttpRequest,
--- a/fireflyquay/daemons/_context.py
+++ b/fireflyquay/daemons/_context.py
@@ -11,7 +11,9 @@
 from typing import TYPE_CHECKING, Any
 
 from fireflyquay.client import Client
-from fireflyquay.decisions import ChangeNote
+from fireflyquay.contracts import (
+    ChangeNote,
+)
 from fireflyquay.world import ChangeId, Code
 
 from ._output import UsageFault, format_json
--- a/fireflyquay/daemons/_desk.py
+++ b/fireflyquay/daemons/_desk.py
@@ -5,7 +5,12 @@
 import asyncio
 from collections import OrderedDict
 
-from fireflyquay.decisions import Join, Node, Redirect, Refuse
+from fireflyquay.decisions import (
+    Join,
+    Node,
+    Redirect,
+    Refuse,
+)
 from fireflyquay.links import RunFinished
 from fireflyquay.world import Code, ExchangeId, Request, Verdict
 
--- a/fireflyquay/daemons/_entry.py
+++ b/fireflyquay/daemons/_entry.py
@@ -10,21 +10,20 @@
 
 import logbook
 
+from fireflyquay.contracts import (
+    StoreFailed,
+)
 from fireflyquay.decisions import (
     PEER_MESSAGE,
     CallStore,
     Cancel,
     Dispatch,
     Join,
-    Message,
     Node,
     Record,
     Redirect,
     Refuse,
     Resume,
-    Send,
-    SendTo,
-    StoreFailed,
 )
 from fireflyquay.links import (
     BackendAdapter,
@@ -41,6 +40,11 @@
     VmList,
     make_handler,
 )
+from fireflyquay.membership import (
+    Message,
+    Send,
+    SendTo,
+)
 from fireflyquay.world import (
     BackendKind,
     Code,
--- a/fireflyquay/daemons/_meter.py
+++ b/fireflyquay/daemons/_meter.py
@@ -4,7 +4,9 @@
 
 from dataclasses import dataclass
 
-from fireflyquay.decisions import Refuse
+from fireflyquay.decisions import (
+    Refuse,
+)
 from fireflyquay.links import Metrics, RunFinished
 from fireflyquay.world import Code, ExchangeId, Request, Verdict
 
--- a/fireflyquay/daemons/_notice.py
+++ b/fireflyquay/daemons/_notice.py
@@ -4,7 +4,9 @@
 
 import msgspec
 
-from fireflyquay.decisions import StoredValue
+from fireflyquay.contracts import (
+    StoredValue,
+)
 
 from ._context import Context
 
--- a/fireflyquay/daemons/_operator.py
+++ b/fireflyquay/daemons/_operator.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Generic, TypeVar
 
-from fireflyquay.decisions import (
+from fireflyquay.contracts import (
     BACKEND_CODEC,
     BACKENDS_PREFIX,
     CONTRACT_CODEC,
--- a/fireflyquay/daemons/_replies.py
+++ b/fireflyquay/daemons/_replies.py
@@ -8,7 +8,11 @@
 
 import msgspec
 
-from fireflyquay.decisions import Redirect, Refuse, refuse_untaken
+from fireflyquay.decisions import (
+    Redirect,
+    Refuse,
+    refuse_untaken,
+)
 from fireflyquay.links import HttpResponder, RunChunk, RunFinished, read_status
 from fireflyquay.world import Code, FireflyquayError, RequestKey, Verdict
 
--- a/fireflyquay/daemons/_runner.py
+++ b/fireflyquay/daemons/_runner.py
@@ -7,7 +7,13 @@
 
 import logbook
 
-from fireflyquay.decisions import Dispatch, FailureKind, Node, Resume, RunReport
+from fireflyquay.decisions import (
+    Dispatch,
+    FailureKind,
+    Node,
+    Resume,
+    RunReport,
+)
 from fireflyquay.links import (
     BackendAdapter,
     BackendEvent,
--- a/fireflyquay/daemons/_settings.py
+++ b/fireflyquay/daemons/_settings.py
@@ -9,7 +9,7 @@
 
 from msgspec import Meta
 
-from fireflyquay import decisions
+from fireflyquay import decisions, membership
 from fireflyquay.checks import (
     SettingsFault,
     join_faults,
@@ -168,7 +168,7 @@
     def get_decision_settings(self) -> decisions.NodeSettings:
         """Return what the node's decisions are set to."""
         return decisions.NodeSettings(
-            membership=decisions.MembershipSettings(
+            membership=membership.MembershipSettings(
                 suspicion_timeout=self.membership.suspicion_timeout
             ),
             allowances=decisions.AllowanceSettings(
--- a/fireflyquay/daemons/_trail_reader.py
+++ b/fireflyquay/daemons/_trail_reader.py
@@ -9,7 +9,14 @@
 
 import msgspec
 
-from fireflyquay.decisions import StoreList, StoreListing, decode_batch, list_prefixes
+from fireflyquay.contracts import (
+    StoreList,
+    StoreListing,
+)
+from fireflyquay.decisions import (
+    decode_batch,
+    list_prefixes,
+)
 from fireflyquay.world import (
     NO_WITNESS,
     FireflyquayError,
--- a/fireflyquay/daemons/tests/test_caller_interface.py
+++ b/fireflyquay/daemons/tests/test_caller_interface.py
@@ -4,9 +4,7 @@
 import msgspec
 import pytest
 
-from fireflyquay.daemons._entry import EntryDaemon
-from fireflyquay.daemons._settings import parse_settings
-from fireflyquay.decisions import (
+from fireflyquay.contracts import (
     CONTRACT_CODEC,
     StoredValue,
     StoreFailed,
@@ -14,6 +12,8 @@
     StoreListing,
     StoreWatch,
 )
+from fireflyquay.daemons._entry import EntryDaemon
+from fireflyquay.daemons._settings import parse_settings
 from fireflyquay.links import HttpClient, HttpLimits
 from fireflyquay.world import Contract, ContractRecord, Limits, Tier
 
--- a/fireflyquay/daemons/tests/test_command_line.py
+++ b/fireflyquay/daemons/tests/test_command_line.py
@@ -8,8 +8,13 @@
 from test_operator_changes import FakeStore
 
 from fireflyquay import links
+from fireflyquay.contracts import (
+    StoredValue,
+)
 from fireflyquay.daemons import _operator, main
-from fireflyquay.decisions import StoredValue, encode_batch
+from fireflyquay.decisions import (
+    encode_batch,
+)
 from fireflyquay.world import Incarnation, RequestKey, Step, TrailRecord
 
 EXAMPLE = Path(__file__).parents[3] / "docs" / "examples" / "node.toml"
--- a/fireflyquay/daemons/tests/test_desk.py
+++ b/fireflyquay/daemons/tests/test_desk.py
@@ -4,7 +4,11 @@
 
 from fireflyquay.daemons._desk import KEPT_ANSWERS_BYTES, AnswerDesk
 from fireflyquay.daemons._meter import Meter
-from fireflyquay.decisions import Join, Redirect, Refuse
+from fireflyquay.decisions import (
+    Join,
+    Redirect,
+    Refuse,
+)
 from fireflyquay.links import Metrics, RunChunk, RunFinished
 from fireflyquay.world import (
     Code,
--- a/fireflyquay/daemons/tests/test_operator_changes.py
+++ b/fireflyquay/daemons/tests/test_operator_changes.py
@@ -5,9 +5,7 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
-from fireflyquay.daemons import _operator
-from fireflyquay.daemons._operator import build_contract, make_contracts
-from fireflyquay.decisions import (
+from fireflyquay.contracts import (
     CONTRACT_CODEC,
     ChangeNote,
     StoreConflict,
@@ -18,7 +16,9 @@
     StoreMissing,
     StoreRead,
 )
-from fireflyquay.decisions._change import MAX_CHANGES
+from fireflyquay.contracts._change import MAX_CHANGES
+from fireflyquay.daemons import _operator
+from fireflyquay.daemons._operator import build_contract, make_contracts
 from fireflyquay.world import (
     ChangeId,
     Code,
--- a/fireflyquay/daemons/tests/test_runner.py
+++ b/fireflyquay/daemons/tests/test_runner.py
@@ -7,7 +7,10 @@
 from fireflyquay.daemons._answer import Answer
 from fireflyquay.daemons._meter import Meter
 from fireflyquay.daemons._runner import Runner
-from fireflyquay.decisions import Dispatch, FailureKind
+from fireflyquay.decisions import (
+    Dispatch,
+    FailureKind,
+)
 from fireflyquay.links import BackendFailure, Metrics
 from fireflyquay.world import BackendKind, Code, Verdict
 
--- a/fireflyquay/decisions/_action.py
+++ b/fireflyquay/decisions/_action.py
@@ -4,43 +4,18 @@
 
 from dataclasses import dataclass
 
+from fireflyquay.contracts._store_call import StoreCall
+from fireflyquay.membership import Action
 from fireflyquay.world import (
     BackendServer,
     Code,
     ExchangeId,
-    Incarnation,
     Request,
     RequestKey,
     TrailRecord,
     Verdict,
 )
 
-from ._message import Message
-from ._store_call import StoreCall
-
-
-class Action:
-    """Serve as the base of all actions."""
-
-    __slots__ = ()
-
-
-@dataclass(frozen=True, slots=True)
-class Send(Action):
-    """Send a message to an entry VM known by its incarnation."""
-
-    peer: Incarnation
-    message: Message
-
-
-@dataclass(frozen=True, slots=True)
-class SendTo(Action):
-    """Send a message to an address whose incarnation is not known yet."""
-
-    host: str
-    peer_port: int
-    message: Message
-
 
 @dataclass(frozen=True, slots=True)
 class CallStore(Action):
--- a/fireflyquay/decisions/_allowance_floor.py
+++ b/fireflyquay/decisions/_allowance_floor.py
@@ -6,9 +6,12 @@
 
 import xxhash
 
+from fireflyquay.membership import (
+    Action,
+    Send,
+)
 from fireflyquay.world import Incarnation
 
-from ._action import Action, Send
 from ._allowance_message import Counted, CountMe
 
 COUNT_INTERVAL = 1.0  # Seconds.
--- a/fireflyquay/decisions/_allowance_holder.py
+++ b/fireflyquay/decisions/_allowance_holder.py
@@ -6,9 +6,12 @@
 from collections.abc import Callable
 from dataclasses import replace
 
+from fireflyquay.membership import (
+    Action,
+    Send,
+)
 from fireflyquay.world import CustomerId, Incarnation, Limits
 
-from ._action import Action, Send
 from ._admission import Admission, AdmissionState
 from ._allowance_bucket import AllowanceBucket, GivenPledge, HeldLease
 from ._allowance_demand import AllowanceDemand
--- a/fireflyquay/decisions/_allowance_message.py
+++ b/fireflyquay/decisions/_allowance_message.py
@@ -4,11 +4,10 @@
 
 import msgspec
 
+from fireflyquay.membership._bounds import Amount, Count
+from fireflyquay.membership._message import Message
 from fireflyquay.world import CustomerId, Incarnation
 
-from ._bounds import Amount, Count
-from ._message import Message
-
 
 class Need(msgspec.Struct, frozen=True, array_like=True):
     """Ask for a part of one contract's limits beyond what the holder owns."""
--- a/fireflyquay/decisions/_allowance_steward.py
+++ b/fireflyquay/decisions/_allowance_steward.py
@@ -4,9 +4,12 @@
 
 from collections.abc import Callable
 
+from fireflyquay.membership import (
+    Action,
+    Send,
+)
 from fireflyquay.world import CustomerId, Incarnation, Limits
 
-from ._action import Action, Send
 from ._allowance_ledger import AllowanceLedger, HeldPledge
 from ._allowance_message import (
     AllowanceAsk,
--- a/fireflyquay/decisions/_arbiter.py
+++ b/fireflyquay/decisions/_arbiter.py
@@ -4,9 +4,12 @@
 
 from abc import ABC, abstractmethod
 
+from fireflyquay.membership import (
+    Action,
+    Send,
+)
 from fireflyquay.world import BackendServerId, Incarnation
 
-from ._action import Action, Send
 from ._arbiter_message import NO_SERVER, Claim, Close, Fence, WitnessAnswer
 from ._exchange import Exchange
 
--- a/fireflyquay/decisions/_arbiter_message.py
+++ b/fireflyquay/decisions/_arbiter_message.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
+from fireflyquay.membership._bounds import Count
+from fireflyquay.membership._message import Message
 from fireflyquay.world import BackendServerId, Fingerprint, Incarnation, RequestKey
 
-from ._bounds import Count
-from ._message import Message
-
 NO_SERVER = BackendServerId("")
 NO_OWNER = Incarnation("")
 NO_FINGERPRINT = Fingerprint("")
--- a/fireflyquay/decisions/_backend_book.py
+++ b/fireflyquay/decisions/_backend_book.py
@@ -4,6 +4,8 @@
 
 from dataclasses import replace
 
+from fireflyquay.contracts import BACKENDS_PREFIX
+from fireflyquay.contracts._record_codec import BACKEND_CODEC, check_backend
 from fireflyquay.world import (
     BackendRecord,
     BackendServer,
@@ -14,11 +16,8 @@
     PoolId,
 )
 
-from ._record_codec import BACKEND_CODEC, check_backend
 from ._versioned_book import VersionedBook
 
-BACKENDS_PREFIX = "backends/"
-
 
 class BackendBook(VersionedBook[BackendRecord]):
     """Hold each backend server's newest registration."""
--- a/fireflyquay/decisions/_book_message.py
+++ b/fireflyquay/decisions/_book_message.py
@@ -4,9 +4,9 @@
 
 import msgspec
 
-from ._bounds import Count
-from ._message import Message
-from ._store_call import StoredValue
+from fireflyquay.contracts._store_call import StoredValue
+from fireflyquay.membership._bounds import Count
+from fireflyquay.membership._message import Message
 
 
 class PushedValue(msgspec.Struct, frozen=True, array_like=True):
--- a/fireflyquay/decisions/_book_sync.py
+++ b/fireflyquay/decisions/_book_sync.py
@@ -7,9 +7,16 @@
 
 import logbook
 
+from fireflyquay.contracts._store_call import StoreAnswer, StoredValue, StoreListing
+from fireflyquay.membership import (
+    Action,
+    Send,
+)
+from fireflyquay.membership._membership import Membership
+from fireflyquay.membership._message import Message
+from fireflyquay.membership._rendezvous import rank
 from fireflyquay.world import FireflyquayError, Incarnation, ZoneId
 
-from ._action import Action, Send
 from ._backend_book import BackendBook
 from ._book_message import (
     BookBuckets,
@@ -21,10 +28,6 @@
 )
 from ._book_settings import BookSettings
 from ._contract_book import ContractBook
-from ._membership import Membership
-from ._message import Message
-from ._rendezvous import rank
-from ._store_call import StoreAnswer, StoredValue, StoreListing
 from ._store_feed import StoreFeed
 from ._versioned_book import VersionedBook
 
--- a/fireflyquay/decisions/_broker_duty.py
+++ b/fireflyquay/decisions/_broker_duty.py
@@ -4,14 +4,17 @@
 
 from collections.abc import Callable
 
+from fireflyquay.membership import (
+    Action,
+    Send,
+)
+from fireflyquay.membership._message import Message
+from fireflyquay.membership._rendezvous import choose_one
 from fireflyquay.world import BackendServer, Incarnation, PoolId, Tier
 
-from ._action import Action, Send
 from ._cell import CellBroker
 from ._cell_message import Held, NotBroker, Release, Unwant, Want
 from ._cell_settings import CellSettings
-from ._message import Message
-from ._rendezvous import choose_one
 
 CellMessage = Want | Unwant | Release | Held
 BROKER_NAME = "broker/"
--- a/fireflyquay/decisions/_cell.py
+++ b/fireflyquay/decisions/_cell.py
@@ -2,6 +2,11 @@
 
 from __future__ import annotations
 
+from fireflyquay.membership import (
+    Action,
+    Send,
+)
+from fireflyquay.membership._message import Message
 from fireflyquay.world import (
     BackendServer,
     BackendServerId,
@@ -11,14 +16,12 @@
     Tier,
 )
 
-from ._action import Action, Send
 from ._cell_forecast import CellForecast
 from ._cell_grants import CellGrants
 from ._cell_message import Deny, Held, Outcome, Permit, Release, Unwant, Want
 from ._cell_settings import CellSettings
 from ._fair_queue import FairQueue, Waiting
 from ._lease import Lease, LeaseId
-from ._message import Message
 from ._recent import RecentEnds
 from ._server_slots import ServerSlots
 from ._speed import SpeedBook, SpeedState
--- a/fireflyquay/decisions/_cell_message.py
+++ b/fireflyquay/decisions/_cell_message.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from fireflyquay.membership._bounds import Amount, Count, Finite
+from fireflyquay.membership._message import Message
 from fireflyquay.world import (
     BackendServerId,
     Code,
@@ -15,9 +17,6 @@
     Tier,
 )
 
-from ._bounds import Amount, Count, Finite
-from ._message import Message
-
 
 class Outcome(StrEnum):
     """Tell how the use of a permit ended."""
--- a/fireflyquay/decisions/_closer.py
+++ b/fireflyquay/decisions/_closer.py
@@ -4,9 +4,14 @@
 
 from collections.abc import Callable
 
+from fireflyquay.membership import (
+    Action,
+)
 from fireflyquay.world import Code, ExchangeId, Step, Verdict
 
-from ._action import Action, Refuse
+from ._action import (
+    Refuse,
+)
 from ._arbiter_message import WitnessAnswer
 from ._arbiter_set import ArbiterSet
 from ._exchange import Exchange, ExchangeState, Refusal
--- a/fireflyquay/decisions/_closing_board.py
+++ b/fireflyquay/decisions/_closing_board.py
@@ -6,11 +6,7 @@
 
 import msgspec
 
-from fireflyquay.world import Incarnation, PoolId, Tier
-
-from ._action import Action, CallStore
-from ._cell import CellBroker
-from ._store_call import (
+from fireflyquay.contracts._store_call import (
     StoreAnswer,
     StoreConflict,
     StoredValue,
@@ -18,6 +14,15 @@
     StoreRead,
     StoreWrite,
 )
+from fireflyquay.membership import (
+    Action,
+)
+from fireflyquay.world import Incarnation, PoolId, Tier
+
+from ._action import (
+    CallStore,
+)
+from ._cell import CellBroker
 from ._tier_gate import Closing
 
 CLOSING_PREFIX = "closings/"
--- a/fireflyquay/decisions/_contract_book.py
+++ b/fireflyquay/decisions/_contract_book.py
@@ -4,6 +4,8 @@
 
 from dataclasses import replace
 
+from fireflyquay.contracts import CONTRACTS_PREFIX
+from fireflyquay.contracts._record_codec import CONTRACT_CODEC, check_contract
 from fireflyquay.world import (
     Code,
     Contract,
@@ -12,11 +14,8 @@
     FireflyquayError,
 )
 
-from ._record_codec import CONTRACT_CODEC, check_contract
 from ._versioned_book import VersionedBook
 
-CONTRACTS_PREFIX = "contracts/"
-
 
 class ContractBook(VersionedBook[ContractRecord]):
     """Hold the contract in force of each customer."""
--- a/fireflyquay/decisions/_fleet_view.py
+++ b/fireflyquay/decisions/_fleet_view.py
@@ -4,6 +4,9 @@
 
 import random
 
+from fireflyquay.membership._membership import Membership
+from fireflyquay.membership._membership_message import MemberRecord
+from fireflyquay.membership._rendezvous import choose_one, rank
 from fireflyquay.world import (
     NO_WITNESS,
     CustomerId,
@@ -17,11 +20,8 @@
 )
 
 from ._broker_duty import choose_broker
-from ._membership import Membership
-from ._membership_message import MemberRecord
 from ._node_status import EntryAddress, EntryList
 from ._peer_view import PeerView
-from ._rendezvous import choose_one, rank
 
 STEWARD_NAME = "steward/"
 WITNESS_NAME = "witness/"
--- a/fireflyquay/decisions/_key_ownership.py
+++ b/fireflyquay/decisions/_key_ownership.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+from fireflyquay.membership import (
+    Action,
+    Send,
+)
 from fireflyquay.world import (
     NO_WITNESS,
     Code,
@@ -11,7 +15,9 @@
     parse_homed_key,
 )
 
-from ._action import Action, Redirect, Send
+from ._action import (
+    Redirect,
+)
 from ._admitter import Admitter
 from ._arbiter_message import (
     NO_FINGERPRINT,
--- a/fireflyquay/decisions/_node.py
+++ b/fireflyquay/decisions/_node.py
@@ -8,6 +8,13 @@
 
 import logbook
 
+from fireflyquay.contracts._store_call import StoreAnswer, StoredValue
+from fireflyquay.membership import (
+    Action,
+    Send,
+)
+from fireflyquay.membership._membership import Membership
+from fireflyquay.membership._message import Message
 from fireflyquay.world import (
     BackendServer,
     BackendServerId,
@@ -27,7 +34,9 @@
     VmListing,
 )
 
-from ._action import Action, Record, Send
+from ._action import (
+    Record,
+)
 from ._admitter import Admitter
 from ._allowance_holder import AllowanceHolder
 from ._allowance_message import AllowanceMessage
@@ -46,8 +55,6 @@
 from ._fleet_view import FleetView
 from ._key_ownership import KeyOwnership
 from ._ledger import Ledger
-from ._membership import Membership
-from ._message import Message
 from ._node_settings import NodeSettings
 from ._node_status import EntryList, NodeStatus
 from ._peer_message import (
@@ -63,7 +70,6 @@
 from ._retry_budget import RetryBudget
 from ._run_flow import RunFlow
 from ._store_arbiter import CLAIM_TAG
-from ._store_call import StoreAnswer, StoredValue
 from ._trail import Trail
 from ._witness import Witness
 
--- a/fireflyquay/decisions/_node_settings.py
+++ b/fireflyquay/decisions/_node_settings.py
@@ -4,10 +4,11 @@
 
 from dataclasses import dataclass
 
+from fireflyquay.membership._membership_settings import MembershipSettings
+
 from ._allowance_settings import AllowanceSettings
 from ._book_settings import BookSettings
 from ._cell_settings import CellSettings
-from ._membership_settings import MembershipSettings
 from ._quarantine import QuarantineSettings
 from ._retry_budget import RetrySettings
 from ._trail import TrailSettings
--- a/fireflyquay/decisions/_peer_message.py
+++ b/fireflyquay/decisions/_peer_message.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from fireflyquay.membership import MembershipMessage
+
 from ._allowance_message import AllowanceMessage
 from ._arbiter_message import (
     AskHome,
@@ -14,20 +16,8 @@
 from ._book_message import BookBuckets, BookDigest, BookPull, BookPush, BookRevisions
 from ._broker_duty import AskHeld
 from ._cell_message import Deny, Held, NotBroker, Permit, Release, Unwant, Want
-from ._membership_message import (
-    Ack,
-    JoinAnswer,
-    JoinRequest,
-    MemberBuckets,
-    MemberDigest,
-    Ping,
-    PingRequest,
-)
 from ._quarantine import CrashReport
 
-MembershipMessage = (
-    Ack | JoinAnswer | JoinRequest | MemberBuckets | MemberDigest | Ping | PingRequest
-)
 BookMessage = BookBuckets | BookDigest | BookPull | BookPush | BookRevisions
 BrokerMessage = Held | Release | Unwant | Want
 ClientMessage = AskHeld | Deny | NotBroker | Permit
--- a/fireflyquay/decisions/_permit_client.py
+++ b/fireflyquay/decisions/_permit_client.py
@@ -5,6 +5,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from fireflyquay.membership import (
+    Action,
+    Send,
+)
 from fireflyquay.world import (
     BackendServerId,
     Incarnation,
@@ -13,7 +17,6 @@
     RequestKey,
 )
 
-from ._action import Action, Send
 from ._cell_message import Held, Hold, NotBroker, Outcome, Permit, Release, Unwant, Want
 
 WANT_AGAIN_S = 1.0
--- a/fireflyquay/decisions/_quarantine.py
+++ b/fireflyquay/decisions/_quarantine.py
@@ -6,11 +6,10 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from fireflyquay.membership._bounds import Amount
+from fireflyquay.membership._message import Message
 from fireflyquay.world import BackendServerId, Fingerprint, Incarnation
 
-from ._bounds import Amount
-from ._message import Message
-
 
 class QuarantineState(StrEnum):
     """Say how a fingerprint may be dispatched."""
--- a/fireflyquay/decisions/_recorder.py
+++ b/fireflyquay/decisions/_recorder.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
+from fireflyquay.membership import (
+    Action,
+)
 from fireflyquay.world import Incarnation, Request, Step, TrailRecord, Verdict
 
-from ._action import Action, Record
+from ._action import (
+    Record,
+)
 
 
 class Recorder:
--- a/fireflyquay/decisions/_request_flow.py
+++ b/fireflyquay/decisions/_request_flow.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from fireflyquay.membership import (
+    Action,
+)
 from fireflyquay.world import (
     Code,
     Incarnation,
@@ -11,7 +14,10 @@
     parse_homed_key,
 )
 
-from ._action import Action, Join, Refuse
+from ._action import (
+    Join,
+    Refuse,
+)
 from ._arbiter_message import NO_OWNER
 from ._closer import ASK_AGAIN_S, GIVE_UP_S, Closer, judge_untaken
 from ._exchange import Exchange, ExchangeState, Refusal
--- a/fireflyquay/decisions/_run_flow.py
+++ b/fireflyquay/decisions/_run_flow.py
@@ -4,6 +4,9 @@
 
 from collections.abc import Callable
 
+from fireflyquay.membership import (
+    Action,
+)
 from fireflyquay.world import (
     BackendKind,
     BackendServer,
@@ -14,7 +17,11 @@
     Verdict,
 )
 
-from ._action import Action, Cancel, Dispatch, Resume
+from ._action import (
+    Cancel,
+    Dispatch,
+    Resume,
+)
 from ._admitter import Admitter
 from ._arbiter_set import ArbiterSet
 from ._cell_message import Deny, Outcome, Permit
--- a/fireflyquay/decisions/_store_arbiter.py
+++ b/fireflyquay/decisions/_store_arbiter.py
@@ -7,13 +7,7 @@
 import msgspec
 import xxhash
 
-from fireflyquay.world import BackendServerId, Fingerprint, Incarnation, RequestKey
-
-from ._action import Action, CallStore, Send
-from ._arbiter import Arbiter
-from ._arbiter_message import NO_FINGERPRINT, NO_SERVER, WitnessAnswer
-from ._exchange import Exchange
-from ._store_call import (
+from fireflyquay.contracts._store_call import (
     StoreAnswer,
     StoreConflict,
     StoredValue,
@@ -22,6 +16,18 @@
     StoreRead,
     StoreWrite,
 )
+from fireflyquay.membership import (
+    Action,
+    Send,
+)
+from fireflyquay.world import BackendServerId, Fingerprint, Incarnation, RequestKey
+
+from ._action import (
+    CallStore,
+)
+from ._arbiter import Arbiter
+from ._arbiter_message import NO_FINGERPRINT, NO_SERVER, WitnessAnswer
+from ._exchange import Exchange
 
 CLAIM_PREFIX = "claims/"
 CLAIM_TAG = "claim:"
--- a/fireflyquay/decisions/_store_feed.py
+++ b/fireflyquay/decisions/_store_feed.py
@@ -4,9 +4,18 @@
 
 import random
 
-from ._action import CallStore
+from fireflyquay.contracts._store_call import (
+    StoreAnswer,
+    StoreCall,
+    StoreList,
+    StoreListing,
+    StoreWatch,
+)
+
+from ._action import (
+    CallStore,
+)
 from ._book_settings import BookSettings
-from ._store_call import StoreAnswer, StoreCall, StoreList, StoreListing, StoreWatch
 
 TAG_PREFIX = "books:"
 
--- a/fireflyquay/decisions/_trail.py
+++ b/fireflyquay/decisions/_trail.py
@@ -5,10 +5,12 @@
 from collections import deque
 from dataclasses import dataclass
 
+from fireflyquay.contracts._store_call import StoreAnswer
 from fireflyquay.world import Incarnation, RequestKey, Step, TrailRecord, Verdict
 
-from ._action import CallStore
-from ._store_call import StoreAnswer
+from ._action import (
+    CallStore,
+)
 from ._trail_flush import TrailFlush, TrailFlushSettings
 
 _SEEN_ONCE = frozenset({Step.RECEIVED, Step.QUEUED, Step.GRANTED, Step.WITNESSED})
--- a/fireflyquay/decisions/_trail_flush.py
+++ b/fireflyquay/decisions/_trail_flush.py
@@ -8,6 +8,13 @@
 
 import msgspec
 
+from fireflyquay.contracts._store_call import (
+    StoreAnswer,
+    StoreConflict,
+    StoredValue,
+    StoreFailed,
+    StoreWrite,
+)
 from fireflyquay.world import (
     Code,
     FireflyquayError,
@@ -17,13 +24,8 @@
     TrailRecord,
 )
 
-from ._action import CallStore
-from ._store_call import (
-    StoreAnswer,
-    StoreConflict,
-    StoredValue,
-    StoreFailed,
-    StoreWrite,
+from ._action import (
+    CallStore,
 )
 
 TAG_PREFIX = "trail:"
--- a/fireflyquay/decisions/_versioned_book.py
+++ b/fireflyquay/decisions/_versioned_book.py
@@ -9,11 +9,10 @@
 
 from xxhash import xxh64_intdigest
 
+from fireflyquay.contracts._record_codec import RecordCodec, RecordT
+from fireflyquay.contracts._store_call import StoredValue
 from fireflyquay.world import FireflyquayError
 
-from ._record_codec import RecordCodec, RecordT
-from ._store_call import StoredValue
-
 BOOK_BUCKETS = 16
 
 
--- a/fireflyquay/decisions/tests/fake_store.py
+++ b/fireflyquay/decisions/tests/fake_store.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-from fireflyquay.decisions import (
-    CallStore,
+from fireflyquay.contracts import (
     StoreAnswer,
     StoredValue,
     StoreFailed,
@@ -11,7 +10,10 @@
     StoreListing,
     StoreWatch,
 )
-from fireflyquay.decisions.tests.fake_network import FakeNetwork
+from fireflyquay.decisions import (
+    CallStore,
+)
+from fireflyquay.membership.tests.fake_network import FakeNetwork
 from fireflyquay.world import Incarnation
 
 
--- a/fireflyquay/decisions/tests/test_allowance_machine.py
+++ b/fireflyquay/decisions/tests/test_allowance_machine.py
@@ -3,7 +3,10 @@
 from hypothesis import settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from fireflyquay.decisions import AllowanceSettings, compute_burst
+from fireflyquay.decisions import (
+    AllowanceSettings,
+    compute_burst,
+)
 from fireflyquay.world import CustomerId, Limits
 from measure._limit_fleet import LimitFleet, find_worst_window
 
--- a/fireflyquay/decisions/tests/test_book_sync.py
+++ b/fireflyquay/decisions/tests/test_book_sync.py
@@ -4,6 +4,10 @@
 
 import pytest
 
+from fireflyquay.contracts import (
+    encode_backend_change,
+    encode_contract_change,
+)
 from fireflyquay.decisions import (
     BackendBook,
     BookPull,
@@ -12,15 +16,15 @@
     BookSettings,
     BookSync,
     ContractBook,
-    Membership,
-    MembershipSettings,
-    encode_backend_change,
-    encode_contract_change,
 )
-from fireflyquay.decisions.tests.fake_network import FakeNetwork
 from fireflyquay.decisions.tests.fake_store import FakeStore
 from fireflyquay.decisions.tests.test_books import build_backend, build_contract
-from fireflyquay.decisions.tests.test_membership import build_vm, list_vm
+from fireflyquay.membership import (
+    Membership,
+    MembershipSettings,
+)
+from fireflyquay.membership.tests.fake_network import FakeNetwork
+from fireflyquay.membership.tests.test_membership import build_vm, list_vm
 from fireflyquay.world import BackendState, ChangeId
 
 PATH = "contracts/treipuu"
--- a/fireflyquay/decisions/tests/test_books.py
+++ b/fireflyquay/decisions/tests/test_books.py
@@ -5,15 +5,19 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
-from fireflyquay.decisions import (
+from fireflyquay.contracts import (
     CONTRACT_CODEC,
-    BackendBook,
-    ContractBook,
     StoredValue,
-    choose_one,
     encode_backend_change,
     encode_contract_change,
     is_applied,
+)
+from fireflyquay.decisions import (
+    BackendBook,
+    ContractBook,
+)
+from fireflyquay.membership import (
+    choose_one,
     rank,
 )
 from fireflyquay.world import (
--- a/fireflyquay/decisions/tests/test_closing_board.py
+++ b/fireflyquay/decisions/tests/test_closing_board.py
@@ -5,7 +5,7 @@
 
 from hypothesis import given, settings, strategies as st
 
-from fireflyquay.decisions import (
+from fireflyquay.contracts import (
     StoreConflict,
     StoredValue,
     StoreFailed,
--- a/fireflyquay/decisions/tests/test_ownership.py
+++ b/fireflyquay/decisions/tests/test_ownership.py
@@ -3,7 +3,14 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
-from fireflyquay.decisions import Claim, Close, Fence, Ledger, Refuse, Witness
+from fireflyquay.decisions import (
+    Claim,
+    Close,
+    Fence,
+    Ledger,
+    Refuse,
+    Witness,
+)
 from fireflyquay.decisions._arbiter_set import ArbiterSet
 from fireflyquay.decisions._closer import Closer
 from fireflyquay.decisions._exchange import Exchange, ExchangeState, Refusal
--- a/fireflyquay/decisions/tests/test_trail.py
+++ b/fireflyquay/decisions/tests/test_trail.py
@@ -1,7 +1,11 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
-from fireflyquay.decisions import StoreConflict, StoredValue, StoreFailed
+from fireflyquay.contracts import (
+    StoreConflict,
+    StoredValue,
+    StoreFailed,
+)
 from fireflyquay.decisions._trail import Trail, TrailSettings
 from fireflyquay.decisions._trail_flush import (
     TrailFlushSettings,
--- a/fireflyquay/decisions/tests/test_untaken.py
+++ b/fireflyquay/decisions/tests/test_untaken.py
@@ -1,4 +1,6 @@
-from fireflyquay.decisions import refuse_untaken
+from fireflyquay.decisions import (
+    refuse_untaken,
+)
 from fireflyquay.world import Code, Verdict
 
 
--- a/fireflyquay/dispatch/_control_message.py
+++ b/fireflyquay/dispatch/_control_message.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
-from fireflyquay.decisions import MembershipMessage, Message
+from fireflyquay.membership import (
+    MembershipMessage,
+    Message,
+)
 from fireflyquay.world import (
     BackendEntry,
     BackendServerId,
--- a/fireflyquay/dispatch/_grant.py
+++ b/fireflyquay/dispatch/_grant.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from fireflyquay.decisions import Message
+from fireflyquay.membership import (
+    Message,
+)
 from fireflyquay.world import (
     AttemptId,
     BackendServerId,
--- a/fireflyquay/dispatch/_knowledge_exchange.py
+++ b/fireflyquay/dispatch/_knowledge_exchange.py
@@ -6,7 +6,9 @@
 from collections import OrderedDict
 from collections.abc import Callable
 
-from fireflyquay.decisions import Message
+from fireflyquay.membership import (
+    Message,
+)
 from fireflyquay.world import EntryVm, Incarnation
 
 from ._backend_book import BackendBook
--- a/fireflyquay/gateway/_fleet.py
+++ b/fireflyquay/gateway/_fleet.py
@@ -8,16 +8,6 @@
 
 import logbook
 
-from fireflyquay.decisions import (
-    Action,
-    ChangeKind,
-    Membership,
-    MembershipSettings,
-    Message,
-    Send,
-    SendTo,
-    rank,
-)
 from fireflyquay.dispatch import (
     CONTROL_MESSAGE,
     Coordinator,
@@ -29,6 +19,16 @@
     Probe,
 )
 from fireflyquay.links import PeerLink
+from fireflyquay.membership import (
+    Action,
+    ChangeKind,
+    Membership,
+    MembershipSettings,
+    Message,
+    Send,
+    SendTo,
+    rank,
+)
 from fireflyquay.world import (
     EntryVm,
     Incarnation,
--- a/fireflyquay/gateway/_slot_desk.py
+++ b/fireflyquay/gateway/_slot_desk.py
@@ -10,7 +10,6 @@
 import logbook
 from msgspec.structs import replace
 
-from fireflyquay.decisions import Message
 from fireflyquay.dispatch import (
     USAGE_SECONDS,
     Ask,
@@ -30,6 +29,9 @@
     Queued,
     Withdrawal,
 )
+from fireflyquay.membership import (
+    Message,
+)
 from fireflyquay.world import (
     BackendServerId,
     ClientAccountId,
--- a/fireflyquay/links/_peer.py
+++ b/fireflyquay/links/_peer.py
@@ -8,7 +8,9 @@
 
 import msgspec
 
-from fireflyquay.decisions import Message
+from fireflyquay.membership import (
+    Message,
+)
 from fireflyquay.world import EntryVm, Incarnation
 
 from ._sockets import configure_socket
--- a/fireflyquay/links/_store.py
+++ b/fireflyquay/links/_store.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from fireflyquay.decisions import (
+from fireflyquay.contracts import (
     StoreAnswer,
     StoreCall,
     StoreConflict,
--- a/fireflyquay/links/tests/test_peer.py
+++ b/fireflyquay/links/tests/test_peer.py
@@ -4,7 +4,10 @@
 
 import msgspec
 
-from fireflyquay.decisions import PEER_MESSAGE, AskHome
+from fireflyquay.decisions import (
+    PEER_MESSAGE,
+    AskHome,
+)
 from fireflyquay.links import Envelope, PeerLink
 from fireflyquay.world import EntryVm, Incarnation, RegionId, RequestKey, ZoneId
 
--- /dev/null
+++ b/fireflyquay/membership/__init__.py
@@ -0,0 +1,40 @@
+"""Which entry VMs run: probes, gossip and the messages that carry them."""
+
+from ._action import Action, Send, SendTo
+from ._member_table import ChangeKind
+from ._membership import Membership
+from ._membership_message import (
+    Ack,
+    JoinAnswer,
+    JoinRequest,
+    MemberBuckets,
+    MemberDigest,
+    MemberRecord,
+    MembershipMessage,
+    Ping,
+    PingRequest,
+)
+from ._membership_settings import MembershipSettings
+from ._message import Message
+from ._rendezvous import choose_one, rank
+
+__all__ = [
+    "Ack",
+    "Action",
+    "ChangeKind",
+    "JoinAnswer",
+    "JoinRequest",
+    "MemberBuckets",
+    "MemberDigest",
+    "MemberRecord",
+    "Membership",
+    "MembershipMessage",
+    "MembershipSettings",
+    "Message",
+    "Ping",
+    "PingRequest",
+    "Send",
+    "SendTo",
+    "choose_one",
+    "rank",
+]
--- a/fireflyquay/decisions/_membership_message.py
+++ b/fireflyquay/membership/_membership_message.py
@@ -124,3 +124,8 @@
     rumors: tuple[Rumor, ...]
     # Whether the receiver should send what is newer or missing here.
     wants_answer: bool
+
+
+MembershipMessage = (
+    Ack | JoinAnswer | JoinRequest | MemberBuckets | MemberDigest | Ping | PingRequest
+)
--- a/fireflyquay/decisions/tests/fake_network.py
+++ b/fireflyquay/membership/tests/fake_network.py
@@ -8,7 +8,15 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from fireflyquay.decisions import Action, CallStore, Message, Send, SendTo
+from fireflyquay.decisions import (
+    CallStore,
+)
+from fireflyquay.membership import (
+    Action,
+    Message,
+    Send,
+    SendTo,
+)
 from fireflyquay.world import EntryVm, Incarnation
 
 TICK = 0.05
--- a/fireflyquay/decisions/tests/test_member_table.py
+++ b/fireflyquay/membership/tests/test_member_table.py
@@ -4,11 +4,11 @@
 
 from hypothesis import given, settings, strategies as st
 
-from fireflyquay.decisions._member_table import MemberTable
-from fireflyquay.decisions._membership_message import Rumor
-from fireflyquay.decisions._membership_settings import MembershipSettings
-from fireflyquay.decisions._platform_list import PlatformList
-from fireflyquay.decisions.tests.test_membership import build_vm, list_vm
+from fireflyquay.membership._member_table import MemberTable
+from fireflyquay.membership._membership_message import Rumor
+from fireflyquay.membership._membership_settings import MembershipSettings
+from fireflyquay.membership._platform_list import PlatformList
+from fireflyquay.membership.tests.test_membership import build_vm, list_vm
 from fireflyquay.world import MemberState
 
 NEWS = st.lists(
--- a/fireflyquay/decisions/tests/test_membership.py
+++ b/fireflyquay/membership/tests/test_membership.py
@@ -4,10 +4,10 @@
 
 import pytest
 
-from fireflyquay.decisions._membership import Membership
-from fireflyquay.decisions._membership_message import Ping
-from fireflyquay.decisions._membership_settings import MembershipSettings
-from fireflyquay.decisions.tests.fake_network import FakeNetwork
+from fireflyquay.membership._membership import Membership
+from fireflyquay.membership._membership_message import Ping
+from fireflyquay.membership._membership_settings import MembershipSettings
+from fireflyquay.membership.tests.fake_network import FakeNetwork
 from fireflyquay.world import (
     EntryVm,
     Incarnation,
--- a/measure/_broker_policy.py
+++ b/measure/_broker_policy.py
@@ -4,7 +4,6 @@
 
 import msgspec
 
-from fireflyquay.decisions import Action, Message
 from fireflyquay.decisions._cell import CellBroker
 from fireflyquay.decisions._cell_message import (
     Deny,
@@ -15,6 +14,10 @@
     Want,
 )
 from fireflyquay.decisions._cell_settings import CellSettings
+from fireflyquay.membership import (
+    Action,
+    Message,
+)
 from fireflyquay.world import BackendKind, BackendServer
 
 from ._dispatch_run import Attempt, Policy, World
--- a/measure/_capacity_parts.py
+++ b/measure/_capacity_parts.py
@@ -5,14 +5,16 @@
 from collections.abc import Callable
 from dataclasses import replace
 
+from fireflyquay.contracts import (
+    StoredValue,
+    encode_backend_change,
+)
 from fireflyquay.decisions import (
     AllowanceHolder,
     AllowanceSettings,
     BackendBook,
     ContractBook,
-    StoredValue,
     Trail,
-    encode_backend_change,
     encode_batch,
     is_worth_keeping,
 )
--- a/measure/_identity_batches.py
+++ b/measure/_identity_batches.py
@@ -7,8 +7,7 @@
 import msgspec
 import xxhash
 
-from fireflyquay.decisions import (
-    CallStore,
+from fireflyquay.contracts import (
     StoreAnswer,
     StoreConflict,
     StoredValue,
@@ -17,6 +16,9 @@
     StoreRead,
     StoreWrite,
 )
+from fireflyquay.decisions import (
+    CallStore,
+)
 
 from ._identity_world import TICK_S, EntryHost, World
 
--- a/measure/_identity_callers.py
+++ b/measure/_identity_callers.py
@@ -6,7 +6,14 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from fireflyquay.decisions import Action, Record, Redirect, Refuse
+from fireflyquay.decisions import (
+    Record,
+    Redirect,
+    Refuse,
+)
+from fireflyquay.membership import (
+    Action,
+)
 from fireflyquay.world import (
     NO_WITNESS,
     ExchangeId,
--- a/measure/_identity_store.py
+++ b/measure/_identity_store.py
@@ -7,7 +7,7 @@
 from collections import Counter
 from collections.abc import Callable
 
-from fireflyquay.decisions import (
+from fireflyquay.contracts import (
     StoreAnswer,
     StoreConflict,
     StoredValue,
--- a/measure/_identity_world.py
+++ b/measure/_identity_world.py
@@ -9,22 +9,26 @@
 
 import msgspec
 
+from fireflyquay.contracts import (
+    StoreAnswer,
+    encode_backend_change,
+    encode_contract_change,
+)
 from fireflyquay.decisions import (
-    Action,
     CallStore,
     Dispatch,
     FailureKind,
-    Message,
     Node,
     Redirect,
     Refuse,
     Resume,
     RunReport,
+)
+from fireflyquay.membership import (
+    Action,
+    Message,
     Send,
     SendTo,
-    StoreAnswer,
-    encode_backend_change,
-    encode_contract_change,
 )
 from fireflyquay.world import (
     BackendKind,
--- a/measure/_limit_fleet.py
+++ b/measure/_limit_fleet.py
@@ -13,11 +13,13 @@
 import xxhash
 
 from fireflyquay.decisions import (
-    Action,
     AdmissionState,
     AllowanceHolder,
     AllowanceSettings,
     AllowanceSteward,
+)
+from fireflyquay.membership import (
+    Action,
     Message,
 )
 from fireflyquay.world import CustomerId, Incarnation, Limits
--- a/measure/_member_fleet.py
+++ b/measure/_member_fleet.py
@@ -11,8 +11,11 @@
 
 import msgspec
 
+from fireflyquay.contracts import (
+    StoredValue,
+    encode_contract_change,
+)
 from fireflyquay.decisions import (
-    Action,
     BackendBook,
     BookBuckets,
     BookDigest,
@@ -22,6 +25,10 @@
     BookSettings,
     BookSync,
     ContractBook,
+)
+from fireflyquay.decisions.tests.fake_store import FakeStore
+from fireflyquay.membership import (
+    Action,
     JoinAnswer,
     JoinRequest,
     MemberBuckets,
@@ -31,12 +38,9 @@
     Message,
     Ping,
     PingRequest,
-    StoredValue,
-    encode_contract_change,
 )
-from fireflyquay.decisions._membership_message import Ack
-from fireflyquay.decisions.tests.fake_network import FakeNetwork
-from fireflyquay.decisions.tests.fake_store import FakeStore
+from fireflyquay.membership._membership_message import Ack
+from fireflyquay.membership.tests.fake_network import FakeNetwork
 from fireflyquay.world import (
     ChangeId,
     Contract,
--- a/measure/_node_rig.py
+++ b/measure/_node_rig.py
@@ -4,20 +4,24 @@
 
 import random
 
-from fireflyquay.decisions import (
-    CallStore,
-    JoinAnswer,
-    Node,
-    Ping,
-    Send,
+from fireflyquay.contracts import (
     StoredValue,
     StoreList,
     StoreListing,
     encode_backend_change,
     encode_contract_change,
 )
-from fireflyquay.decisions._member_beliefs import introduce
-from fireflyquay.decisions._membership_message import Ack, Gossip
+from fireflyquay.decisions import (
+    CallStore,
+    Node,
+)
+from fireflyquay.membership import (
+    JoinAnswer,
+    Ping,
+    Send,
+)
+from fireflyquay.membership._member_beliefs import introduce
+from fireflyquay.membership._membership_message import Ack, Gossip
 from fireflyquay.world import (
     BackendKind,
     BackendServer,
--- a/measure/capacity.py
+++ b/measure/capacity.py
@@ -13,10 +13,12 @@
 
 import msgspec
 
-from fireflyquay.decisions import Message
 from fireflyquay.decisions._arbiter_message import Claim, WitnessAnswer
 from fireflyquay.decisions._cell_message import Outcome, Permit, Release, Want
 from fireflyquay.links._peer import FRAME_HEADER_BYTES
+from fireflyquay.membership import (
+    Message,
+)
 from fireflyquay.world import Tier
 
 from ._capacity_parts import TICKS_PER_S, measure_parts
--- a/measure/contracts_in_force.py
+++ b/measure/contracts_in_force.py
@@ -5,7 +5,12 @@
 import json
 from dataclasses import asdict
 
-from fireflyquay.decisions import BookSettings, MembershipSettings
+from fireflyquay.decisions import (
+    BookSettings,
+)
+from fireflyquay.membership import (
+    MembershipSettings,
+)
 
 from .membership import measure_size
 
--- a/measure/membership.py
+++ b/measure/membership.py
@@ -9,9 +9,15 @@
 from collections.abc import Sequence
 from dataclasses import asdict, dataclass
 
-from fireflyquay.decisions import BookSettings, ContractBook, MembershipSettings
-from fireflyquay.decisions._member_beliefs import introduce
-from fireflyquay.decisions._member_table import MemberTable
+from fireflyquay.decisions import (
+    BookSettings,
+    ContractBook,
+)
+from fireflyquay.membership import (
+    MembershipSettings,
+)
+from fireflyquay.membership._member_beliefs import introduce
+from fireflyquay.membership._member_table import MemberTable
 
 from ._member_fleet import MeasuredFleet, build_contract_value, build_vm
 
--- a/measure/transport.py
+++ b/measure/transport.py
@@ -15,10 +15,15 @@
 import msgspec
 import pynng
 
-from fireflyquay.decisions import PEER_MESSAGE, Message
+from fireflyquay.decisions import (
+    PEER_MESSAGE,
+)
 from fireflyquay.decisions._arbiter_message import Claim
 from fireflyquay.links import PeerLink
 from fireflyquay.links._peer import FRAME_HEADER_BYTES, Envelope
+from fireflyquay.membership import (
+    Message,
+)
 from fireflyquay.world import (
     BackendServerId,
     EntryVm,
--- a/proofs/_backends.py
+++ b/proofs/_backends.py
@@ -7,7 +7,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from fireflyquay.decisions import FailureKind
+from fireflyquay.decisions import (
+    FailureKind,
+)
 from fireflyquay.world import BackendServer, Incarnation, Request, RequestKey
 
 from ._clock import Clock
--- a/proofs/_callers.py
+++ b/proofs/_callers.py
@@ -7,7 +7,9 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from fireflyquay.decisions import Refuse
+from fireflyquay.decisions import (
+    Refuse,
+)
 from fireflyquay.world import (
     Code,
     CustomerId,
--- a/proofs/_fleet.py
+++ b/proofs/_fleet.py
@@ -6,7 +6,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
-from fireflyquay.decisions import Message
+from fireflyquay.membership import (
+    Message,
+)
 from fireflyquay.world import (
     BackendKind,
     BackendServer,
--- a/proofs/_network.py
+++ b/proofs/_network.py
@@ -7,7 +7,12 @@
 
 import msgspec
 
-from fireflyquay.decisions import PEER_MESSAGE, Message
+from fireflyquay.decisions import (
+    PEER_MESSAGE,
+)
+from fireflyquay.membership import (
+    Message,
+)
 from fireflyquay.world import EntryVm, Incarnation
 
 from ._clock import Clock
--- a/proofs/_operators.py
+++ b/proofs/_operators.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-from fireflyquay.decisions import (
+from fireflyquay.contracts import (
     BACKEND_CODEC,
     BACKENDS_PREFIX,
     CONTRACT_CODEC,
--- a/proofs/_process.py
+++ b/proofs/_process.py
@@ -7,24 +7,28 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from fireflyquay.contracts import (
+    StoreFailed,
+)
 from fireflyquay.decisions import (
-    Action,
     CallStore,
     Cancel,
     Dispatch,
     FailureKind,
     Join,
-    Message,
     Node,
     Record,
     Redirect,
     Refuse,
     Resume,
     RunReport,
+    refuse_untaken,
+)
+from fireflyquay.membership import (
+    Action,
+    Message,
     Send,
     SendTo,
-    StoreFailed,
-    refuse_untaken,
 )
 from fireflyquay.world import (
     Code,
--- a/proofs/_store.py
+++ b/proofs/_store.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from fireflyquay.decisions import (
+from fireflyquay.contracts import (
     StoreAnswer,
     StoreCall,
     StoredValue,
@@ -18,7 +18,7 @@
     StoreWatch,
     StoreWrite,
 )
-from fireflyquay.decisions._store_call import StoreConflict
+from fireflyquay.contracts._store_call import StoreConflict
 from fireflyquay.world import VmListing
 
 from ._clock import Clock
--- a/proofs/tests/test_interleavings.py
+++ b/proofs/tests/test_interleavings.py
@@ -4,15 +4,17 @@
 
 import pytest
 
-from fireflyquay.decisions import (
+from fireflyquay.contracts import (
     BACKENDS_PREFIX,
+    StoredValue,
+    encode_backend_change,
+)
+from fireflyquay.decisions import (
     Claim,
     Close,
     Fence,
     RunReport,
-    StoredValue,
     WitnessAnswer,
-    encode_backend_change,
 )
 from fireflyquay.decisions._cell_message import Permit
 from fireflyquay.world import BackendKind, BackendState, Verdict
--- a/proofs/tests/test_mutations.py
+++ b/proofs/tests/test_mutations.py
@@ -6,7 +6,13 @@
 
 import pytest
 
-from fireflyquay.decisions import Join, Ledger, Node, Witness, WitnessAnswer
+from fireflyquay.decisions import (
+    Join,
+    Ledger,
+    Node,
+    Witness,
+    WitnessAnswer,
+)
 from fireflyquay.decisions._admission import Admission, AdmissionState
 from fireflyquay.decisions._allowance_holder import AllowanceHolder
 from fireflyquay.decisions._closer import Closer
--- a/standins/tests/test_platform.py
+++ b/standins/tests/test_platform.py
@@ -3,7 +3,7 @@
 
 import pytest
 
-from fireflyquay.decisions import (
+from fireflyquay.contracts import (
     StoreConflict,
     StoredValue,
     StoreFailed,
--- a/tests/node_fleet.py
+++ b/tests/node_fleet.py
@@ -6,27 +6,31 @@
 
 import msgspec
 
-from fireflyquay.decisions import (
+from fireflyquay.contracts import (
     BACKEND_CODEC,
     CONTRACT_CODEC,
+    StoreConflict,
+    StoredValue,
+    StoreList,
+    StoreListing,
+    StoreMissing,
+    StoreRead,
+    StoreWatch,
+    StoreWrite,
+)
+from fireflyquay.decisions import (
     PEER_MESSAGE,
     CallStore,
     Dispatch,
-    Message,
     Node,
     Refuse,
     Resume,
     RunReport,
+)
+from fireflyquay.membership import (
+    Message,
     Send,
     SendTo,
-    StoreConflict,
-    StoredValue,
-    StoreList,
-    StoreListing,
-    StoreMissing,
-    StoreRead,
-    StoreWatch,
-    StoreWrite,
 )
 from fireflyquay.world import (
     BackendKind,
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -10,13 +10,15 @@
 from msgspec import inspect
 from node_fleet import CUSTOMER, OTHER, POOL, SERVER, NodeFleet
 
+from fireflyquay.contracts import (
+    StoredValue,
+)
 from fireflyquay.daemons._parser import build_request, read_key, read_token
 from fireflyquay.decisions import (
     PEER_MESSAGE,
     CountMe,
     Dispatch,
     Resume,
-    StoredValue,
     decode_batch,
     encode_batch,
 )
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -9,12 +9,14 @@
 RANK = {
     "world": 0,
     "checks": 1,
-    "decisions": 1,
-    "dispatch": 1,
-    "links": 2,
-    "client": 2,
-    "gateway": 3,
-    "daemons": 4,
+    "contracts": 1,
+    "membership": 1,
+    "decisions": 2,
+    "dispatch": 2,
+    "links": 3,
+    "client": 3,
+    "gateway": 4,
+    "daemons": 5,
 }
 OUTSIDE = {"standins", "measure", "proofs", "demo", "tests", "subprocess"}
 
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -4,7 +4,10 @@
 
 from node_fleet import CUSTOMER, NodeFleet
 
-from fireflyquay.decisions import CONTRACT_CODEC, StoredValue
+from fireflyquay.contracts import (
+    CONTRACT_CODEC,
+    StoredValue,
+)
 
 PATH = f"contracts/{CUSTOMER}"
 
