--- a/fireflyquay/dispatch/_backend_load.py
+++ b/fireflyquay/dispatch/_backend_load.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from fireflyquay.world import BackendEntry, Incarnation
+from fireflyquay.world import BackendEntry, ClientAccountId, Incarnation
 
 from ._grant import Ask
 from ._running_rate import RunningRate
@@ -157,6 +157,10 @@
         self._forecast_backlog(now)
         return True
 
+    def count_account(self, account: ClientAccountId) -> int:
+        """Return how many requests of a client account run."""
+        return sum(run.ask.account == account for run in self.runs.values())
+
     def is_open(self, places: float, now: float) -> bool:
         """Tell whether another run may be granted."""
         return now >= self.paused_until and len(self.runs) < places
--- a/fireflyquay/dispatch/_control_message.py
+++ b/fireflyquay/dispatch/_control_message.py
@@ -76,8 +76,8 @@
     # The sender, which the receiver may not know as a member yet.
     vm: EntryVm
     runs: tuple[HeldRun, ...]
-    # Quota units that were given out lately.
-    usage: tuple[tuple[ClientAccountId, float], ...]
+    # Requests and quota tokens that were given out lately.
+    usage: tuple[tuple[ClientAccountId, int, float], ...]
     # Crashes by fingerprint.
     crashes: tuple[tuple[str, int], ...]
 
--- a/fireflyquay/dispatch/_coordinator.py
+++ b/fireflyquay/dispatch/_coordinator.py
@@ -10,6 +10,7 @@
     ClientAccountId,
     Code,
     Incarnation,
+    QuotaUnit,
 )
 
 from ._backend_load import AskKey
@@ -29,7 +30,7 @@
 from ._crash_list import CrashList
 from ._grant import Ask, Decision, Refusal
 from ._grantor import Grantor
-from ._quota import QuotaBook
+from ._quota import QuotaBook, Shortage
 from ._repeat_budget import RepeatBudget
 
 # Seconds after which a request that crashed backend servers may come again.
@@ -38,6 +39,9 @@
 MIN_QUOTA_RETRY_SECONDS = 0.2
 MAX_QUOTA_RETRY_SECONDS = 4.0
 REPEAT_RETRY_SECONDS = 0.5
+# Seconds after which a client account with too many requests in progress may have
+# fewer: some runs of usual length.
+BUSY_SECONDS = 0.5
 # Seconds of use that a handover tells of.
 USAGE_SECONDS = 4.0
 
@@ -61,7 +65,7 @@
         self.fleet_size = 1
         # VMs that turn to this one, this one excluded.
         self.followers: set[Incarnation] = set()
-        # Quota units of asks that wait.
+        # Quota tokens of asks that wait.
         self._charged: dict[AskKey, tuple[ClientAccountId, float]] = {}
         # Part of places, quotas and repeats that may be given out here.
         self.share = 1.0
@@ -78,7 +82,7 @@
             return [self._refuse(ask, Code.QUARANTINED, BARRED_RETRY_SECONDS, reason)]
         if not ask.is_repeat:
             self._repeats.note_request(ask.service, now)
-            return self._charge(ask, now) or self._grant(ask, now)
+            return self._refuse_beyond_limits(ask, now) or self._grant(ask, now)
         if not self._repeats.take(ask.service, self.share, now):
             reason = "the budget for repeats is used up"
             return [self._refuse(ask, Code.OVERLOADED, REPEAT_RETRY_SECONDS, reason)]
@@ -132,7 +136,9 @@
         return self._settle(self._grantor.advance(now))
 
     def _grant(self, ask: Ask, now: float) -> list[Decision]:
-        return self._settle(self._grantor.ask(ask, now))
+        account = self._config.get_account(ask.account)
+        share = None if account is None else account.share
+        return self._settle(self._grantor.ask(ask, now, share))
 
     def _settle(self, decisions: list[Decision]) -> list[Decision]:
         """Give back the quota of refused asks; that of granted ones is spent."""
@@ -149,28 +155,41 @@
         if charged is not None:
             self.quotas.give_back(*charged)
 
-    def _charge(self, ask: Ask, now: float) -> list[Decision]:
+    def _refuse_beyond_limits(self, ask: Ask, now: float) -> list[Decision]:
+        """Charge an ask to its client account, or refuse it."""
         account = self._config.get_account(ask.account)
         if account is None:
             return []
-        missing = self.quotas.charge(account, ask.units, self.share, now)
-        if missing <= 0:
-            self._charged[ask.owner, ask.number] = (account.id, ask.units)
+        limit = account.max_in_flight
+        if limit is not None and self._grantor.count_account(account.id) >= limit:
+            reason = f"{limit} requests of the client account are in progress"
+            return [self._refuse(ask, Code.IN_FLIGHT_LIMITED, BUSY_SECONDS, reason)]
+        shortage = self.quotas.charge(account, ask.quota_tokens, self.share, now)
+        if shortage is None:
+            self._charged[ask.owner, ask.number] = (account.id, ask.quota_tokens)
             return []
-        retry = max(MIN_QUOTA_RETRY_SECONDS, min(MAX_QUOTA_RETRY_SECONDS, missing))
-        reason = f"the quota lacks {ask.units:.0f} units for {missing:.2f} s"
-        return [self._refuse(ask, Code.QUOTA_EXCEEDED, retry, reason)]
+        return [self._refuse_beyond_quota(ask, shortage)]
+
+    def _refuse_beyond_quota(self, ask: Ask, shortage: Shortage) -> Refusal:
+        seconds = min(MAX_QUOTA_RETRY_SECONDS, shortage.seconds)
+        seconds = max(MIN_QUOTA_RETRY_SECONDS, seconds)
+        if shortage.unit is QuotaUnit.REQUEST:
+            reason = f"the rate is used up for {shortage.seconds:.2f} s"
+            return self._refuse(ask, Code.RATE_LIMITED, seconds, reason)
+        tokens = f"{ask.quota_tokens:.0f} tokens"
+        reason = f"the quota lacks {tokens} for {shortage.seconds:.2f} s"
+        return self._refuse(ask, Code.TOKENS_LIMITED, seconds, reason)
 
     def _adopt(
         self, sender: Incarnation, handover: Handover, now: float
     ) -> list[Decision]:
         self.followers.add(sender)
         decisions = self._reconcile(sender, handover.runs, now)
-        for account_id, units in handover.usage:
+        kept = USAGE_SECONDS / self.fleet_size
+        for account_id, requests, tokens in handover.usage:
             account = self._config.get_account(account_id)
             if account is not None:
-                refilled = account.rate * USAGE_SECONDS / self.fleet_size
-                self.quotas.deduct(account, max(0.0, units - refilled), now)
+                self.quotas.deduct(account, requests, tokens, kept, now)
         for fingerprint, count in handover.crashes:
             self.crashes.raise_to(fingerprint, count)
         return self._settle(decisions)
--- a/fireflyquay/dispatch/_grant.py
+++ b/fireflyquay/dispatch/_grant.py
@@ -31,8 +31,8 @@
     zone: ZoneId
     prompt_tokens: int
     output_tokens: int
-    # Units of the client account's quota that the request takes.
-    units: float
+    # Tokens that the request takes of the client account's quota.
+    quota_tokens: float
     # Seconds from now: to the objective, which may have passed; to when the client
     # gives up waiting for output; to the end of its whole time.
     to_objective: float
--- a/fireflyquay/dispatch/_grantor.py
+++ b/fireflyquay/dispatch/_grantor.py
@@ -10,6 +10,7 @@
 from fireflyquay.world import (
     BackendEntry,
     BackendServerId,
+    ClientAccountId,
     Code,
     Incarnation,
     ServiceId,
@@ -108,8 +109,11 @@
                 load.entry = entry
             self._where[name] = entry.service
 
-    def ask(self, ask: Ask, now: float) -> list[Decision]:
-        """Let a request wait for a place; return all decisions that follow."""
+    def ask(self, ask: Ask, now: float, share: float | None = None) -> list[Decision]:
+        """Let a request wait for a place; return all decisions that follow.
+
+        The share is its client account's weight within its rank.
+        """
         queue = self._services.get(ask.service)
         if queue is None or not queue.loads:
             return [self._refuse_unserved(ask)]
@@ -118,7 +122,7 @@
             settings.wait_share * ask.to_give_up, settings.end_share * ask.to_end
         )
         latest_start = now + ask.to_objective - self._forecast_least(queue, ask)
-        item = WaitingAsk(ask, now, now + patience, latest_start)
+        item = WaitingAsk(ask, now, now + patience, latest_start, share)
         queue.waiting.add(item)
         decisions = self._advance(queue, now)
         if not item.is_over and self._is_hopeless(queue, ask, now):
@@ -208,6 +212,14 @@
         queue = self._services.get(service)
         return 0 if queue is None else len(queue.waiting)
 
+    def count_account(self, account: ClientAccountId) -> int:
+        """Return how many requests of a client account wait or run."""
+        return sum(
+            queue.waiting.count_account(account)
+            + sum(load.count_account(account) for load in queue.loads.values())
+            for queue in self._services.values()
+        )
+
     def _find(self, backend: BackendServerId) -> BackendLoad | None:
         service = self._where.get(backend)
         return None if service is None else self._services[service].loads.get(backend)
@@ -232,6 +244,7 @@
             if load is None:
                 continue
             queue.waiting.remove(item.key)
+            queue.waiting.note_grant(item)
             decisions.append(self._grant(queue, load, item, now))
             if not load.is_open(self._count_places(load), now):
                 open_loads.remove(load)
--- a/fireflyquay/dispatch/_quota.py
+++ b/fireflyquay/dispatch/_quota.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from fireflyquay.world import ClientAccount, ClientAccountId
+from fireflyquay.world import ClientAccount, ClientAccountId, Quota, QuotaUnit
 
 
 @dataclass(slots=True)
@@ -14,6 +14,27 @@
     rate: float
     burst: float
 
+    def fill(self, rate: float, burst: float, now: float) -> None:
+        """Add what has come in since the last time."""
+        added = max(0.0, now - self.filled_at) * rate
+        self.level = min(burst, self.level + added)
+        self.filled_at = now
+        self.rate, self.burst = rate, burst
+
+    def measure_shortage(self, units: float) -> float:
+        """Return the seconds until there are enough units."""
+        # A request larger than the bucket passes once the bucket is full.
+        missing = min(units, self.burst) - self.level
+        return missing / self.rate if missing > 0 else 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Shortage:
+    """Tell which quota lacks units, and for how many seconds."""
+
+    unit: QuotaUnit
+    seconds: float
+
 
 class QuotaBook:
     """Charge requests to their client accounts' buckets.
@@ -26,44 +47,68 @@
         # Part of each account's rate, and units, that are given out beyond its quota.
         self._overshoot = overshoot
         self._slack = slack
-        self._buckets: dict[ClientAccountId, _Bucket] = {}
+        self._buckets: dict[tuple[ClientAccountId, QuotaUnit], _Bucket] = {}
 
     def charge(
-        self, account: ClientAccount, units: float, share: float, now: float
-    ) -> float:
-        """Take units from a bucket and return 0, or the seconds until they are there.
+        self, account: ClientAccount, tokens: float, share: float, now: float
+    ) -> Shortage | None:
+        """Take a request from all buckets, or from none and say what is missing.
 
         The share is the part of the quota that this book may give out.
         """
-        if account.rate <= 0:
-            return 0.0
-        bucket = self._fill(account, share, now)
-        # A request larger than the bucket passes once the bucket is full.
-        needed = min(units, bucket.burst)
-        if bucket.level < needed:
-            return (needed - bucket.level) / bucket.rate
-        bucket.level -= units
-        return 0.0
+        taken: list[tuple[_Bucket, float]] = []
+        for quota in account.quotas:
+            if quota.rate <= 0:
+                continue
+            units = _count_units(quota.unit, 1, tokens)
+            bucket = self._fill(account.id, quota, share, now)
+            seconds = bucket.measure_shortage(units)
+            if seconds > 0:
+                return Shortage(quota.unit, seconds)
+            taken.append((bucket, units))
+        for bucket, units in taken:
+            bucket.level -= units
+        return None
 
-    def give_back(self, account: ClientAccountId, units: float) -> None:
+    def give_back(self, account: ClientAccountId, tokens: float) -> None:
         """Return the units of a request that did not run."""
-        bucket = self._buckets.get(account)
-        if bucket is not None:
-            bucket.level = min(bucket.burst, bucket.level + units)
-
-    def deduct(self, account: ClientAccount, units: float, now: float) -> None:
-        """Take off units that another book has given out."""
-        if account.rate > 0:
-            self._fill(account, 1.0, now).level -= units
-
-    def _fill(self, account: ClientAccount, share: float, now: float) -> _Bucket:
-        rate = account.rate * (1 + self._overshoot) * share
-        burst = (account.burst + self._slack) * share
-        bucket = self._buckets.get(account.id)
+        for unit in QuotaUnit:
+            bucket = self._buckets.get((account, unit))
+            if bucket is not None:
+                units = _count_units(unit, 1, tokens)
+                bucket.level = min(bucket.burst, bucket.level + units)
+
+    def deduct(
+        self,
+        account: ClientAccount,
+        requests: int,
+        tokens: float,
+        kept_seconds: float,
+        now: float,
+    ) -> None:
+        """Take off what another book has given out.
+
+        What comes in within the kept seconds is not taken off.
+        """
+        for quota in account.quotas:
+            if quota.rate <= 0:
+                continue
+            units = _count_units(quota.unit, requests, tokens)
+            units -= quota.rate * kept_seconds
+            self._fill(account.id, quota, 1.0, now).level -= max(0.0, units)
+
+    def _fill(
+        self, account: ClientAccountId, quota: Quota, share: float, now: float
+    ) -> _Bucket:
+        rate = quota.rate * (1 + self._overshoot) * share
+        burst = (quota.burst + self._slack) * share
+        bucket = self._buckets.get((account, quota.unit))
         if bucket is None:
-            bucket = self._buckets[account.id] = _Bucket(burst, now, rate, burst)
-        added = max(0.0, now - bucket.filled_at) * rate
-        bucket.level = min(burst, bucket.level + added)
-        bucket.filled_at = now
-        bucket.rate, bucket.burst = rate, burst
+            bucket = _Bucket(burst, now, rate, burst)
+            self._buckets[account, quota.unit] = bucket
+        bucket.fill(rate, burst, now)
         return bucket
+
+
+def _count_units(unit: QuotaUnit, requests: int, tokens: float) -> float:
+    return float(requests) if unit is QuotaUnit.REQUEST else tokens
--- a/fireflyquay/dispatch/_waiting_line.py
+++ b/fireflyquay/dispatch/_waiting_line.py
@@ -8,15 +8,17 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-from fireflyquay.world import Incarnation
+from fireflyquay.world import ClientAccountId, Incarnation
 
 from ._backend_load import AskKey
 from ._grant import Ask
 
 # Requests of one rank that are tried before the next rank: those behind differ little.
 MAX_TRIED_PER_RANK = 4
-# Requests of one rank that are looked at in one pass; the next pass goes on.
+# Requests of one client account that are looked at in one pass; the next goes on.
 MAX_LISTED = 256
+# Stands for all client accounts that have no share of their own.
+COMMON = ClientAccountId("")
 
 
 @dataclass(slots=True)
@@ -29,6 +31,9 @@
     refused_at: float
     # Loop time after which it can't be on time.
     latest_start: float
+    # Weight of its client account within its rank; None shares one weight with all
+    # that have none.
+    share: float | None = None
     # Whether it got a decision or was withdrawn.
     is_over: bool = False
 
@@ -37,14 +42,19 @@
         """Return what names the ask."""
         return self.ask.owner, self.ask.number
 
+    @property
+    def party(self) -> ClientAccountId:
+        """Return whose turn in its rank it takes."""
+        return COMMON if self.share is None else self.ask.account
+
     def is_late(self, now: float) -> bool:
         """Tell whether it can't be on time any more."""
         return now > self.latest_start
 
 
 @dataclass(slots=True)
-class _RankLine:
-    """Hold the asks of one rank by arrival, those past their objective apart."""
+class _PartyLine:
+    """Hold one party's asks by arrival, those past their objective apart."""
 
     on_time: deque[WaitingAsk] = field(default_factory=deque)
     late: deque[WaitingAsk] = field(default_factory=deque)
@@ -60,9 +70,68 @@
         while self.late and self.late[0].is_over:
             self.late.popleft()
 
+    @property
+    def is_empty(self) -> bool:
+        """Tell whether nothing waits, after settling."""
+        return not self.on_time and not self.late
+
+
+class _RankLine:
+    """Hold the parties of one rank and how much each has had."""
+
+    def __init__(self) -> None:
+        self.parties: dict[ClientAccountId, _PartyLine] = {}
+        # Work granted over the share, since the rank began to wait.
+        self._used: dict[ClientAccountId, float] = {}
+
+    def add(self, item: WaitingAsk) -> None:
+        """Let an ask wait; a party that comes anew starts level with the others."""
+        if item.party not in self.parties:
+            least = min((self._used[name] for name in self.parties), default=0.0)
+            self._used[item.party] = max(least, self._used.get(item.party, 0.0))
+            self.parties[item.party] = _PartyLine()
+        self.parties[item.party].on_time.append(item)
+
+    def note_grant(self, item: WaitingAsk) -> None:
+        """Count what a party got."""
+        work = max(1.0, float(item.ask.prompt_tokens + item.ask.output_tokens))
+        used = self._used.get(item.party, 0.0)
+        self._used[item.party] = used + work / (item.share or 1.0)
+
+    def settle(self, now: float) -> None:
+        """Settle all parties and drop those that wait no more."""
+        for name, party in list(self.parties.items()):
+            party.settle(now)
+            if party.is_empty:
+                del self.parties[name]
+
+    def list_turns(self) -> Iterator[WaitingAsk]:
+        """Return asks to try, on time before late, from who had least for its share."""
+        yield from self._take_turns({n: p.on_time for n, p in self.parties.items()})
+        yield from self._take_turns({n: p.late for n, p in self.parties.items()})
+
+    def _take_turns(
+        self, queues: dict[ClientAccountId, deque[WaitingAsk]]
+    ) -> Iterator[WaitingAsk]:
+        turns = [
+            (self._used[name], name, iter(list(itertools.islice(queue, MAX_LISTED))))
+            for name, queue in queues.items()
+        ]
+        heapq.heapify(turns)
+        stayed = 0
+        while turns and stayed < MAX_TRIED_PER_RANK:
+            _, name, items = heapq.heappop(turns)
+            item = next((item for item in items if not item.is_over), None)
+            if item is None:
+                continue
+            yield item
+            if not item.is_over:
+                stayed += 1
+            heapq.heappush(turns, (self._used[name], name, items))
+
 
 class WaitingLine:
-    """Order asks by rank, then those still on time, then by arrival.
+    """Order asks by rank, share, lateness and arrival.
 
     Answers a queue of hundreds: a freed place costs the same however many wait.
     """
@@ -82,8 +151,7 @@
 
     def add(self, item: WaitingAsk) -> None:
         """Let an ask wait."""
-        line = self._ranks.setdefault(item.ask.rank, _RankLine())
-        line.on_time.append(item)
+        self._ranks.setdefault(item.ask.rank, _RankLine()).add(item)
         self._by_key[item.key] = item
         self.prompt_tokens += item.ask.prompt_tokens
         self.output_tokens += item.ask.output_tokens
@@ -99,6 +167,10 @@
         self.prompt_tokens -= item.ask.prompt_tokens
         self.output_tokens -= item.ask.output_tokens
 
+    def note_grant(self, item: WaitingAsk) -> None:
+        """Count an ask that got a place against its party."""
+        self._ranks[item.ask.rank].note_grant(item)
+
     def remove_owner(self, owner: Incarnation) -> None:
         """Drop all asks of a VM."""
         for key in [key for key in self._by_key if key[0] == owner]:
@@ -110,7 +182,11 @@
         if line is None:
             return 0
         line.settle(now)
-        return len(line.on_time)
+        return sum(len(party.on_time) for party in line.parties.values())
+
+    def count_account(self, account: ClientAccountId) -> int:
+        """Return how many asks of a client account wait."""
+        return sum(item.ask.account == account for item in self._by_key.values())
 
     def take_expired(self, now: float) -> list[WaitingAsk]:
         """Remove and return the asks that are to be refused by now."""
@@ -134,25 +210,12 @@
         if first in self._ranks:
             line = self._ranks[first]
             line.settle(now)
-            yield from itertools.islice(_list_first(line.on_time), 1)
+            on_time = itertools.chain(*(p.on_time for p in line.parties.values()))
+            yield from itertools.islice((i for i in on_time if not i.is_over), 1)
         for rank in sorted(self._ranks):
             line = self._ranks[rank]
             line.settle(now)
-            if not line.on_time and not line.late:
+            if line.parties:
+                yield from line.list_turns()
+            else:
                 del self._ranks[rank]
-                continue
-            yield from _list_first(line.on_time)
-            yield from _list_first(line.late)
-
-
-def _list_first(items: deque[WaitingAsk]) -> Iterator[WaitingAsk]:
-    """Return items from the front until several of them stayed."""
-    stayed = 0
-    for item in list(itertools.islice(items, 0, MAX_LISTED)):
-        if item.is_over:
-            continue
-        yield item
-        if not item.is_over:
-            stayed += 1
-        if stayed >= MAX_TRIED_PER_RANK:
-            return
--- a/fireflyquay/dispatch/tests/builders.py
+++ b/fireflyquay/dispatch/tests/builders.py
@@ -25,6 +25,8 @@
     EntryVm,
     FleetConfig,
     Incarnation,
+    Quota,
+    QuotaUnit,
     RegionId,
     RepeatRule,
     Route,
@@ -77,7 +79,7 @@
         "zone": ZoneId("a"),
         "prompt_tokens": prompt,
         "output_tokens": output,
-        "units": float(prompt + output),
+        "quota_tokens": float(prompt + output),
         "to_objective": 1.0,
         "to_give_up": 4.0,
         "to_end": 15.0,
@@ -94,7 +96,8 @@
 def make_account(
     rate: float = 0.0, burst: float = 0.0, keys: tuple[str, ...] = ("key-1",)
 ) -> ClientAccount:
-    return ClientAccount(ACCOUNT, frozenset(keys), None, rate, burst, True, 200.0)
+    quota = Quota(QuotaUnit.TOKEN, rate, burst, 200.0)
+    return ClientAccount(ACCOUNT, frozenset(keys), None, (quota,))
 
 
 def make_route(prefix: str = "/ask/", **changes: object) -> Route:
--- a/fireflyquay/dispatch/tests/test_coordinator.py
+++ b/fireflyquay/dispatch/tests/test_coordinator.py
@@ -1,5 +1,7 @@
 """Who waits, who runs and who is refused."""
 
+from dataclasses import replace
+
 import pytest
 
 from fireflyquay.dispatch import (
@@ -17,7 +19,7 @@
     Withdrawal,
 )
 from fireflyquay.dispatch._crash_list import CRASH_LIMIT
-from fireflyquay.world import Code
+from fireflyquay.world import Code, Quota, QuotaUnit
 
 from .builders import (
     ACCOUNT,
@@ -83,7 +85,7 @@
     decisions = [d for ask in asks for d in coordinator.ask(ask, 0.0)]
     assert len(grants(decisions)) == 3
     [refusal] = [d for d in decisions if isinstance(d, Refusal)]
-    assert refusal.code is Code.QUOTA_EXCEEDED
+    assert refusal.code is Code.TOKENS_LIMITED
     assert refusal.retry_after == pytest.approx(1.0)
 
 
@@ -97,6 +99,25 @@
     assert grants(coordinator.ask(make_ask(3), 0.3)) == [(OWN, 3)]
 
 
+def test_an_account_is_bound_in_requests_tokens_and_progress():
+    quotas = (Quota(QuotaUnit.REQUEST, 1, 3), Quota(QuotaUnit.TOKEN, 1, 2500))
+    account = replace(make_account(), quotas=quotas, max_in_flight=2)
+    coordinator = make_coordinator(account)
+    coordinator.set_backends([make_entry("s1", slots=50)])
+    ask = dict(prompt=900, output=100)
+    assert grants(coordinator.ask(make_ask(1, **ask), 0.0)) == [(OWN, 1)]
+    assert grants(coordinator.ask(make_ask(2, **ask), 0.0)) == [(OWN, 2)]
+    [busy] = coordinator.ask(make_ask(3, **ask), 0.0)
+    assert busy.code is Code.IN_FLIGHT_LIMITED
+    coordinator.take(OWN, Ended(1, "s1", 50, 0.0, False), 0.0)
+    [poor] = coordinator.ask(make_ask(4, **ask), 0.0)
+    assert poor.code is Code.TOKENS_LIMITED
+    assert grants(coordinator.ask(make_ask(5, prompt=0, output=0), 0.0)) == [(OWN, 5)]
+    coordinator.take(OWN, Ended(5, "s1", 0, 0.0, False), 0.0)
+    [fast] = coordinator.ask(make_ask(6, prompt=0, output=0), 0.0)
+    assert fast.code is Code.RATE_LIMITED
+
+
 def test_repeats_stay_within_their_budget():
     coordinator = make_coordinator(repeats=RepeatBudget(0.5, 1, 10))
     coordinator.set_backends([make_entry("s1", slots=50)])
@@ -124,7 +145,7 @@
     coordinator = make_coordinator()
     coordinator.set_backends([make_entry("s1", slots=1)])
     held = HeldRun(make_ask(7, OTHER), "s1", 0.4)
-    usage, crashes = ((ACCOUNT, 10.0),), (("f", 2),)
+    usage, crashes = ((ACCOUNT, 1, 10.0),), (("f", 2),)
     handover = Handover(make_vm(OTHER), (held,), usage, crashes)
     coordinator.take(OTHER, handover, 1.0)
     assert coordinator.ask(make_ask(1), 1.0) == []
--- a/fireflyquay/dispatch/tests/test_waiting_line.py
+++ b/fireflyquay/dispatch/tests/test_waiting_line.py
@@ -93,3 +93,54 @@
         forecast.note_grant(1.0 + number / 100)
     assert forecast.estimate_wait(20, 1.5) < 1.0
     assert forecast.estimate_wait(20, 9.0) >= 10
+
+
+def test_parties_of_one_rank_get_places_by_their_shares():
+    line = WaitingLine()
+    shares = {"big": 3.0, "small": 1.0}
+    for number in range(80):
+        account = "big" if number < 40 else "small"
+        ask = make_ask(number, account=account)
+        line.add(WaitingAsk(ask, 0.0, 9.0, 5.0, shares[account]))
+    granted = []
+    while len(granted) < 40:
+        item = next(iter(line.list_next(0.1)))
+        line.remove(item.key)
+        line.note_grant(item)
+        granted.append(item.ask.account)
+    assert granted.count("big") == 30
+
+
+def test_a_party_that_comes_late_neither_catches_up_nor_waits():
+    line = WaitingLine()
+
+    def add(number, account):
+        ask = make_ask(number, account=account)
+        line.add(WaitingAsk(ask, 0.0, 99.0, 99.0, 1.0))
+
+    def grant():
+        item = next(iter(line.list_next(0.1)))
+        line.remove(item.key)
+        line.note_grant(item)
+        return item.ask.account
+
+    for number in range(40):
+        add(number, "old")
+    assert [grant() for _ in range(20)] == ["old"] * 20
+    for number in range(40, 60):
+        add(number, "new")
+    assert sorted(grant() for _ in range(10)) == ["new"] * 5 + ["old"] * 5
+
+
+def test_accounts_without_a_share_wait_by_arrival():
+    line = WaitingLine()
+    for number in range(6):
+        ask = make_ask(number, account=f"account-{number % 2}")
+        line.add(WaitingAsk(ask, 0.0, 9.0, 5.0))
+    order = []
+    while len(line):
+        item = next(iter(line.list_next(0.1)))
+        line.remove(item.key)
+        line.note_grant(item)
+        order.append(item.ask.number)
+    assert order == [0, 1, 2, 3, 4, 5]
--- a/fireflyquay/gateway/__init__.py
+++ b/fireflyquay/gateway/__init__.py
@@ -1,17 +1,28 @@
 """The gateway: clients' requests to backend servers through any VM."""
 
+from ._admission import Rejected
+from ._call import Call, fingerprint_request
+from ._claims import KeyClaims
 from ._clock import AgeClock, BootClock, LoopClock
+from ._daemon import run_gateway
 from ._dialect import (
+    Answer,
     AnswerFacts,
     BackendsRead,
+    BrokenAnswer,
     ConfigRead,
     Dialect,
+    EventReader,
+    Exchange,
+    Failure,
     FleetSource,
     HeaderPairs,
     RequestFacts,
+    UpstreamRequest,
     VmRegistration,
 )
-from ._gateway import Gateway
+from ._event_splitter import EventSplitter
+from ._gateway import Gateway, draw_incarnation
 from ._settings import (
     GatewaySettings,
     LogSettings,
@@ -24,22 +35,35 @@
 
 __all__ = [
     "AgeClock",
+    "Answer",
     "AnswerFacts",
     "BackendsRead",
     "BootClock",
+    "BrokenAnswer",
+    "Call",
     "ConfigRead",
     "Dialect",
+    "EventReader",
+    "EventSplitter",
+    "Exchange",
+    "Failure",
     "FleetSource",
     "Gateway",
     "GatewaySettings",
     "HeaderPairs",
+    "KeyClaims",
     "LogSettings",
     "LoopClock",
     "PromiseSettings",
+    "Rejected",
     "RequestFacts",
     "StoreSettings",
+    "UpstreamRequest",
     "VmRegistration",
     "VmSettings",
+    "draw_incarnation",
+    "fingerprint_request",
     "load_gateway_settings",
+    "run_gateway",
     "split_address",
 ]
--- a/fireflyquay/gateway/_admission.py
+++ b/fireflyquay/gateway/_admission.py
@@ -38,7 +38,7 @@
 
 
 def admit(
-    book: ConfigBook, facts: RequestFacts, path: str, now: float, max_age: float
+    book: ConfigBook, facts: RequestFacts, now: float, max_age: float
 ) -> Admission:
     """Return how a request is to be served; raise Rejected if it is not.
 
@@ -52,7 +52,7 @@
     if age > max_age:
         sentence = f"The configuration was last proven current {age:.1f} s ago."
         raise Rejected(Code.STALE_CONFIG, sentence, STALE_RETRY_SECONDS)
-    route = book.find_route(facts.host, path)
+    route = book.find_route(facts.host, facts.path)
     if route is None:
         raise Rejected(Code.UNKNOWN_ROUTE, "No route has this host and path.")
     account = None
@@ -60,4 +60,14 @@
         account = book.find_account(facts.api_key)
         if account is None:
             raise Rejected(Code.UNKNOWN_API_KEY, "No client account holds the key.")
+        _check_account(account, route)
     return Admission(route, account, book.version, age)
+
+
+def _check_account(account: ClientAccount, route: Route) -> None:
+    if not account.is_active:
+        raise Rejected(Code.CONTRACT_ENDED, "The contract has ended.")
+    ranks = account.route_ranks
+    if ranks is not None and route.name not in ranks:
+        sentence = f"The contract does not cover {route.name}."
+        raise Rejected(Code.KIND_NOT_IN_CONTRACT, sentence)
--- a/fireflyquay/gateway/_call.py
+++ b/fireflyquay/gateway/_call.py
@@ -11,7 +11,7 @@
 from fireflyquay.world import BackendServerId, Fingerprint, ServiceId
 
 from ._admission import Admission
-from ._dialect import HeaderPairs, RequestFacts
+from ._dialect import Answer, Exchange, RequestFacts
 
 # What clients of streams bear between events and before the first one, as the platform
 # states: the longest of a fixed time, a multiple of the objective and one of the gap.
@@ -41,7 +41,7 @@
     """Track a request from its arrival to its response."""
 
     request: HttpRequest
-    facts: RequestFacts
+    exchange: Exchange
     responder: HttpResponder
     admission: Admission
     service: ServiceId
@@ -52,14 +52,21 @@
     tried: list[BackendServerId] = field(default_factory=list)
     # Whether a backend server may have run it.
     may_have_run: bool = False
-    # Status, headers and body of a failure that is passed on if nothing better comes.
-    held_failure: tuple[int, HeaderPairs, bytes] | None = None
+    # Whether its key is claimed.
+    is_claimed: bool = False
+    # A backend server's failure that is passed on if nothing better comes.
+    held_failure: Answer | None = None
     # Loop time of the first output, and seconds of the longest gap after it.
     first_output_at: float | None = None
     longest_gap: float = 0.0
     # Id of the last event that the client got.
     last_event: str = ""
 
+    @property
+    def facts(self) -> RequestFacts:
+        """Return what the client's request says."""
+        return self.exchange.facts
+
     @property
     def patience(self) -> float:
         """Return the seconds from arrival in which the client awaits output."""
--- /dev/null
+++ b/fireflyquay/gateway/_daemon.py
@@ -0,0 +1,76 @@
+"""Runs a gateway as a process."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from collections.abc import Callable
+from pathlib import Path
+
+import logbook
+
+from fireflyquay.world import FireflyquayError
+
+from ._gateway import Gateway
+from ._settings import GatewaySettings
+
+# Seconds between looks at the settings file, which may change without a signal.
+SETTINGS_LOOK_SECONDS = 1.0
+LOG = logbook.Logger("daemon")
+
+LoadSettings = Callable[[Path], GatewaySettings]
+
+
+async def run_gateway(gateway: Gateway, path: Path, load: LoadSettings) -> None:
+    """Run until SIGTERM or SIGINT; a second one ends the stop at once.
+
+    SIGHUP, or a change of the file at the path, loads its settings again.
+    """
+    loop = asyncio.get_running_loop()
+    stop, at_once, reload = asyncio.Event(), asyncio.Event(), asyncio.Event()
+
+    def note_stop() -> None:
+        (at_once if stop.is_set() else stop).set()
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, note_stop)
+    loop.add_signal_handler(signal.SIGHUP, reload.set)
+    await gateway.start()
+    watching = loop.create_task(_watch_settings(gateway, path, load, reload))
+    await stop.wait()
+    watching.cancel()
+    stopping = loop.create_task(gateway.stop())
+    ending = loop.create_task(at_once.wait())
+    await asyncio.wait({stopping, ending}, return_when=asyncio.FIRST_COMPLETED)
+    ending.cancel()
+    if not stopping.done():
+        stopping.cancel()
+        await asyncio.gather(stopping, return_exceptions=True)
+        await gateway.abort()
+        LOG.warning("stopped at once")
+
+
+async def _watch_settings(
+    gateway: Gateway, path: Path, load: LoadSettings, reload: asyncio.Event
+) -> None:
+    """Reload the settings on a signal and whenever the file has changed."""
+    seen = path.read_bytes()
+    while True:
+        try:
+            async with asyncio.timeout(SETTINGS_LOOK_SECONDS):
+                await reload.wait()
+        except TimeoutError:
+            pass
+        try:
+            text = path.read_bytes()
+        except OSError as error:
+            LOG.error("settings unreadable", extra={"cause": str(error)})
+            continue
+        if text == seen and not reload.is_set():
+            continue
+        seen = text
+        reload.clear()
+        try:
+            gateway.reload(load(path))
+        except FireflyquayError as error:
+            LOG.error("settings kept", extra={"cause": error.sentence})
--- a/fireflyquay/gateway/_dialect.py
+++ b/fireflyquay/gateway/_dialect.py
@@ -1,4 +1,4 @@
-"""What a platform's wire says, apart from its names."""
+"""What an interface's wire says, apart from its names."""
 
 from __future__ import annotations
 
@@ -23,11 +23,13 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestFacts:
-    """Hold what a client's headers say of a request."""
+    """Hold what a client's request says."""
 
     # Empty if the client sent none.
     attempt: AttemptId
     host: str
+    # What routes are chosen by.
+    path: str
     api_key: str
     # Seconds that the client waits; None if it did not say.
     patience: float | None
@@ -41,6 +43,16 @@
     last_event: str
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamRequest:
+    """Hold a request as a backend server gets it."""
+
+    method: str
+    target: str | bytes
+    headers: HeaderPairs
+    body: bytes
+
+
 @dataclass(frozen=True, slots=True)
 class AnswerFacts:
     """Hold what a backend server's headers say of a response."""
@@ -51,9 +63,113 @@
     is_sealed: bool
     # Whether the backend server states that it did not run the request.
     is_not_run: bool
-    # Running and waiting requests, None if not told.
-    running: int | None
-    waiting: int | None
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """Hold a whole response as the client gets it."""
+
+    status: int
+    headers: HeaderPairs
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Failure:
+    """Say why the gateway answers a request by itself."""
+
+    code: Code
+    sentence: str
+    # Seconds after which the client should come back; None if that is of no use.
+    retry_after: float | None
+    # Whether a backend server may have run the request.
+    may_have_run: bool
+
+
+class BrokenAnswer(Exception):  # noqa: N818
+    """Tell that a response can't be the backend server's whole one."""
+
+
+class EventReader(ABC):
+    """Pass on a stream's events as they become whole."""
+
+    def __init__(self) -> None:
+        # Whole events so far, and the id of the last one.
+        self.events = 0
+        self.last_id = ""
+
+    @abstractmethod
+    def feed(self, data: bytes) -> bytes:
+        """Return what the client gets once these bytes have come."""
+
+    @abstractmethod
+    def finish(self) -> bytes:
+        """Return what the client gets at the end; raise BrokenAnswer if it is none."""
+
+
+class Exchange(ABC):
+    """Translate one request and its response."""
+
+    facts: RequestFacts
+
+    @abstractmethod
+    def make_request(
+        self,
+        backend: BackendEntry,
+        account: ClientAccountId | None,
+        time_left: float,
+        last_event: str,
+    ) -> UpstreamRequest:
+        """Return the request as a backend server gets it, with the seconds left."""
+
+    @abstractmethod
+    def read_answer(self, headers: dict[str, str]) -> AnswerFacts:
+        """Decode a backend server's headers."""
+
+    @abstractmethod
+    def open_reader(self, backend: BackendEntry, is_stream: bool) -> EventReader | None:
+        """Return what reads a successful response in parts; None if it comes whole."""
+
+    @abstractmethod
+    def pass_headers(self, headers: RawHeaders) -> HeaderPairs:
+        """Return the headers of a backend server's success as the client gets them."""
+
+    @abstractmethod
+    def pass_answer(
+        self, status: int, headers: RawHeaders, body: bytes, is_genuine: bool
+    ) -> Answer:
+        """Return a whole response as the client gets it.
+
+        A response that is not genuine loses the proof of its origin.
+        """
+
+    @abstractmethod
+    def make_failure(self, status: int, failure: Failure) -> Answer:
+        """Return a response of the gateway's own."""
+
+    def end_stream(self, failure: Failure) -> bytes:
+        """Return what tells the client that its stream failed; empty cuts it off."""
+        return b""
+
+    def denies_run(self, status: int, body: bytes) -> bool:
+        """Tell whether a whole response states that the request did not run."""
+        return False
+
+
+class Dialect(ABC):
+    """Translate between an interface's wire and this package's types."""
+
+    @abstractmethod
+    def open(self, request: HttpRequest) -> Exchange:
+        """Decode a client's request; raise FireflyquayError if it is malformed."""
+
+    @abstractmethod
+    def make_failure(self, status: int, failure: Failure) -> Answer:
+        """Return the response to a request that can't be decoded."""
+
+    @abstractmethod
+    def encode_entries(self, addresses: Sequence[str], keep_seconds: float) -> bytes:
+        """Encode the list of addresses that clients may use."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,43 +223,3 @@
     @abstractmethod
     async def remove_vm(self, registration: VmRegistration) -> None:
         """Remove a registration unless it has changed."""
-
-
-class Dialect(ABC):
-    """Translate between the platform's headers and bodies and this package's types."""
-
-    @abstractmethod
-    def read_request(self, request: HttpRequest) -> RequestFacts:
-        """Decode a client's headers."""
-
-    @abstractmethod
-    def make_head(
-        self,
-        request: HttpRequest,
-        backend: BackendServerId,
-        account: ClientAccountId | None,
-        time_left: float,
-        last_event: str,
-    ) -> HeaderPairs:
-        """Return the headers of a request as a backend server gets it."""
-
-    @abstractmethod
-    def read_answer(self, headers: dict[str, str]) -> AnswerFacts:
-        """Decode a backend server's headers."""
-
-    @abstractmethod
-    def pass_answer(self, headers: RawHeaders, is_genuine: bool) -> HeaderPairs:
-        """Return the headers of a response as the client gets it.
-
-        A response that is not genuine loses the proof of its origin.
-        """
-
-    @abstractmethod
-    def make_refusal(
-        self, attempt: AttemptId, code: Code, sentence: str, retry_after: float | None
-    ) -> tuple[HeaderPairs, bytes]:
-        """Return the headers and body of a response of the gateway's own."""
-
-    @abstractmethod
-    def encode_entries(self, addresses: Sequence[str], keep_seconds: float) -> bytes:
-        """Encode the list of addresses that clients may use."""
--- a/fireflyquay/gateway/_event_splitter.py
+++ b/fireflyquay/gateway/_event_splitter.py
@@ -2,17 +2,18 @@
 
 from __future__ import annotations
 
+from ._dialect import EventReader
+
 # Bytes of one event, beyond which the stream is passed on uncut.
 MAX_EVENT_BYTES = 256 * 1024
 
 
-class EventSplitter:
-    """Pass on whole events and remember the id of the last one."""
+class EventSplitter(EventReader):
+    """Pass on whole events unchanged and remember the id of the last one."""
 
     def __init__(self) -> None:
+        super().__init__()
         self._rest = b""
-        self.last_id = ""
-        self.events = 0
 
     def feed(self, data: bytes) -> bytes:
         """Return the bytes up to the end of the last whole event."""
@@ -27,7 +28,7 @@
         self._note(whole)
         return whole
 
-    def take_rest(self) -> bytes:
+    def finish(self) -> bytes:
         """Return the bytes after the last whole event."""
         rest, self._rest = self._rest, b""
         return rest
--- a/fireflyquay/gateway/_fleet.py
+++ b/fireflyquay/gateway/_fleet.py
@@ -18,7 +18,7 @@
     KnowledgeMessage,
     Probe,
 )
-from fireflyquay.links import PeerLink
+from fireflyquay.links import MakeLink, PeerLink
 from fireflyquay.membership import (
     Action,
     ChangeKind,
@@ -73,6 +73,7 @@
         measure_age: Callable[[], float],
         on_news: Callable[[], None],
         rng: random.Random,
+        make_link: MakeLink = PeerLink,
     ) -> None:
         self._own = own
         self._seeds = seeds
@@ -85,7 +86,7 @@
         self._on_news = on_news
         self._rng = rng
         self._membership = Membership(own, MembershipSettings(), rng)
-        self._link = PeerLink(own.incarnation, CONTROL_MESSAGE, self._deliver)
+        self._link = make_link(own.incarnation, CONTROL_MESSAGE, self._deliver)
         self._closing: set[asyncio.Task[None]] = set()
         self._ranked_for: tuple[Incarnation, ...] = ()
         self._ranking: tuple[Incarnation, ...] = (own.incarnation,)
--- a/fireflyquay/gateway/_forwarder.py
+++ b/fireflyquay/gateway/_forwarder.py
@@ -8,16 +8,15 @@
 
 from fireflyquay.dispatch import Ask
 from fireflyquay.links import (
+    BackendClient,
     ExchangeTerms,
-    HttpClient,
     HttpFailure,
     HttpStream,
 )
 from fireflyquay.world import BackendEntry, Code, RepeatRule
 
 from ._call import Call, Outcome, fingerprint_request
-from ._dialect import Dialect
-from ._event_splitter import EventSplitter
+from ._dialect import BrokenAnswer, EventReader
 from ._gateway_metrics import GatewayMetrics
 from ._slot_desk import SlotDesk
 
@@ -35,27 +34,22 @@
 # Statuses that promise that a request has not run.
 PROMISING_STATUSES = (408, 421, 429, 503)
 BAD_GATEWAY = 502
+MISDIRECTED = 421
 # Seconds for which a backend server that refuses connections or is full is left alone.
 REFUSED_PAUSE_SECONDS = 0.5
 FULL_PAUSE_SECONDS = 0.1
 
 
-class _BrokenResponse(Exception):  # noqa: N818
-    """Tell that a response can't be the backend server's whole one."""
-
-
 class Forwarder:
     """Run attempts at backend servers."""
 
     def __init__(
         self,
-        client: HttpClient,
-        dialect: Dialect,
+        client: BackendClient,
         desk: SlotDesk,
         metrics: GatewayMetrics,
     ) -> None:
         self.client = client
-        self.dialect = dialect
         self.desk = desk
         self.metrics = metrics
 
@@ -83,13 +77,13 @@
         self, forwarder: Forwarder, call: Call, ask: Ask, backend: BackendEntry
     ) -> None:
         self._client = forwarder.client
-        self._dialect = forwarder.dialect
         self._desk = forwarder.desk
         self._metrics = forwarder.metrics
         self._call = call
         self._ask = ask
         self._backend = backend
-        self._splitter = EventSplitter()
+        self._exchange = call.exchange
+        self._reader: EventReader | None = None
         self.status = 0
         self.output_tokens = 0
         self._output_at: float | None = None
@@ -101,19 +95,18 @@
         call = self._call
         loop = asyncio.get_running_loop()
         account = call.admission.account
-        head = self._dialect.make_head(
-            call.request,
-            self._backend.id,
+        upstream = self._exchange.make_request(
+            self._backend,
             None if account is None else account.id,
             call.ends_at - loop.time(),
             call.last_event,
         )
         exchange = self._client.forward(
             self._backend.address,
-            call.request.method,
-            call.request.target,
-            head,
-            call.request.body,
+            upstream.method,
+            upstream.target,
+            upstream.headers,
+            upstream.body,
             max(0.0, call.ends_at - loop.time()),
             self._make_terms(),
         )
@@ -125,7 +118,7 @@
             if is_reset and not self._call.responder.started:
                 await self._check_crash()
             return self._judge(failure.sentence, failure.sent)
-        except _BrokenResponse as broken:
+        except BrokenAnswer as broken:
             return self._judge(str(broken), True)
 
     async def _check_crash(self) -> None:
@@ -150,7 +143,7 @@
         return ExchangeTerms(CONNECT_SECONDS, idle, self._is_own)
 
     def _is_own(self, headers: dict[str, str]) -> bool:
-        attempt = self._dialect.read_answer(headers).attempt
+        attempt = self._exchange.read_answer(headers).attempt
         return not attempt or attempt == self._call.facts.attempt
 
     def _judge(self, sentence: str, sent: bool) -> Outcome:
@@ -166,33 +159,39 @@
                 "backend": self._backend.id,
                 "outcome": outcome.value,
                 "cause": sentence,
-                "events": self._splitter.events,
+                "events": self._reader.events if self._reader else 0,
             },
         )
         return outcome
 
     async def _pass_on(self, stream: HttpStream) -> Outcome:
-        answer = self._dialect.read_answer(stream.headers)
+        answer = self._exchange.read_answer(stream.headers)
         self.status = stream.status
-        if answer.is_not_run or stream.status == 421:
-            self._desk.pause(self._backend.id, FULL_PAUSE_SECONDS)
-            LOG.info(
-                "backend server declined",
-                extra={
-                    "id": self._call.facts.attempt,
-                    "backend": self._backend.id,
-                    "status": stream.status,
-                },
-            )
-            return Outcome.NOT_RUN
+        if answer.is_not_run or stream.status == MISDIRECTED:
+            return self._note_declined(stream.status)
         is_success = 200 <= stream.status < 300
         if is_success and not answer.is_sealed:
-            raise _BrokenResponse("A success without proof of its origin.")
-        if is_success and self._call.admission.route.is_stream:
-            await self._pass_events(stream)
+            raise BrokenAnswer("A success without proof of its origin.")
+        if is_success:
+            is_stream = self._call.admission.route.is_stream
+            self._reader = self._exchange.open_reader(self._backend, is_stream)
+        if self._reader is not None:
+            await self._pass_events(stream, self._reader)
             return Outcome.DELIVERED
         return await self._pass_whole(stream)
 
+    def _note_declined(self, status: int) -> Outcome:
+        self._desk.pause(self._backend.id, FULL_PAUSE_SECONDS)
+        LOG.info(
+            "backend server declined",
+            extra={
+                "id": self._call.facts.attempt,
+                "backend": self._backend.id,
+                "status": status,
+            },
+        )
+        return Outcome.NOT_RUN
+
     async def _pass_whole(self, stream: HttpStream) -> Outcome:
         body = bytearray()
         async for chunk in stream:
@@ -200,17 +199,22 @@
             if len(body) > MAX_HELD_BYTES:
                 await self._pass_large(stream, body)
                 return Outcome.DELIVERED
+        if self._exchange.denies_run(stream.status, bytes(body)):
+            return self._note_declined(stream.status)
         self._note_output()
         status, is_genuine = stream.status, True
         if status in PROMISING_STATUSES:
             # The backend server does not say that it has not run.
             status, is_genuine = BAD_GATEWAY, False
-        headers = self._dialect.pass_answer(stream.raw_headers, is_genuine)
+        answer = self._exchange.pass_answer(
+            status, stream.raw_headers, bytes(body), is_genuine
+        )
         rule = self._call.admission.route.repeat_rule
         if status >= 500 and rule is RepeatRule.IDEMPOTENT:
-            self._call.held_failure = (status, headers, bytes(body))
+            self._call.held_failure = answer
             return Outcome.FAILED
-        await self._call.responder.send(status, headers, bytes(body))
+        responder = self._call.responder
+        await responder.send(answer.status, answer.headers, answer.body)
         return Outcome.DELIVERED
 
     def _note_output(self) -> None:
@@ -227,7 +231,7 @@
             self._metrics.note_first_output(call.admission.route.name, seconds)
 
     async def _pass_large(self, stream: HttpStream, start: bytearray) -> None:
-        headers = self._dialect.pass_answer(stream.raw_headers, True)
+        headers = self._exchange.pass_headers(stream.raw_headers)
         responder = self._call.responder
         await responder.start(stream.status, headers)
         await responder.write(bytes(start))
@@ -235,23 +239,23 @@
             await responder.write(chunk)
         await responder.finish()
 
-    async def _pass_events(self, stream: HttpStream) -> None:
-        responder, splitter = self._call.responder, self._splitter
+    async def _pass_events(self, stream: HttpStream, reader: EventReader) -> None:
         async for chunk in stream:
-            whole = splitter.feed(chunk)
-            if not whole:
-                continue
-            self._note_output()
-            self.output_tokens = splitter.events
-            if not responder.started:
-                headers = self._dialect.pass_answer(stream.raw_headers, True)
-                await responder.start(stream.status, headers)
-            await responder.write(whole)
-            self._call.last_event = splitter.last_id
+            before = reader.events
+            whole = reader.feed(chunk)
+            if whole or reader.events > before:
+                self._note_output()
+                self.output_tokens = reader.events
+            if whole:
+                await self._write(stream, whole)
+                self._call.last_event = reader.last_id
+        await self._write(stream, reader.finish())
+        await self._call.responder.finish()
+
+    async def _write(self, stream: HttpStream, data: bytes) -> None:
+        responder = self._call.responder
         if not responder.started:
-            headers = self._dialect.pass_answer(stream.raw_headers, True)
+            headers = self._exchange.pass_headers(stream.raw_headers)
             await responder.start(stream.status, headers)
-        rest = splitter.take_rest()
-        if rest:
-            await responder.write(rest)
-        await responder.finish()
+        if data:
+            await responder.write(data)
--- a/fireflyquay/gateway/_gateway.py
+++ b/fireflyquay/gateway/_gateway.py
@@ -18,10 +18,20 @@
     QuotaBook,
     RepeatBudget,
 )
-from fireflyquay.links import HttpClient, HttpLimits, HttpServer
+from fireflyquay.links import (
+    BackendClient,
+    Handler,
+    HttpLimits,
+    HttpRequest,
+    HttpResponder,
+    HttpServer,
+    MakeLink,
+    PeerLink,
+)
 from fireflyquay.world import EntryVm, Incarnation, RegionId, VmListing, ZoneId
 
 from ._beliefs import Beliefs
+from ._claims import KeyClaims
 from ._clock import AgeClock, BootClock
 from ._dialect import Dialect, FleetSource
 from ._directory import Directory
@@ -75,16 +85,20 @@
         settings: GatewaySettings,
         dialect: Dialect,
         source: FleetSource,
-        client: HttpClient,
+        client: BackendClient,
         clock: AgeClock | None = None,
         rng: random.Random | None = None,
+        claims: KeyClaims | None = None,
+        make_link: MakeLink = PeerLink,
+        incarnation: Incarnation | None = None,
     ) -> None:
         self._settings = settings
         self._client = client
         self._clock = clock or BootClock()
         self._rng = rng = rng or random.Random()
         self.metrics = GatewayMetrics()
-        self.incarnation = Incarnation(secrets.token_hex(INCARNATION_BYTES))
+        self._make_link = make_link
+        self.incarnation = incarnation or draw_incarnation()
         promises, vm = settings.promises, settings.vm
         self.beliefs = Beliefs(
             source,
@@ -121,19 +135,22 @@
             self.beliefs,
             self._clock,
             self._desk,
-            Forwarder(client, dialect, self._desk, self.metrics),
+            Forwarder(client, self._desk, self.metrics),
+            claims,
             self.metrics,
             promises.revoke,
             rng,
         )
         self._watch_values()
-        self._directory = Directory(
+        self.directory = Directory(
             dialect, self._list_addresses, self.is_ready, promises.max_keep
         )
         limits = HttpLimits(body_timeout=BODY_SECONDS)
-        self._clients = HttpServer(self._ingress.handle, limits)
-        self._ready = HttpServer(self._directory.report_ready, limits)
-        self._resolver = HttpServer(self._directory.resolve, limits)
+        # Pages that clients' address serves besides requests, by path.
+        self.pages: dict[str, Handler] = {}
+        self._clients = HttpServer(self.handle, limits)
+        self._ready = HttpServer(self.directory.report_ready, limits)
+        self._resolver = HttpServer(self.directory.resolve, limits)
         self._metrics_page = HttpServer(self.metrics.serve, limits)
         self._stopping = False
         self._tasks: set[asyncio.Task[None]] = set()
@@ -170,6 +187,7 @@
             self.beliefs.measure_config_age,
             self._apply_beliefs,
             rng,
+            self._make_link,
         )
 
     def _watch_values(self) -> None:
@@ -200,23 +218,34 @@
             return False
         return self.beliefs.measure_config_age() < limit
 
+    async def handle(self, request: HttpRequest, responder: HttpResponder) -> None:
+        """Serve one request to the clients' address."""
+        page = self.pages.get(request.path) if self.pages else None
+        await (page or self._ingress.handle)(request, responder)
+
     async def start(self) -> None:
-        """Listen and begin to work."""
+        """Begin to work and listen."""
         vm = self._settings.vm
-        self._spawn(self.beliefs.follow_config())
-        self._spawn(self.beliefs.follow_backends())
         await self.fleet.start()
-        self._spawn(self.fleet.keep_membership())
-        self._spawn(self.fleet.keep_knowledge())
-        self._spawn(self._discovery.register())
-        self._spawn(self._discovery.look_around())
-        self._spawn(self._desk.tick())
-        self._spawn(self._desk.report_holding())
-        await self._clients.start(*split_address(vm.client_address))
-        await self._ready.start(*split_address(vm.ready_address))
-        await self._resolver.start(*split_address(vm.directory_address))
-        if vm.metrics_address:
-            await self._metrics_page.start(*split_address(vm.metrics_address))
+        for work in (
+            self.beliefs.follow_config(),
+            self.beliefs.follow_backends(),
+            self.fleet.keep_membership(),
+            self.fleet.keep_knowledge(),
+            self._discovery.register(),
+            self._discovery.look_around(),
+            self._desk.tick(),
+            self._desk.report_holding(),
+        ):
+            self._spawn(work)
+        for server, address in (
+            (self._clients, vm.client_address),
+            (self._ready, vm.ready_address),
+            (self._resolver, vm.directory_address),
+            (self._metrics_page, vm.metrics_address),
+        ):
+            if address:
+                await server.start(*split_address(address))
         LOG.info(
             "started",
             extra={
@@ -326,6 +355,11 @@
             self._clients.set_limits(fresh)
 
 
+def draw_incarnation() -> Incarnation:
+    """Return a name for a process's life."""
+    return Incarnation(secrets.token_hex(INCARNATION_BYTES))
+
+
 def _measure_strength(vm: VmSettings) -> int:
     """Return what a VM bears, in hundredths of a usual one."""
     processor = vm.cpu_share * vm.cpu_speed / USUAL_CORES
--- a/fireflyquay/gateway/_ingress.py
+++ b/fireflyquay/gateway/_ingress.py
@@ -19,6 +19,7 @@
     ClientAccount,
     ClientAccountId,
     Code,
+    FireflyquayError,
     Incarnation,
     RepeatRule,
     ServiceShare,
@@ -28,8 +29,9 @@
 from ._admission import Admission, Rejected, admit
 from ._beliefs import Beliefs
 from ._call import Call, Outcome, fingerprint_request
+from ._claims import KeyClaims
 from ._clock import AgeClock
-from ._dialect import Dialect, RequestFacts
+from ._dialect import Dialect, Exchange, Failure, RequestFacts
 from ._forwarder import PROMISING_STATUSES, Forwarder
 from ._gateway_metrics import GatewayMetrics
 from ._slot_desk import SlotDesk
@@ -60,6 +62,7 @@
         clock: AgeClock,
         desk: SlotDesk,
         forwarder: Forwarder,
+        claims: KeyClaims | None,
         metrics: GatewayMetrics,
         revoke_seconds: float,
         rng: random.Random,
@@ -71,6 +74,7 @@
         self._clock = clock
         self._desk = desk
         self._forwarder = forwarder
+        self._claims = claims
         self._metrics = metrics
         self.set_revoke_seconds(revoke_seconds)
         self._rng = rng
@@ -99,51 +103,81 @@
         serving.result()
 
     async def _serve(self, request: HttpRequest, responder: HttpResponder) -> None:
+        try:
+            exchange = self._dialect.open(request)
+        except FireflyquayError as error:
+            await self._refuse_malformed(responder, error)
+            return
         loop = asyncio.get_running_loop()
         arrived = loop.time()
-        facts = self._dialect.read_request(request)
         outcome, reason = Code.INTERNAL.value, ""
         call: Call | None = None
         try:
-            call = self._open(request, responder, facts, arrived)
+            call = self._open(request, exchange, responder, arrived)
             async with asyncio.timeout_at(call.ends_at):
                 await self._run(call)
             outcome = SERVED
         except Rejected as rejected:
-            is_promise = read_status(rejected.code) in PROMISING_STATUSES
-            if is_promise and call is not None and call.may_have_run:
-                rejected = Rejected(Code.BACKEND_FAILED, rejected.sentence)
-            outcome, reason = rejected.code.value, rejected.sentence
-            if call is not None and call.held_failure is not None:
-                await responder.send(*call.held_failure)
-            else:
-                await self._refuse(facts, responder, rejected)
+            outcome, reason = await self._reject(exchange, call, responder, rejected)
         except TimeoutError:
             late = _judge_late(call)
-            outcome, reason = late.code.value, late.sentence
-            await self._refuse(facts, responder, late)
+            outcome, reason = await self._reject(exchange, call, responder, late)
         except (asyncio.CancelledError, CallerGoneError):
             outcome = Code.CALLER_GONE.value
             raise
         finally:
-            self._log_end(facts, call, outcome, reason, loop.time() - arrived)
+            self._log_end(exchange.facts, call, outcome, reason, loop.time() - arrived)
+
+    async def _reject(
+        self,
+        exchange: Exchange,
+        call: Call | None,
+        responder: HttpResponder,
+        rejected: Rejected,
+    ) -> tuple[str, str]:
+        """Answer a request that failed; return its outcome and the reason."""
+        may_have_run = call is not None and call.may_have_run
+        if may_have_run and read_status(rejected.code) in PROMISING_STATUSES:
+            rejected = Rejected(Code.BACKEND_FAILED, rejected.sentence)
+        if call is not None and call.is_claimed and not may_have_run:
+            assert self._claims is not None
+            await self._claims.release(call)
+        held = None if call is None else call.held_failure
+        if held is not None and not responder.started:
+            await responder.send(held.status, held.headers, held.body)
+        else:
+            failure = Failure(
+                rejected.code, rejected.sentence, rejected.retry_after, may_have_run
+            )
+            await self._answer(exchange, responder, failure)
+        return rejected.code.value, rejected.sentence
+
+    async def _refuse_malformed(
+        self, responder: HttpResponder, error: FireflyquayError
+    ) -> None:
+        LOG.info("malformed", extra={"outcome": error.code, "reason": error.sentence})
+        self._metrics.note_end("", error.code.value, 0.0)
+        failure = Failure(error.code, error.sentence, None, False)
+        answer = self._dialect.make_failure(read_status(error.code), failure)
+        await responder.send(answer.status, answer.headers, answer.body)
 
     def _open(
         self,
         request: HttpRequest,
+        exchange: Exchange,
         responder: HttpResponder,
-        facts: RequestFacts,
         arrived: float,
     ) -> Call:
+        facts = exchange.facts
         if not facts.attempt:
             raise Rejected(Code.BAD_REQUEST, "The request has no id.")
-        admission = self._admit(request, facts)
+        admission = self._admit(facts)
         route = admission.route
         patience = min(facts.patience or DEFAULT_PATIENCE_SECONDS, route.timeout)
         service = self._choose_service(route.shares).service
         return Call(
             request,
-            facts,
+            exchange,
             responder,
             admission,
             service,
@@ -152,10 +186,9 @@
             last_event=facts.last_event,
         )
 
-    def _admit(self, request: HttpRequest, facts: RequestFacts) -> Admission:
-        path = request.target.partition(b"?")[0].decode("latin-1")
+    def _admit(self, facts: RequestFacts) -> Admission:
         now = self._clock.read()
-        return admit(self._beliefs.config, facts, path, now, self._max_config_age)
+        return admit(self._beliefs.config, facts, now, self._max_config_age)
 
     def _choose_service(self, shares: tuple[ServiceShare, ...]) -> ServiceShare:
         if len(shares) == 1:
@@ -171,7 +204,7 @@
             if backend is None or not self._beliefs.backends.takes_requests(backend.id):
                 self._desk.release(ask, grant.backend)
                 continue
-            self._check_again(call, ask, grant)
+            await self._check_again(call, ask, grant)
             call.tried.append(backend.id)
             had_run, call.may_have_run = call.may_have_run, True
             outcome = await self._forwarder.attempt(call, ask, backend)
@@ -184,11 +217,13 @@
             if not self._may_go_on(call, outcome):
                 self._give_up(call, outcome)
 
-    def _check_again(self, call: Call, ask: Ask, grant: Grant) -> None:
+    async def _check_again(self, call: Call, ask: Ask, grant: Grant) -> None:
         """Judge the call by what is known now; waiting may have taken long."""
         try:
-            call.admission = self._admit(call.request, call.facts)
-        except Rejected:
+            call.admission = self._admit(call.facts)
+            if self._claims is not None and not call.is_claimed:
+                call.is_claimed = await self._claims.claim(call)
+        except BaseException:
             self._desk.release(ask, grant.backend)
             raise
 
@@ -216,7 +251,7 @@
     def _make_ask(self, call: Call) -> Ask:
         now = asyncio.get_running_loop().time()
         route, account = call.admission.route, call.admission.account
-        rank = route.rank if account is None or account.rank is None else account.rank
+        rank = route.rank if account is None else account.choose_rank(route)
         waited = now - call.arrived
         return Ask(
             self._own,
@@ -228,7 +263,7 @@
             self._zone,
             call.facts.prompt_tokens,
             call.facts.output_tokens,
-            0.0 if account is None else _count_units(account, call.facts),
+            _count_quota_tokens(account, call.facts),
             route.target_latency - waited,
             call.patience - waited,
             call.ends_at - now,
@@ -259,16 +294,19 @@
             )
         raise Rejected(Code.BACKEND_FAILED, "The backend server gave no response.")
 
-    async def _refuse(
-        self, facts: RequestFacts, responder: HttpResponder, rejected: Rejected
+    async def _answer(
+        self, exchange: Exchange, responder: HttpResponder, failure: Failure
     ) -> None:
-        if responder.started:
+        if not responder.started:
+            answer = exchange.make_failure(read_status(failure.code), failure)
+            await responder.send(answer.status, answer.headers, answer.body)
+            return
+        last = exchange.end_stream(failure)
+        if not last:
             responder.abort()
             return
-        headers, body = self._dialect.make_refusal(
-            facts.attempt, rejected.code, rejected.sentence, rejected.retry_after
-        )
-        await responder.send(read_status(rejected.code), headers, body)
+        await responder.write(last)
+        await responder.finish()
 
     def _log_end(
         self,
@@ -310,9 +348,8 @@
     return NO_ACCOUNT if admission.account is None else admission.account.id
 
 
-def _count_units(account: ClientAccount, facts: RequestFacts) -> float:
-    if not account.counts_tokens:
-        return 1.0
-    if not facts.has_token_counts:
-        return account.plain_units
-    return float(facts.prompt_tokens + facts.output_tokens)
+def _count_quota_tokens(account: ClientAccount | None, facts: RequestFacts) -> float:
+    if account is None:
+        return 0.0
+    tokens = facts.prompt_tokens + facts.output_tokens
+    return account.count_tokens(tokens if facts.has_token_counts else None)
--- a/fireflyquay/gateway/_slot_desk.py
+++ b/fireflyquay/gateway/_slot_desk.py
@@ -102,7 +102,7 @@
         self._target = own
         self._pending: dict[int, _Pending] = {}
         self._held: dict[int, _Held] = {}
-        # When quota units were given out, for whom and how many.
+        # When requests were granted, of whom and with how many quota tokens.
         self._usage: deque[tuple[float, ClientAccountId, float]] = deque()
 
     def connect(self, peers: Peers) -> None:
@@ -272,14 +272,20 @@
                 return
 
     def _make_handover(self, now: float) -> Handover:
-        usage: dict[ClientAccountId, float] = {}
+        usage: dict[ClientAccountId, tuple[int, float]] = {}
         self._trim_usage(now)
-        for _, account, units in self._usage:
-            usage[account] = usage.get(account, 0.0) + units
+        for _, account, tokens in self._usage:
+            requests, sum_tokens = usage.get(account, (0, 0.0))
+            usage[account] = (requests + 1, sum_tokens + tokens)
         crashes = tuple(self._coordinator.crashes.list_counts().items())
         assert self._peers is not None
         own = self._peers.describe_own()
-        return Handover(own, self._list_held(now), tuple(usage.items()), crashes)
+        return Handover(
+            own,
+            self._list_held(now),
+            tuple((account, *used) for account, used in usage.items()),
+            crashes,
+        )
 
     def _list_held(self, now: float) -> tuple[HeldRun, ...]:
         return tuple(
@@ -292,8 +298,8 @@
         if isinstance(decision, Grant):
             ask = pending.ask
             self._held[ask.number] = _Held(ask, decision.backend, now)
-            if not ask.is_repeat and ask.units:
-                self._usage.append((now, ask.account, ask.units))
+            if not ask.is_repeat and ask.account:
+                self._usage.append((now, ask.account, ask.quota_tokens))
                 self._trim_usage(now)
         if not pending.future.done():
             pending.future.set_result(decision)
--- a/fireflyquay/links/__init__.py
+++ b/fireflyquay/links/__init__.py
@@ -10,7 +10,7 @@
     RunStarted,
 )
 from ._engine_adapter import EngineAdapter
-from ._http_client import ExchangeTerms, HttpClient, HttpExchange
+from ._http_client import BackendClient, ExchangeTerms, HttpClient, HttpExchange
 from ._http_message import (
     CallerGoneError,
     HttpFailure,
@@ -21,11 +21,11 @@
     RawHeaders,
 )
 from ._http_responder import HttpResponder
-from ._http_server import HttpServer
+from ._http_server import Handler, HttpServer
 from ._line_log import LineHandler
 from ._logs import get_logger, make_handler
 from ._metrics import Metrics
-from ._peer import Envelope, PeerAddress, PeerLink, PeerTraffic
+from ._peer import Envelope, Link, MakeLink, PeerAddress, PeerLink, PeerTraffic
 from ._service_adapter import ServiceAdapter
 from ._sse import SseEvent, SseParser, encode_sse
 from ._statuses import read_status
@@ -66,6 +66,10 @@
     "LineHandler",
     "Metrics",
     "Envelope",
+    "Link",
+    "MakeLink",
+    "Handler",
+    "BackendClient",
     "PeerAddress",
     "PeerLink",
     "PeerTraffic",
--- a/fireflyquay/links/_http_client.py
+++ b/fireflyquay/links/_http_client.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+from abc import ABC, abstractmethod
 from collections.abc import Callable, Mapping
+from contextlib import AbstractAsyncContextManager
 from dataclasses import dataclass
 from types import TracebackType
 
@@ -184,7 +186,35 @@
 DEFAULT_TERMS = ExchangeTerms()
 
 
-class HttpClient:
+class BackendClient(ABC):
+    """Send requests to backend servers as they are."""
+
+    @abstractmethod
+    def forward(
+        self,
+        address: Address,
+        method: str,
+        target: str | bytes,
+        pairs: list[tuple[str | bytes, str | bytes]],
+        body: bytes,
+        timeout: float,
+        terms: ExchangeTerms = DEFAULT_TERMS,
+    ) -> AbstractAsyncContextManager[HttpStream]:
+        """Prepare an exchange with the headers as given, the length added.
+
+        The timeout in seconds bounds each wait for bytes.
+        """
+
+    @abstractmethod
+    async def can_connect(self, address: Address, timeout: float) -> bool:
+        """Tell whether an address accepts a connection within some seconds."""
+
+    @abstractmethod
+    async def close(self) -> None:
+        """Close the connections that no exchange uses."""
+
+
+class HttpClient(BackendClient):
     """Send requests, keeping connections for the next ones."""
 
     def __init__(self, limits: HttpLimits) -> None:
--- a/fireflyquay/links/_peer.py
+++ b/fireflyquay/links/_peer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from abc import ABC, abstractmethod
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
@@ -130,7 +131,35 @@
         self._wake.clear()
 
 
-class PeerLink:
+class Link(ABC):
+    """Exchange messages with peers."""
+
+    @abstractmethod
+    async def start(self, host: str, port: int) -> int:
+        """Listen for peers and return the bound port."""
+
+    @abstractmethod
+    def send(self, vm: EntryVm, message: Message) -> None:
+        """Send a message to one incarnation of an entry VM."""
+
+    @abstractmethod
+    def send_to(self, host: str, port: int, message: Message) -> None:
+        """Send a message to whatever incarnation runs at an address."""
+
+    @abstractmethod
+    async def forget(self, vm: EntryVm) -> None:
+        """Drop the connection to a lost entry VM."""
+
+    @abstractmethod
+    async def close(self) -> None:
+        """Stop listening and end all connections."""
+
+
+# Makes a link of an incarnation, the type of its messages and what takes them.
+MakeLink = Callable[[Incarnation, type, Deliver], Link]
+
+
+class PeerLink(Link):
     """Send messages to peers and deliver theirs; a lost message is not resent."""
 
     def __init__(
--- a/fireflyquay/world/_backend_entry.py
+++ b/fireflyquay/world/_backend_entry.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from ._backend_server import BackendKind
 from ._ids import BackendServerId, ServiceId, ZoneId
 
 
@@ -29,6 +30,8 @@
     phase: BackendPhase
     # Milliseconds since the epoch at which its process started.
     born_ms: int = 0
+    # What it speaks; None where all speak alike.
+    kind: BackendKind | None = None
 
     @property
     def address(self) -> tuple[str, int]:
--- a/fireflyquay/world/_fleet_config.py
+++ b/fireflyquay/world/_fleet_config.py
@@ -86,21 +86,57 @@
     idle_timeout: float
 
 
+class QuotaUnit(StrEnum):
+    """Say what a quota counts."""
+
+    REQUEST = "REQUEST"
+    TOKEN = "TOKEN"  # noqa: S105
+
+
+@dataclass(frozen=True, slots=True)
+class Quota:
+    """Bound what a client account may use over all VMs together."""
+
+    unit: QuotaUnit
+    # Units per second, and the units beyond them at once; a rate of 0 has no limit.
+    rate: float
+    burst: float
+    # Tokens of a request that names no token counts.
+    plain_tokens: float = 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class ClientAccount:
-    """Hold a client's keys, rank and quota."""
+    """Hold a client's keys, rank and quotas."""
 
     id: ClientAccountId
     keys: frozenset[str]
     # Goes before the route's rank; None leaves the route's.
     rank: int | None
-    # Units per second, and the units beyond them at once; a rate of 0 has no limit.
-    rate: float
-    burst: float
-    # Whether a unit is a token; else each request is one unit.
-    counts_tokens: bool
-    # Units of a request that names no token counts.
-    plain_units: float
+    # At most one of each unit.
+    quotas: tuple[Quota, ...] = ()
+    # Requests in progress at once; None has no limit.
+    max_in_flight: int | None = None
+    # Weight against other client accounts of the same rank; None shares one weight
+    # with all that have none.
+    share: float | None = None
+    # Ranks by route, which then go before all others; routes that are absent are
+    # refused. None allows all routes.
+    route_ranks: dict[str, int] | None = None
+    # Whether its requests are served.
+    is_active: bool = True
+
+    def choose_rank(self, route: Route) -> int:
+        """Return the rank of this client account's requests on a route."""
+        if self.route_ranks is not None:
+            return self.route_ranks.get(route.name, route.rank)
+        return route.rank if self.rank is None else self.rank
+
+    def count_tokens(self, tokens: int | None) -> float:
+        """Return what a request counts by tokens; None if it names no counts."""
+        if tokens is not None:
+            return float(tokens)
+        return max((quota.plain_tokens for quota in self.quotas), default=0.0)
 
 
 @dataclass(frozen=True, slots=True)
--- a/measure/grants.py
+++ b/measure/grants.py
@@ -88,7 +88,7 @@
         zone=ZoneId("z0"),
         prompt_tokens=1000,
         output_tokens=100,
-        units=1100.0,
+        quota_tokens=1100.0,
         to_objective=0.5,
         to_give_up=2.0,
         to_end=15.0,
