--- a/fireflyquay/membership/_bounds.py
+++ b/fireflyquay/membership/_bounds.py
@@ -10,7 +10,3 @@
 
 # A whole number from 0.
 Count = Annotated[int, Meta(ge=0, le=MAX_COUNT)]
-# A finite number from 0, with room for rounding errors.
-Amount = Annotated[float, Meta(ge=-1e-6, le=1e12)]
-# A finite number of either sign.
-Finite = Annotated[float, Meta(ge=-1e12, le=1e12)]
--- a/fireflyquay/membership/_member_beliefs.py
+++ b/fireflyquay/membership/_member_beliefs.py
@@ -6,11 +6,11 @@
 
 import msgspec
 
-from fireflyquay.world import NO_WITNESS, EntryVm, Incarnation, MemberState
+from fireflyquay.world import EntryVm, Incarnation, MemberState
 
 from ._gossip_queue import GossipQueue
 from ._member_table import Member, MemberTable, build_rumor
-from ._membership_message import Gossip, MemberBuckets, Rumor, Vitals
+from ._membership_message import Gossip, MemberBuckets, Rumor
 from ._membership_settings import MembershipSettings
 
 _DOUBTED = (MemberState.SUSPECT, MemberState.DEAD)
@@ -23,7 +23,6 @@
         self._own = own.incarnation
         self._settings = settings
         self._rumors = GossipQueue(settings.dissemination_factor)
-        self._vitals = GossipQueue(settings.vitals_factor)
         self._suspicions: dict[Incarnation, float] = {}
         self.table = MemberTable(settings.dead_retention, settings.max_dead)
         self.table.apply(float("inf"), introduce(own))
@@ -43,20 +42,10 @@
     def resume(self, now: float) -> None:
         """Drop news and deadlines that are too old after a pause."""
         self._rumors.clear()
-        self._vitals.clear()
         self._rumors.add(self._own)
         for incarnation in self._suspicions:
             self._suspicions[incarnation] = now + self._settings.suspicion_timeout
 
-    def tell_vitals(
-        self, now: float, uptime: int, witness: Incarnation, load: float
-    ) -> None:
-        """Set and pass on the own vitals; uptime in seconds."""
-        beat = self.find_own().beat + 1
-        vitals = Vitals(self._own, beat, uptime, witness, round(load * 1000))
-        self.table.apply_vitals(now, vitals)
-        self._vitals.add(self._own)
-
     def restate(self, now: float, generation: int, state: MemberState) -> None:
         """Raise the own generation, which overrides all that others say."""
         rumor = build_rumor(self.find_own(), now)
@@ -73,19 +62,11 @@
             names.append(peer)
         found = [self.table.get(name) for name in names]
         rumors = tuple(build_rumor(member, now) for member in found if member)
-        names = self._vitals.take(self._settings.max_vitals, members)
-        found = [self.table.get(name) for name in names]
-        vitals = tuple(_build_vitals(member, now) for member in found if member)
-        return Gossip(rumors, vitals)
+        return Gossip(rumors)
 
     def merge_gossip(self, now: float, gossip: Gossip) -> None:
         """Take in news from a peer and pass on what is new."""
         self.merge(now, gossip.rumors)
-        for vitals in gossip.vitals:
-            if vitals.incarnation == self._own:
-                continue
-            if self.table.apply_vitals(now, vitals):
-                self._vitals.add(vitals.incarnation)
 
     def merge(self, now: float, rumors: Iterable[Rumor]) -> None:
         """Take in rumors and pass on what is new."""
@@ -181,20 +162,6 @@
         peer_port=own.peer_port,
         state=MemberState.ALIVE,
         generation=1,
-        beat=0,
         uptime=0,
-        witness=NO_WITNESS,
-        load=0.0,
         strength=own.strength,
     )
-
-
-def _build_vitals(member: Member, now: float) -> Vitals:
-    record = member.record
-    return Vitals(
-        incarnation=record.vm.incarnation,
-        beat=member.beat,
-        uptime=member.estimate_uptime(now),
-        witness=record.witness,
-        load=round(record.load * 1000),
-    )
--- a/fireflyquay/membership/_member_table.py
+++ b/fireflyquay/membership/_member_table.py
@@ -9,7 +9,7 @@
 
 from fireflyquay.world import Incarnation, MemberState
 
-from ._membership_message import MemberRecord, Rumor, Vitals
+from ._membership_message import MemberRecord, Rumor
 
 BUCKETS = 16
 # Clock rates of two machines differ by less than this share.
@@ -35,7 +35,6 @@
     """Hold one member's record and how it was learnt."""
 
     record: MemberRecord
-    beat: int
     # Loop time at which the uptime was told.
     told_at: float
     # Loop time of its death, in seconds.
@@ -44,8 +43,6 @@
     gone: bool = False
     # Whether another incarnation runs at its address.
     replaced: bool = False
-    # Whether the platform's list has shown its address.
-    listed: bool = False
 
     @property
     def is_dead(self) -> bool:
@@ -126,7 +123,7 @@
         member = self._members.get(rumor.incarnation)
         if member is None:
             return self._add(now, rumor, direct)
-        self._apply_vitals(now, member, rumor.beat, rumor.uptime, rumor)
+        self._learn_uptime(now, member, rumor.uptime)
         if not is_newer(rumor, member.record) or member.replaced:
             return False
         if not self._claim(now, rumor, direct):
@@ -135,13 +132,6 @@
         self._set_state(now, member, rumor.state, rumor.generation)
         return True
 
-    def apply_vitals(self, now: float, vitals: Vitals) -> bool:
-        """Take in vitals of a known member if they are newer."""
-        member = self._members.get(vitals.incarnation)
-        if member is None or member.is_dead:
-            return False
-        return self._apply_vitals(now, member, vitals.beat, vitals.uptime, vitals)
-
     def expire(self, now: float) -> None:
         """Forget members that died long ago, and the oldest if too many."""
         while self._dead:
@@ -158,10 +148,8 @@
             state=MemberState.DEAD,
             generation=rumor.generation,
             uptime=rumor.uptime,
-            witness=rumor.witness,
-            load=rumor.load,
         )
-        member = Member(record, rumor.beat, now, dead_at=now)
+        member = Member(record, now, dead_at=now)
         self._members[rumor.incarnation] = member
         self._dead[rumor.incarnation] = None
         if not self._claim(now, rumor, direct):
@@ -222,22 +210,12 @@
         if self._changes.get(vm.incarnation) is not ChangeKind.JOINED:
             self._changes[vm.incarnation] = kind
 
-    def _apply_vitals(
-        self, now: float, member: Member, beat: int, uptime: int, news: Rumor | Vitals
-    ) -> bool:
-        if beat <= member.beat:
-            return False
-        known = member.estimate_uptime(now)
-        load = news.load / 1000 if isinstance(news, Vitals) else news.load
-        member.beat = beat
-        member.told_at = now
-        member.record = replace(
-            member.record, uptime=max(known, uptime), witness=news.witness, load=load
-        )
-        self._live = None
-        if not member.is_dead:
-            self._changes.setdefault(news.incarnation, ChangeKind.CHANGED)
-        return True
+    def _learn_uptime(self, now: float, member: Member, uptime: int) -> None:
+        """Take a later statement of a member's uptime; it never falls."""
+        if uptime > member.estimate_uptime(now):
+            member.record = replace(member.record, uptime=uptime)
+            member.told_at = now
+            self._live = None
 
     def _toggle_hash(self, member: Member) -> None:
         record = member.record
@@ -267,10 +245,7 @@
         peer_port=vm.peer_port,
         state=record.state,
         generation=record.generation,
-        beat=member.beat,
         uptime=member.estimate_uptime(now),
-        witness=record.witness,
-        load=record.load,
         strength=vm.strength,
     )
 
--- a/fireflyquay/membership/_membership.py
+++ b/fireflyquay/membership/_membership.py
@@ -25,7 +25,6 @@
 )
 from ._membership_settings import MembershipSettings
 from ._message import Message
-from ._own_vitals import OwnVitals
 from ._platform_list import PlatformList
 from ._probes import ProbeSet
 
@@ -44,7 +43,6 @@
         self._probes = ProbeSet(settings.ack_timeout, settings.indirect_timeout)
         self._view = MemberView(own.incarnation, settings, rng)
         self._list = PlatformList(own, settings, rng)
-        self._own_vitals = OwnVitals(settings)
         self._seen_at = -math.inf
         self._next_probe = 0.0
         self._next_digest = 0.0
@@ -53,15 +51,13 @@
     def seed(self, now: float, listings: Sequence[VmListing]) -> list[Action]:
         """Take in the platform's list and introduce ourselves to unknown addresses."""
         self._observe(now)
-        self._list.update(now, listings, self._table)
+        self._list.update(listings)
         return self._join(now)
 
     def advance(self, now: float) -> list[Action]:
         """Run what is due by now."""
         self._observe(now)
         actions: list[Action] = []
-        if self._own_vitals.is_due(now, self._table.count_present()):
-            self._beliefs.tell_vitals(now, *self._own_vitals.take(now))
         for target in self._probes.take_failed(now):
             self._beliefs.doubt(now, target)
         self._beliefs.end_suspicions(now)
@@ -98,10 +94,6 @@
                 return self._take_buckets(now, sender, message)
         return []
 
-    def describe_own(self, witness: Incarnation, uptime: int, load: float) -> None:
-        """Set what is told of this entry VM at the next pace; uptime in seconds."""
-        self._own_vitals.describe(witness, uptime, load)
-
     def leave(self, now: float) -> list[Action]:
         """Announce that this entry VM is leaving."""
         self._observe(now)
@@ -129,22 +121,6 @@
         states = (MemberState.ALIVE, MemberState.SUSPECT)
         return record is not None and record.state in states
 
-    def is_leaving(self, incarnation: Incarnation) -> bool:
-        """Tell whether a member announced its leaving and still runs."""
-        record = self.get(incarnation)
-        return record is not None and record.state is MemberState.LEAVING
-
-    def unconfirmed_lost(self, now: float) -> tuple[Incarnation, ...]:
-        """Return members that went silent without certainty that they are gone."""
-        dead = self._table.list_dead()
-        lost = [m for m in dead if not self._list.is_gone(now, m, self._table)]
-        return tuple(member.record.vm.incarnation for member in lost)
-
-    def estimate_uptime(self, incarnation: Incarnation, now: float) -> int | None:
-        """Return whole seconds since a member's start, never too many."""
-        member = self._table.get(incarnation)
-        return None if member is None else member.estimate_uptime(now)
-
     def drain_changes(self) -> list[tuple[Incarnation, ChangeKind]]:
         """Return which members joined, were lost or changed since the last call."""
         return self._table.drain_changes()
--- a/fireflyquay/membership/_membership_message.py
+++ b/fireflyquay/membership/_membership_message.py
@@ -8,7 +8,7 @@
 
 from fireflyquay.world import EntryVm, Incarnation, MemberState, RegionId, ZoneId
 
-from ._bounds import Amount, Count
+from ._bounds import Count
 from ._message import Message
 
 
@@ -22,10 +22,6 @@
     generation: int
     # Whole seconds since its start, as last told.
     uptime: int
-    # The entry VM that acknowledges its dispatches.
-    witness: Incarnation
-    # Share of its capacity in use.
-    load: float
 
 
 class Rumor(msgspec.Struct, frozen=True, array_like=True):
@@ -39,11 +35,8 @@
     peer_port: Count
     state: MemberState
     generation: Count
-    # Counts the member's own descriptions from 0.
-    beat: Count
+    # Whole seconds since its start.
     uptime: Count
-    witness: Incarnation
-    load: Amount
     strength: Count = 100
 
     def build_vm(self) -> EntryVm:
@@ -59,22 +52,10 @@
         )
 
 
-class Vitals(msgspec.Struct, frozen=True, array_like=True):
-    """Carry what changes often in the record of a known member."""
-
-    incarnation: Incarnation
-    beat: Count
-    uptime: Count
-    witness: Incarnation
-    # Share of capacity in use, in thousandths.
-    load: Count
-
-
 class Gossip(msgspec.Struct, frozen=True, array_like=True):
     """Carry updates on other messages."""
 
     rumors: tuple[Rumor, ...] = ()
-    vitals: tuple[Vitals, ...] = ()
 
 
 class Ping(Message):
--- a/fireflyquay/membership/_membership_settings.py
+++ b/fireflyquay/membership/_membership_settings.py
@@ -20,20 +20,11 @@
     suspicion_timeout: float = 1.5
     # Updates are sent this often per decimal digit of the fleet's size.
     dissemination_factor: float = 4.0
-    vitals_factor: float = 1.5
     max_rumors: int = 6
-    max_vitals: int = 6
     # Peers probed in turn: next by hash order, and drawn at random.
     view_successors: int = 2
     view_random: int = 8
     view_period: float = 10.0
-    # Pace of own load and uptime: at least this, and fleet-wide at most this many.
-    vitals_period: float = 2.0
-    vitals_per_second: float = 10.0
-    # Load changes below this share aren't told.
-    load_step: float = 0.05
-    # Own uptime is told again after this long without another update.
-    vitals_refresh: float = 300.0
     digest_period: float = 10.0
     join_period: float = 1.0
     max_joins: int = 3
@@ -46,5 +37,3 @@
     max_dead: int = 1024
     # A gap between events above this means that the process was paused.
     pause_threshold: float = 1.0
-    # A new VM appears on the platform's list within this time.
-    listing_lag: float = 30.0
--- a/fireflyquay/membership/_platform_list.py
+++ b/fireflyquay/membership/_platform_list.py
@@ -1,4 +1,4 @@
-"""The platform's lagging list of VMs: a seed, and a proof that a VM is gone."""
+"""Addresses at which VMs may run, tried until they answer."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 
 from fireflyquay.world import EntryVm, VmListing, VmListingState
 
-from ._member_table import Member, MemberTable
+from ._member_table import MemberTable
 from ._membership_settings import MembershipSettings
 
 
@@ -34,19 +34,11 @@
         self._settings = settings
         self._rng = rng
         self._states: dict[tuple[str, int], VmListingState] = {}
-        self._listed_at = float("-inf")
         self._tries: dict[tuple[str, int], JoinTry] = {}
 
-    def update(
-        self, now: float, listings: Sequence[VmListing], table: MemberTable
-    ) -> None:
+    def update(self, listings: Sequence[VmListing]) -> None:
         """Replace the list by a newer one."""
         self._states = {(v.host, v.peer_port): v.state for v in listings}
-        self._listed_at = now
-        for member in table.list_present() + table.list_dead():
-            vm = member.record.vm
-            if (vm.host, vm.peer_port) in self._states:
-                member.listed = True
 
     def choose_unknown(self, now: float, table: MemberTable) -> list[tuple[str, int]]:
         """Draw addresses to try at which no member is known, listed or lost."""
@@ -62,18 +54,6 @@
             self._count_try(now, address)
         return chosen
 
-    def is_gone(self, now: float, member: Member, table: MemberTable) -> bool:
-        """Tell whether a dead member is certain not to run any more."""
-        vm = member.record.vm
-        if member.gone or table.find_at(vm.host, vm.peer_port) is not None:
-            return True
-        if self._listed_at < member.dead_at:
-            return False
-        if (vm.host, vm.peer_port) in self._states:
-            return False
-        settled = self._listed_at - member.dead_at >= self._settings.listing_lag
-        return member.listed or settled
-
     def _count_try(self, now: float, address: tuple[str, int]) -> None:
         count = self._tries.get(address, _NO_TRY).count + 1
         backoff = self._settings.join_period * 2 ** min(count - 1, 8)
