--- /dev/null
+++ b/emulator/_backend_link.py
@@ -0,0 +1,137 @@
+"""Requests from gateways to emulated backend servers."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+
+from fireflyquay.links import BackendClient, ExchangeTerms, HttpFailure, HttpStream
+from fireflyquay.world import Code
+
+from ._evidence import Evidence, Run
+from ._network import Network
+from ._servers import Declined, EmulatedServer, Job, ServerGone, read_job
+
+UNAVAILABLE = 503
+MISDIRECTED = 421
+FAILED = 500
+FAILURE = b"!failed"
+
+
+class EmulatedClient(BackendClient):
+    """Send one gateway's requests to backend servers in memory."""
+
+    def __init__(
+        self,
+        host: str,
+        network: Network,
+        find_server: Callable[[tuple[str, int]], EmulatedServer | None],
+        evidence: Evidence,
+        rng: random.Random,
+    ) -> None:
+        self._host = host
+        self._network = network
+        self._find_server = find_server
+        self._evidence = evidence
+        self._rng = rng
+
+    @asynccontextmanager
+    async def forward(
+        self,
+        address: tuple[str, int],
+        method: str,
+        target: str | bytes,
+        pairs: list,
+        body: bytes,
+        timeout: float,
+        terms: ExchangeTerms = ExchangeTerms(),  # noqa: B008
+    ) -> AsyncIterator[HttpStream]:
+        """Run one exchange; raise HttpFailure if it gives no whole response."""
+        headers = {str(name): str(value) for name, value in pairs}
+        await self._travel(address, terms.connect_timeout or timeout)
+        server = self._find_server(address)
+        if server is None or server.is_down:
+            raise HttpFailure(Code.STREAM_LOST, "No connection.", False)
+        run = Run(
+            headers["id"],
+            server.entry.id,
+            server.entry.service,
+            self._host,
+            asyncio.get_running_loop().time(),
+            headers["account"],
+            int(headers["last"] or 0),
+        )
+        self._evidence.runs.append(run)
+        job = _make_job(run, headers)
+        try:
+            server.take(job, headers["expect"])
+        except ServerGone:
+            raise HttpFailure(Code.STREAM_LOST, "Reset.", True) from None
+        except Declined:
+            run.is_declined = True
+            yield HttpStream(UNAVAILABLE, {"unrun": "1"}, _read_nothing())
+            return
+        try:
+            async with asyncio.timeout(timeout):
+                first = await self._read_first(job)
+                status = FAILED if first == FAILURE else 200
+                yield HttpStream(status, {}, self._read_rest(job, first, address))
+        except (ServerGone, TimeoutError) as error:
+            sentence = type(error).__name__
+            raise HttpFailure(Code.STREAM_LOST, sentence, True) from None
+        finally:
+            if not job.is_over:
+                server.drop(job)
+
+    async def can_connect(self, address: tuple[str, int], timeout: float) -> bool:
+        """Tell whether an address accepts a connection within some seconds."""
+        server = self._find_server(address)
+        return server is not None and not server.is_down
+
+    async def close(self) -> None:
+        """Do nothing, for there are no connections."""
+
+    async def _travel(self, address: tuple[str, int], timeout: float) -> None:
+        if not self._network.reaches(self._host, address[0]):
+            await asyncio.sleep(timeout)
+            raise HttpFailure(Code.BACKEND_TIMEOUT, "Connecting took too long.", False)
+        await asyncio.sleep(self._network.draw_delay(self._host, address[0]))
+
+    async def _read_first(self, job: Job) -> bytes:
+        async for data in read_job(job):
+            return data
+        return b""
+
+    async def _read_rest(
+        self, job: Job, first: bytes, address: tuple[str, int]
+    ) -> AsyncIterator[bytes]:
+        delay = self._network.draw_delay(address[0], self._host)
+        await asyncio.sleep(delay)
+        try:
+            yield first
+            async for data in read_job(job):
+                if not self._network.reaches(self._host, address[0]):
+                    raise ServerGone
+                yield data
+        except ServerGone:
+            raise HttpFailure(Code.STREAM_LOST, "Cut off.", True) from None
+
+
+async def _read_nothing() -> AsyncIterator[bytes]:
+    return
+    yield b""
+
+
+def _make_job(run: Run, headers: dict[str, str]) -> Job:
+    return Job(
+        run,
+        int(headers["prompt"]),
+        headers.get("prefix", ""),
+        int(headers.get("shared", "0")),
+        int(headers["output"]),
+        run.after,
+        float(headers.get("work", "0")),
+        headers.get("crashes") == "1",
+    )
--- /dev/null
+++ b/emulator/_clients.py
@@ -0,0 +1,389 @@
+"""Emulated clients: arrivals in clumps and waves, patience, returns, abuse."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import random
+from collections.abc import Callable, Sequence
+
+import msgspec
+
+from fireflyquay.links import CallerGoneError, HttpRequest
+
+from ._dialect import Told
+from ._evidence import Attempt, Evidence, Requested
+from ._loop import VirtualLoop
+from ._network import Network
+from ._site import Kind, Site
+
+# What clients of streams bear before the first event and between two.
+SILENCE_SECONDS = 2.0
+SILENCE_TARGETS = 4.0
+SILENCE_GAPS = 8.0
+# Part of the time left within which a time to come back is honoured.
+HONOURED_SHARE = 1 / 3
+# Seconds that clients keep a list of addresses.
+KEEP_SECONDS = 2.0
+# Seconds that connecting to a silent address takes.
+CONNECT_SECONDS = 1.0
+PROMISES = (408, 421, 429, 503)
+# A request is worth this much of its kind's mean, and more by its size.
+LEAST_WORTH = 0.3
+MOST_WORTH = 4.0
+# Seconds between two things that happen one after another.
+ORDER_SECONDS = 1e-6
+# Requests in one clump of arrivals, on average.
+CLUMP = 3.0
+# Sessions whose prompts share their beginning.
+PREFIXES = 40
+
+
+class EmulatedResponder:
+    """Take a gateway's response for one emulated client."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, delay: float) -> None:
+        self._loop = loop
+        self._delay = delay
+        self.disconnected = asyncio.Event()
+        self.started = False
+        # Whether the gateway has ended the response, and whether its end has come.
+        self.is_closed = False
+        self.finished = False
+        self.status = 0
+        self.is_aborted = False
+        # Times and bytes as the client gets them.
+        self.parts: list[tuple[float, bytes]] = []
+        # Set whenever something has come.
+        self.news = asyncio.Event()
+        self._last_at = 0.0
+
+    async def send(self, status: int, headers: object, body: bytes) -> None:
+        """Send a whole response."""
+        await self.start(status, headers)
+        await self.write(body)
+        await self.finish()
+
+    async def start(self, status: int, headers: object) -> None:
+        """Send the status."""
+        self._check()
+        self.started, self.status = True, status
+
+    async def write(self, chunk: bytes) -> None:
+        """Send a chunk."""
+        self._check()
+        self._schedule(self._arrive, chunk)
+
+    async def finish(self) -> None:
+        """End the response."""
+        self._check()
+        self.is_closed = True
+        self._schedule(self._end, False)
+
+    def abort(self) -> None:
+        """Break the response off."""
+        self.is_closed = True
+        self._end(True)
+
+    def _schedule(self, call: Callable, argument: object) -> None:
+        """Have a part arrive after all earlier ones."""
+        earliest = self._last_at + ORDER_SECONDS
+        self._last_at = max(self._loop.time() + self._delay, earliest)
+        self._loop.call_at(self._last_at, call, argument)
+
+    def _arrive(self, chunk: bytes) -> None:
+        self.parts.append((self._loop.time(), chunk))
+        self.news.set()
+
+    def _end(self, is_aborted: bool) -> None:
+        if not self.finished:
+            self.finished, self.is_aborted = True, is_aborted
+            self.news.set()
+
+    def _check(self) -> None:
+        if self.disconnected.is_set() or self.is_closed:
+            raise CallerGoneError
+
+
+class Gate:
+    """Find and reach gateways as clients do."""
+
+    def __init__(
+        self,
+        resolve: Callable[[str], Sequence[str] | None],
+        find_handler: Callable[[str], Callable | None],
+        network: Network,
+    ) -> None:
+        # Returns the addresses for a zone, None if nobody answers.
+        self.resolve = resolve
+        self.find_handler = find_handler
+        self.network = network
+
+
+class Clients:
+    """Send a site's requests and note how they end."""
+
+    def __init__(
+        self, site: Site, gate: Gate, evidence: Evidence, rng: random.Random
+    ) -> None:
+        self._site = site
+        self._gate = gate
+        self._evidence = evidence
+        self._rng = rng
+        self._lists: dict[str, tuple[float, Sequence[str]]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._number = 0
+        # Keys by account; a removed one stays in use until clients learn.
+        self.keys = {f"account-{n}": f"key-{n}" for n in range(site.accounts)}
+        # Parts of the traffic by account: a few are large.
+        self._weights = [1.0 / (n + 1) for n in range(site.accounts)]
+        # Further arrivals of one account over its usual.
+        self.hot: dict[str, float] = {}
+        # Keys that were taken away, and the part of requests that still use them.
+        self.old_keys: dict[str, str] = {}
+        self.old_key_share = 0.0
+
+    async def arrive(self, kind: Kind, seconds: float) -> None:
+        """Send requests of a kind for some seconds."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        while loop.time() - began < seconds:
+            rate = kind.rate * self._site.load * self._measure_wave(kind, began)
+            await asyncio.sleep(self._rng.expovariate(rate / CLUMP))
+            count = 1 + int(self._rng.expovariate(1 / (CLUMP - 0.5)))
+            for _ in range(count):
+                self.send(kind)
+
+    def send(self, kind: Kind, poison: str = "") -> Requested:
+        """Send one request of a kind; poison names one that crashes what runs it."""
+        accounts = list(self.keys)
+        weights = [
+            weight * self.hot.get(name, 1.0)
+            for name, weight in zip(accounts, self._weights, strict=True)
+        ]
+        account = self._rng.choices(accounts, weights)[0]
+        if poison:
+            # The same caller sends it again and again.
+            account = accounts[0]
+        request = self._draw(kind, account)
+        request.poison = poison
+        self._evidence.requests.append(request)
+        loop = asyncio.get_running_loop()
+        task = loop.create_task(self._follow(kind, request))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return request
+
+    def _draw(self, kind: Kind, account: str) -> Requested:
+        self._number += 1
+        deviation = self._site.size_deviation
+        factor = math.exp(self._rng.gauss(-deviation * deviation / 2, deviation))
+        prompt = max(1, round(kind.prompt_tokens * factor)) if kind.is_stream else 0
+        events = max(1, round(kind.events * factor)) if kind.is_stream else 0
+        size = LEAST_WORTH + (1 - LEAST_WORTH) * factor
+        now = asyncio.get_running_loop().time()
+        return Requested(
+            self._number,
+            kind.name,
+            account,
+            kind.rank,
+            now,
+            prompt,
+            events,
+            min(MOST_WORTH, size),
+        )
+
+    def _measure_wave(self, kind: Kind, began: float) -> float:
+        at = asyncio.get_running_loop().time() - began
+        factor = 1.0
+        for wave in self._site.waves:
+            is_on = wave.start <= at < wave.start + wave.seconds
+            if is_on and (not wave.kinds or kind.name in wave.kinds):
+                factor *= wave.factor
+        return factor
+
+    async def _follow(self, kind: Kind, request: Requested) -> None:
+        loop = asyncio.get_running_loop()
+        ends_at = request.sent_at + kind.time_limit
+        leaves_at = math.inf
+        if self._rng.random() < self._site.leave_share:
+            leaves_at = request.sent_at + kind.time_limit * self._rng.uniform(0.05, 0.5)
+        is_abuser = self._rng.random() < self._site.abuse_share
+        zone = self._rng.choice(self._site.zones)
+        retries = kind.retries * (4 if is_abuser else 1)
+        while len(request.attempts) <= retries:
+            attempt = await self._attempt(
+                kind, request, zone, min(ends_at, leaves_at), ends_at
+            )
+            if attempt is None or request.is_served or loop.time() >= leaves_at:
+                break
+            pause = _choose_pause(kind, attempt, is_abuser)
+            left = ends_at - loop.time()
+            if pause is None or left <= 0:
+                break
+            await asyncio.sleep(min(pause, HONOURED_SHARE * left))
+        request.ended_at = loop.time()
+        if loop.time() >= leaves_at:
+            request.gave_up_at = leaves_at
+
+    async def _attempt(
+        self,
+        kind: Kind,
+        request: Requested,
+        zone: str,
+        until: float,
+        ends_at: float,
+    ) -> Attempt | None:
+        loop = asyncio.get_running_loop()
+        assert isinstance(loop, VirtualLoop)
+        address = await self._choose(zone)
+        if address is None or loop.time() >= until:
+            return None
+        host = address.rpartition(":")[0]
+        name = f"{request.number:06d}-{len(request.attempts)}"
+        key = self._choose_key(request.account)
+        attempt = Attempt(name, request.number, host, key, loop.time())
+        request.attempts.append(attempt)
+        responder = EmulatedResponder(loop, self._site.client_delay)
+        headers = {
+            "id": name,
+            "key": key,
+            "patience": str(ends_at - loop.time()),
+            "prompt": str(request.prompt_tokens),
+            "output": str(request.events * self._stride(kind)),
+            "prefix": f"{kind.name}-{request.number % PREFIXES}",
+            "shared": str(kind.shared_tokens),
+            "work": str(kind.work),
+            "crashes": "1" if request.poison else "0",
+        }
+        path = f"/{kind.name}/0"
+        body = (request.poison or str(request.number)).encode()
+        message = HttpRequest("POST", path, {}, headers, body, path.encode())
+        handler = self._gate.find_handler(host)
+        if handler is None or not self._gate.network.reaches("clients", host):
+            await asyncio.sleep(min(CONNECT_SECONDS, max(0.0, until - loop.time())))
+            attempt.ended_at = loop.time()
+            return attempt
+        loop.call_later(
+            self._site.client_delay,
+            loop.run_as,
+            host,
+            lambda: loop.start_as(host, _serve(handler, message, responder)),
+        )
+        await self._read(kind, request, attempt, responder, until)
+        return attempt
+
+    def _choose_key(self, account: str) -> str:
+        old = self.old_keys.get(account)
+        if old is not None and self._rng.random() < self.old_key_share:
+            return old
+        return self.keys[account]
+
+    def _stride(self, kind: Kind) -> int:
+        engine = self._site.engines.get(kind.service)
+        return 1 if engine is None else engine.stride
+
+    async def _read(
+        self,
+        kind: Kind,
+        request: Requested,
+        attempt: Attempt,
+        responder: EmulatedResponder,
+        until: float,
+    ) -> None:
+        """Read a response until it ends or patience does."""
+        loop = asyncio.get_running_loop()
+        silence = max(
+            SILENCE_SECONDS, SILENCE_TARGETS * kind.target, SILENCE_GAPS * kind.max_gap
+        )
+        while not responder.finished:
+            wait = until - loop.time()
+            if kind.is_stream:
+                wait = min(wait, silence)
+            responder.news.clear()
+            try:
+                async with asyncio.timeout(max(0.0, wait)):
+                    await responder.news.wait()
+            except TimeoutError:
+                attempt.client_left = True
+                responder.disconnected.set()
+                break
+        await asyncio.sleep(0)
+        _note_answer(kind, request, attempt, responder, loop.time())
+
+    async def _choose(self, zone: str) -> str | None:
+        loop = asyncio.get_running_loop()
+        read_at, addresses = self._lists.get(zone, (-math.inf, ()))
+        if loop.time() - read_at >= KEEP_SECONDS:
+            fresh = self._gate.resolve(zone)
+            if fresh:
+                addresses = fresh
+                self._lists[zone] = (loop.time(), addresses)
+        if not addresses:
+            await asyncio.sleep(CONNECT_SECONDS)
+            return None
+        return self._rng.choice(list(addresses))
+
+
+async def _serve(
+    handler: Callable, message: HttpRequest, responder: EmulatedResponder
+) -> None:
+    try:
+        await handler(message, responder)
+    except CallerGoneError:
+        pass
+    finally:
+        if not responder.is_closed:
+            responder.abort()
+
+
+def _note_answer(
+    kind: Kind,
+    request: Requested,
+    attempt: Attempt,
+    responder: EmulatedResponder,
+    now: float,
+) -> None:
+    attempt.ended_at = now
+    attempt.status = responder.status
+    attempt.is_whole = responder.finished and not responder.is_aborted
+    times = [at for at, _ in responder.parts]
+    if times:
+        attempt.first_at = times[0]
+        gaps = [b - a for a, b in zip(times, times[1:], strict=False)]
+        attempt.longest_gap = max(gaps, default=0.0)
+    if kind.is_stream and attempt.status == 200:
+        for _, data in responder.parts:
+            for line in data.split(b"\n"):
+                if line.startswith(b"id:"):
+                    attempt.events.append(int(line[3:]))
+    elif attempt.status not in (0, 200):
+        _note_refusal(attempt, responder)
+    if attempt.status == 200 and attempt.is_whole:
+        request.is_served = True
+        assert attempt.first_at is not None
+        request.first_output = attempt.first_at - request.sent_at
+        request.is_on_time = request.first_output <= kind.target and (
+            not kind.is_stream or attempt.longest_gap <= kind.max_gap
+        )
+
+
+def _note_refusal(attempt: Attempt, responder: EmulatedResponder) -> None:
+    body = b"".join(data for _, data in responder.parts)
+    try:
+        told = msgspec.json.decode(body, type=Told)
+    except msgspec.DecodeError:
+        return
+    attempt.code, attempt.retry_after = told.code.value, told.retry_after
+
+
+def _choose_pause(kind: Kind, attempt: Attempt, is_abuser: bool) -> float | None:
+    """Return the seconds until the client comes back, None if it doesn't."""
+    is_promise = attempt.status in PROMISES
+    is_unread = attempt.status == 0 and attempt.first_at is None
+    may_repeat = kind.repeat_rule.value == "IDEMPOTENT"
+    if not is_promise and not (may_repeat and (is_unread or attempt.status >= 500)):
+        return None
+    if is_abuser:
+        return 0.02
+    return 0.1 if attempt.retry_after is None else attempt.retry_after
--- /dev/null
+++ b/emulator/_figures.py
@@ -0,0 +1,179 @@
+"""What a play was worth: by kind, in parts, and what it cost."""
+
+from __future__ import annotations
+
+import statistics
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+
+from ._evidence import Evidence, Requested
+from ._site import Kind, Site
+
+# Seconds of one window; the two worst count by themselves.
+WINDOW_SECONDS = 2.0
+WORST_WINDOWS = 2
+# Weights of the whole, the worst windows and the worst kind.
+WHOLE_WEIGHT, WINDOW_WEIGHT, KIND_WEIGHT = 0.6, 0.25, 0.15
+# A request held before its refusal costs nothing up to this part of its objective, and
+# all of its credit from this part of the time that its client had.
+FREE_SHARE, FULL_SHARE = 1 / 8, 3 / 4
+# Part of the credit of a request that came back and was refused again.
+AGAIN_SHARE = 0.3
+# Part of the credit that these prices weigh; the bench weighs them so on busy days.
+PRICE_WEIGHT = 0.12
+
+
+@dataclass(frozen=True, slots=True)
+class KindFigures:
+    """Hold how one kind of request was served."""
+
+    kind: str
+    asked: int
+    on_time: float
+    late: float
+    refused: float
+    failed: float
+    # Part of the owed credit.
+    credit: float
+    # Seconds to the first output.
+    p50: float
+    p99: float
+
+
+@dataclass(frozen=True, slots=True)
+class Figures:
+    """Hold what a whole play was worth."""
+
+    kinds: tuple[KindFigures, ...]
+    # Parts of the owed credit: all, the worst windows, the worst kind.
+    whole: float
+    worst_windows: float
+    worst_kind: float
+    # Parts of the owed credit: held before a refusal, and refused again.
+    held: float
+    refused_again: float
+    # Part of the prompt tokens that was read for nothing.
+    wasted_prefill: float
+    # Per VM and second.
+    messages: float
+    store_calls: float
+
+    @property
+    def worth(self) -> float:
+        """Return the credit less the prices."""
+        credit = (
+            WHOLE_WEIGHT * self.whole
+            + WINDOW_WEIGHT * self.worst_windows
+            + KIND_WEIGHT * self.worst_kind
+        )
+        return credit - PRICE_WEIGHT * (self.held + self.refused_again)
+
+
+def summarize(site: Site, evidence: Evidence) -> Figures:
+    """Return a play's figures."""
+    kinds = {kind.name: kind for kind in site.kinds}
+    owed = [it for it in evidence.requests if it.gave_up_at is None]
+    groups = {
+        name: [it for it in owed if it.kind == name]
+        for name in kinds
+        if any(it.kind == name for it in owed)
+    }
+    figures = tuple(_describe(kinds[name], group) for name, group in groups.items())
+    total = sum(_measure_worth(kinds[it.kind], it) for it in owed)
+    seconds = max(1.0, evidence.ended_at)
+    return Figures(
+        figures,
+        _share(kinds, owed),
+        _find_worst_windows(kinds, owed),
+        min((it.credit for it in figures), default=1.0),
+        sum(_measure_held(kinds[it.kind], it) for it in owed) / total,
+        sum(_measure_again(kinds[it.kind], it) for it in owed) / total,
+        _measure_waste(evidence),
+        evidence.messages / seconds / site.vms,
+        evidence.store_calls / seconds / site.vms,
+    )
+
+
+def _describe(kind: Kind, requests: Sequence[Requested]) -> KindFigures:
+    count = len(requests)
+    outputs = [it.first_output for it in requests if it.first_output is not None]
+    on_time = sum(it.is_on_time for it in requests)
+    served = sum(it.is_served for it in requests)
+    refused = sum(not it.is_served and _was_refused(it) for it in requests)
+    return KindFigures(
+        kind.name,
+        count,
+        on_time / count,
+        (served - on_time) / count,
+        refused / count,
+        (count - served - refused) / count,
+        _share({kind.name: kind}, requests),
+        _find_quantile(outputs, 0.5),
+        _find_quantile(outputs, 0.99),
+    )
+
+
+def _was_refused(request: Requested) -> bool:
+    return bool(request.attempts) and bool(request.attempts[-1].code)
+
+
+def _share(kinds: dict[str, Kind], requests: Iterable[Requested]) -> float:
+    earned = owed = 0.0
+    for it in requests:
+        kind = kinds[it.kind]
+        owed += _measure_worth(kind, it)
+        if it.is_on_time:
+            earned += _measure_worth(kind, it)
+        elif it.is_served:
+            earned += _measure_worth(kind, it) * kind.late_worth / kind.worth
+    return earned / owed if owed else 1.0
+
+
+def _find_worst_windows(kinds: dict[str, Kind], requests: Sequence[Requested]) -> float:
+    windows: dict[int, list[Requested]] = {}
+    for it in requests:
+        windows.setdefault(int(it.sent_at / WINDOW_SECONDS), []).append(it)
+    shares = sorted(_share(kinds, group) for group in windows.values())
+    return statistics.mean(shares[:WORST_WINDOWS]) if shares else 1.0
+
+
+def _measure_worth(kind: Kind, request: Requested) -> float:
+    return kind.worth * (request.size if kind.is_stream else 1.0)
+
+
+def _measure_held(kind: Kind, request: Requested) -> float:
+    """Return the credit that holding a request before its refusal costs."""
+    if request.is_served:
+        return 0.0
+    held = sum(
+        it.ended_at - it.sent_at
+        for it in request.attempts
+        if it.code and it.ended_at is not None
+    )
+    patience = kind.time_limit
+    if kind.is_stream:
+        patience = min(patience, max(2.0, 4 * kind.target, 8 * kind.max_gap))
+    free, full = FREE_SHARE * kind.target, FULL_SHARE * patience
+    share = min(1.0, max(0.0, (held - free) / (full - free)))
+    return share * _measure_worth(kind, request)
+
+
+def _measure_again(kind: Kind, request: Requested) -> float:
+    """Return the credit that refusing a returned request costs."""
+    came_back = len(request.attempts) > 1 and request.attempts[0].code
+    if not came_back or request.is_served or not _was_refused(request):
+        return 0.0
+    return AGAIN_SHARE * _measure_worth(kind, request)
+
+
+def _measure_waste(evidence: Evidence) -> float:
+    read = sum(run.prefilled for run in evidence.runs)
+    wasted = sum(run.prefilled for run in evidence.runs if not run.is_whole)
+    return wasted / read if read else 0.0
+
+
+def _find_quantile(values: Sequence[float], share: float) -> float:
+    if not values:
+        return 0.0
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(len(ordered) * share))]
--- /dev/null
+++ b/emulator/_sites.py
@@ -0,0 +1,75 @@
+"""Sites like those of the users, as their sheets give them."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from fireflyquay.world import RepeatRule
+
+from ._site import EngineModel, Kind, ServiceModel, Site, Wave
+
+LLM, APP = "llm", "app"
+ONCE, AGAIN = RepeatRule.AT_MOST_ONCE, RepeatRule.IDEMPOTENT
+RESUMED = RepeatRule.RESUMABLE
+
+BROLGA_KINDS = (
+    Kind("cert-report", LLM, ONCE, 8.65, 0, 0.8, 0.2, 15, 7.8, 2.4, 6610, 60, 76),
+    Kind("job-note", LLM, RESUMED, 11.1, 1, 0.3, 0.2, 12, 1.5, 0.45, 628, 60, 58),
+    Kind("quote-tag", LLM, RESUMED, 11.7, 2, 0.4, 0.2, 3, 0.38, 0.11, 1800, 60, 5),
+    Kind("booking", APP, ONCE, 7.85, 0, 0.4, 0, 1.5, 0.3, 0.09, work=0.09),
+    Kind("status-read", APP, AGAIN, 4.0, 1, 0.4, 0, 1.5, 0.3, 0.09, work=0.09),
+)
+BROLGA = Site(
+    "brolga",
+    BROLGA_KINDS,
+    {LLM: EngineModel(5, 10, 0.00382, 0.0002, 68_200, 512, 5, 529_743)},
+    {APP: ServiceModel(3, 6)},
+    vms=8,
+    client_delay=0.003,
+    zone_delay=0.0009,
+)
+TREIPUU_KINDS = (
+    Kind("batch-order", LLM, ONCE, 6.55, 0, 1.0, 0.2, 15, 10, 3.1, 6610, 60, 96),
+    Kind("lathe-ask", LLM, RESUMED, 12.9, 1, 0.3, 0.2, 15, 1.4, 0.41, 628, 60, 73),
+    Kind("pin-label", LLM, RESUMED, 11.3, 2, 0.4, 0.2, 3, 0.41, 0.12, 1800, 60, 6),
+    Kind("timber-book", APP, ONCE, 7.7, 0, 0.2, 0, 1.0, 0.3, 0.09, work=0.045),
+    Kind("order-look", APP, AGAIN, 4.0, 1, 0.2, 0, 1.0, 0.3, 0.09, work=0.045),
+)
+TREIPUU = Site(
+    "treipuu",
+    TREIPUU_KINDS,
+    {LLM: EngineModel(5, 10, 0.00423, 0.0002, 64_200, 512, 4, 601_731)},
+    {APP: ServiceModel(3, 6)},
+    vms=9,
+)
+BROLGA_GROWN_KINDS = (
+    Kind("cert-report", LLM, ONCE, 119, 0, 0.845, 0.3, 12.7, 6.1, 1.9, 6610, 60, 42),
+    Kind("job-note", LLM, RESUMED, 71.6, 1, 0.319, 0.3, 10.6, 2.3, 0.68, 628, 60, 32),
+    Kind("quote-tag", LLM, RESUMED, 202, 2, 0.422, 0.3, 2.64, 0.25, 0.075, 1800, 60, 3),
+    Kind("booking", APP, ONCE, 98.2, 0, 0.163, 0, 0.676, 0.3, 0.09, work=0.0225),
+    Kind("status-read", APP, AGAIN, 39.2, 1, 0.162, 0, 0.671, 0.3, 0.09, work=0.0225),
+)
+BROLGA_GROWN = Site(
+    "brolga-grown",
+    BROLGA_GROWN_KINDS,
+    {LLM: EngineModel(70, 5, 0.00382, 0.0002, 68_200, 512, 9, 351_623)},
+    {APP: ServiceModel(4, 6)},
+    vms=30,
+    zones=("a", "b", "c", "d"),
+    client_delay=0.003,
+    zone_delay=0.0009,
+    accounts=16,
+)
+SITES = {site.name: site for site in (BROLGA, TREIPUU, BROLGA_GROWN)}
+# Load and waves by the kind of day.
+BURSTS = (Wave(4.0, 4.0, 1.8), Wave(14.0, 5.0, 2.2))
+
+
+def find_site(name: str, day: str = "quiet") -> Site:
+    """Return a site on a quiet or a busy day; raise KeyError for unknown ones."""
+    site = SITES[name]
+    if day == "quiet":
+        return site
+    if day == "scale":
+        return replace(site, load=1.15, waves=BURSTS, leave_share=0.05)
+    raise KeyError(day)
--- /dev/null
+++ b/emulator/_stage.py
@@ -0,0 +1,406 @@
+"""A whole fleet in virtual time, with troubles on demand."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Coroutine, Sequence
+from dataclasses import replace
+from typing import Any
+
+from fireflyquay.dispatch import GrantorSettings
+from fireflyquay.gateway import (
+    Gateway,
+    GatewaySettings,
+    LoopClock,
+    PromiseSettings,
+    StoreSettings,
+    VmSettings,
+)
+from fireflyquay.world import (
+    BackendPhase,
+    ClientAccount,
+    ClientAccountId,
+    ClientLimits,
+    FleetConfig,
+    Incarnation,
+    Quota,
+    QuotaUnit,
+    Route,
+    Service,
+    ServiceId,
+    ServiceShare,
+    ZoneId,
+)
+
+from ._backend_link import EmulatedClient
+from ._clients import Clients, Gate
+from ._dialect import HOST, EmulatedDialect
+from ._evidence import Evidence, Mark, Trouble
+from ._loop import VirtualLoop, run_virtual
+from ._network import EmulatedLink, Network
+from ._servers import EmulatedServer, make_servers
+from ._site import Kind, Site
+from ._store import EmulatedSource, EmulatedStore
+
+PEER_PORT, CLIENT_PORT = 7600, 8221
+SEEDS = 3
+# Seconds in which a stop must end what is in progress.
+STOP_GRACE = 8.0
+# Seconds for which an entry that left keeps serving.
+LEAVING_SECONDS = 2.0
+# Seconds from the start of the first VM until all know each other.
+WARM_UP_SECONDS = 4.0
+
+
+class Stage:
+    """Run gateways, servers, clients and a store as one deterministic play."""
+
+    def __init__(
+        self,
+        site: Site,
+        seed: int = 1,
+        grantor_settings: GrantorSettings | None = None,
+    ) -> None:
+        self.site = site
+        self.rng = random.Random(seed)
+        self._grantor_settings = grantor_settings
+        self.evidence = Evidence()
+        self.network = Network(self._fork(), site.near_delay, site.zone_delay)
+        self.store = EmulatedStore(self._fork())
+        self.servers: dict[str, EmulatedServer] = {}
+        # Gateways by host; those that were killed or stopped are gone.
+        self.gateways: dict[str, Gateway] = {}
+        self.frozen: set[str] = set()
+        self._started = 0
+        self._open_troubles: dict[tuple[str, str], float] = {}
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self.clients = Clients(
+            site,
+            Gate(self._resolve, self._find_handler, self.network),
+            self.evidence,
+            self._fork(),
+        )
+
+    async def __aenter__(self) -> Stage:
+        for name, engine in self.site.engines.items():
+            self._add_servers(make_servers(name, engine, self._fork(), self._zones()))
+        for name, service in self.site.services.items():
+            self._add_servers(make_servers(name, service, self._fork(), self._zones()))
+        self.store.config = self._make_config(1)
+        self._mark("version", "1")
+        for _ in range(self.site.vms):
+            await self.add_vm()
+        await self.run(WARM_UP_SECONDS)
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        for (what, who), since in list(self._open_troubles.items()):
+            self._close_trouble(what, who, since)
+        self.evidence.ended_at = self.loop.time()
+        self.evidence.store_calls = self.store.calls
+        self.evidence.messages = self.network.messages
+        for gateway in self.gateways.values():
+            await gateway.abort()
+
+    @property
+    def loop(self) -> VirtualLoop:
+        """Return the virtual loop."""
+        loop = asyncio.get_running_loop()
+        assert isinstance(loop, VirtualLoop)
+        return loop
+
+    async def run(self, seconds: float) -> None:
+        """Let time pass."""
+        await asyncio.sleep(seconds)
+
+    def start_traffic(self, seconds: float) -> None:
+        """Send all kinds of requests for some seconds."""
+        for kind in self.site.kinds:
+            self._spawn(self.clients.arrive(kind, seconds))
+
+    def find_kind(self, name: str) -> Kind:
+        """Return a kind of request by its name."""
+        return next(kind for kind in self.site.kinds if kind.name == name)
+
+    def list_hosts(self) -> list[str]:
+        """Return the hosts of gateways that run, oldest first."""
+        return list(self.gateways)
+
+    def find_coordinator(self) -> str:
+        """Return the host to which most gateways turn."""
+        votes: dict[str, int] = {}
+        names = {it.incarnation: host for host, it in self.gateways.items()}
+        for gateway in self.gateways.values():
+            host = names.get(gateway.fleet.choose_coordinator())
+            if host is not None:
+                votes[host] = votes.get(host, 0) + 1
+        if not votes:
+            # All still turn to one that is gone.
+            return self.list_hosts()[0]
+        return max(votes, key=lambda host: (votes[host], host))
+
+    async def add_vm(self, host: str = "") -> str:
+        """Start a gateway, at a new host or again at an old one."""
+        self._started += 1
+        number = self._started
+        host = host or f"10.1.{number // 250}.{number % 250 + 1}"
+        zone = self.network.zones.setdefault(
+            host, self.site.zones[number % len(self.site.zones)]
+        )
+        name = Incarnation(f"vm{number:04d}")
+        rng = self._fork()
+        gateway = Gateway(
+            self._make_settings(host, zone),
+            EmulatedDialect(),
+            EmulatedSource(
+                self.store, host, lambda: self.network.reaches(host, "store")
+            ),
+            EmulatedClient(host, self.network, self._find_server, self.evidence, rng),
+            LoopClock(),
+            rng,
+            make_link=lambda own, _, deliver: EmulatedLink(
+                self.network, host, own, deliver
+            ),
+            incarnation=name,
+            grantor_settings=self._grantor_settings,
+        )
+        self.gateways[host] = gateway
+        await self.loop.start_as(host, gateway.work())
+        return host
+
+    def kill(self, host: str) -> None:
+        """End a gateway's process at once."""
+        gateway = self.gateways.pop(host)
+        self._note_trouble("kill", host, self.loop.time() + 5.0)
+        self.loop.thaw(host)
+        self.frozen.discard(host)
+        self._spawn(gateway.abort())
+
+    def stop(self, host: str) -> None:
+        """Stop a gateway as planned."""
+        gateway = self.gateways[host]
+        self._mark("stop", host)
+        task = self.loop.start_as(host, gateway.stop())
+        self._tasks.add(task)
+        task.add_done_callback(lambda _: self._forget(host, gateway))
+
+    def freeze(self, host: str, seconds: float) -> None:
+        """Suspend a machine for some seconds."""
+        self.loop.freeze(host)
+        self.frozen.add(host)
+        self._note_trouble("freeze", host, self.loop.time() + seconds)
+        self.loop.call_later(seconds, self._thaw, host)
+
+    def isolate(self, host: str, seconds: float) -> None:
+        """Cut a machine off from everything for some seconds."""
+        self.network.isolated.add(host)
+        self._note_trouble("cut", host, self.loop.time() + seconds)
+        self.loop.call_later(seconds, self.network.isolated.discard, host)
+
+    def cut(self, first: str, second: str, seconds: float) -> None:
+        """Cut the way between two hosts for some seconds."""
+        pair = frozenset((first, second))
+        self.network.cuts.add(pair)
+        until = self.loop.time() + seconds
+        self._note_trouble("cut", first, until)
+        self._note_trouble("cut", second, until)
+        self.loop.call_later(seconds, self.network.cuts.discard, pair)
+
+    def stop_store(self, seconds: float) -> None:
+        """Have the store refuse everyone for some seconds."""
+        self.store.is_down = True
+        self._note_trouble("store", "store", self.loop.time() + seconds)
+        self.loop.call_later(seconds, setattr, self.store, "is_down", False)
+
+    def refuse_store(self, host: str, seconds: float) -> None:
+        """Have the store refuse one machine for some seconds."""
+        self.store.refused.add(host)
+        self._note_trouble("store", host, self.loop.time() + seconds)
+        self.loop.call_later(seconds, self.store.refused.discard, host)
+
+    def crash(self, server: str, seconds: float) -> None:
+        """Crash a backend server, which is back after some seconds."""
+        found = self.servers[server]
+        found.crash()
+        self._note_trouble("server", server, self.loop.time() + seconds)
+        self.loop.call_later(seconds, found.come_back)
+
+    def remove(self, server: str) -> None:
+        """Have a backend server leave as planned, then end."""
+        found = self.servers[server]
+        entry = replace(found.entry, phase=BackendPhase.LEAVING)
+        self.store.backends[server] = entry
+        self.store.note()
+        self._mark("leaving", server)
+        self.loop.call_later(LEAVING_SECONDS + 1.0, self._end_server, server)
+
+    def add_key(self, account: str, key: str) -> None:
+        """Give an account a new key in place of its old one."""
+        old = self.clients.keys[account]
+        self.clients.keys[account] = key
+        self.clients.old_keys[account] = old
+        self.apply_config()
+        self._mark("key removed", old)
+
+    def apply_config(self) -> int:
+        """Put a new version of the configuration in the store."""
+        assert self.store.config is not None
+        version = self.store.config.version + 1
+        self.store.config = self._make_config(version)
+        self.store.note()
+        self._mark("version", str(version))
+        return version
+
+    # What follows builds the play.
+
+    def _fork(self) -> random.Random:
+        return random.Random(self.rng.getrandbits(64))
+
+    def _zones(self) -> list[ZoneId]:
+        return [ZoneId(zone) for zone in self.site.zones]
+
+    def _add_servers(self, servers: Sequence[EmulatedServer]) -> None:
+        for server in servers:
+            self.servers[server.entry.id] = server
+            self.store.backends[server.entry.id] = server.entry
+            self.network.zones[server.entry.host] = server.entry.zone
+        self.store.note()
+
+    def _find_server(self, address: tuple[str, int]) -> EmulatedServer | None:
+        for server in self.servers.values():
+            if server.entry.address == address:
+                return server
+        return None
+
+    def _end_server(self, name: str) -> None:
+        self.servers[name].crash()
+        self.store.backends.pop(name, None)
+        self.store.note()
+        self._mark("gone", name)
+
+    def _make_settings(self, host: str, zone: str) -> GatewaySettings:
+        hosts = [host, *self.gateways][:SEEDS]
+        vm = VmSettings(
+            name=host,
+            zone=zone,
+            region="region",
+            client_address=f"{host}:{CLIENT_PORT}",
+            ready_address=f"{host}:{CLIENT_PORT}",
+            directory_address=f"{host}:{CLIENT_PORT}",
+            peer_address=f"{host}:{PEER_PORT}",
+            peer_port=PEER_PORT,
+            seeds=tuple(f"{it}:{PEER_PORT}" for it in hosts),
+        )
+        promises = {
+            "revoke": self.site.revoke,
+            "stop_grace": STOP_GRACE,
+            "repeat_ratio": 0.2,
+            "repeat_slack": 50.0,
+            "repeat_window": 10.0,
+            "quota_overshoot": 0.1,
+            "quota_slack": 0.0,
+            "max_keep": 5.0,
+            **self.site.promises,
+        }
+        store = StoreSettings("10.200.0.1:1", 1.0)
+        return GatewaySettings(vm, store, PromiseSettings(**promises))
+
+    def _make_config(self, version: int) -> FleetConfig:
+        limits = ClientLimits(16384, 1 << 20, 3.0, 15.0)
+        services = [*self.site.engines, *self.site.services]
+        return FleetConfig(
+            version,
+            tuple(_make_route(kind) for kind in self.site.kinds),
+            {ServiceId(name): Service(ServiceId(name), 500) for name in services},
+            limits,
+            tuple(self._make_account(name) for name in self.clients.keys),
+        )
+
+    def _make_account(self, name: str) -> ClientAccount:
+        quotas: tuple[Quota, ...] = ()
+        if self.site.quota_factor:
+            mean = sum(
+                kind.rate * (kind.prompt_tokens + kind.events * 5 + 200)
+                for kind in self.site.kinds
+            )
+            rate = self.site.quota_factor * mean / self.site.accounts
+            quotas = (Quota(QuotaUnit.TOKEN, rate, 4 * rate, 200.0),)
+            self.evidence.quotas[name] = (rate, 4 * rate)
+        key = self.clients.keys[name]
+        return ClientAccount(ClientAccountId(name), frozenset((key,)), None, quotas)
+
+    def _resolve(self, zone: str) -> Sequence[str] | None:
+        hosts = [
+            host
+            for host in self.gateways
+            if host not in self.frozen and self.network.reaches("clients", host)
+        ]
+        if not hosts:
+            return None
+        near = [host for host in hosts if self.network.zones[host] == zone]
+        host = self.rng.choice(near or hosts)
+        return self.gateways[host].list_addresses(zone)
+
+    def _find_handler(self, host: str) -> Any:
+        gateway = self.gateways.get(host)
+        return None if gateway is None else gateway.handle
+
+    def _forget(self, host: str, gateway: Gateway) -> None:
+        if self.gateways.get(host) is gateway:
+            del self.gateways[host]
+
+    def _thaw(self, host: str) -> None:
+        self.frozen.discard(host)
+        self.loop.thaw(host)
+
+    def _mark(self, what: str, who: str) -> None:
+        self.evidence.marks.append(Mark(what, who, self.loop.time()))
+
+    def _note_trouble(self, what: str, who: str, until: float) -> None:
+        trouble = Trouble(what, who, self.loop.time(), until)
+        self.evidence.troubles.append(trouble)
+
+    def _close_trouble(self, what: str, who: str, since: float) -> None:
+        now = self.loop.time()
+        self.evidence.troubles.append(Trouble(what, who, since, now))
+
+    def _spawn(self, work: Coroutine[Any, Any, Any]) -> None:
+        task = self.loop.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _make_route(kind: Kind) -> Route:
+    return Route(
+        name=kind.name,
+        host=HOST,
+        path_prefix=f"/{kind.name}/",
+        is_stream=kind.is_stream,
+        repeat_rule=kind.repeat_rule,
+        timeout=kind.time_limit,
+        target_latency=kind.target,
+        rank=kind.rank,
+        shares=(ServiceShare(ServiceId(kind.service), 1),),
+        max_attempts=2,
+        is_public=False,
+        max_gap=kind.max_gap or None,
+    )
+
+
+def play(
+    site: Site,
+    seconds: float,
+    seed: int = 1,
+    grantor_settings: GrantorSettings | None = None,
+    settle: float = 16.0,
+) -> Evidence:
+    """Play a site's traffic for some seconds and return what was seen."""
+
+    async def run() -> Evidence:
+        async with Stage(site, seed, grantor_settings) as stage:
+            stage.start_traffic(seconds)
+            await stage.run(seconds + settle)
+        return stage.evidence
+
+    return run_virtual(run())
--- /dev/null
+++ b/emulator/_store.py
@@ -0,0 +1,101 @@
+"""An emulated store: one configuration and the registry, with troubles."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from fireflyquay.gateway import (
+    BackendsRead,
+    ConfigRead,
+    FleetSource,
+    VmRegistration,
+)
+from fireflyquay.links import HttpFailure
+from fireflyquay.world import BackendEntry, Code, FleetConfig, VmListing
+
+# Seconds that the store takes to answer, and that a caller waits for it.
+ANSWER_SECONDS = 0.004
+TIMEOUT_SECONDS = 1.0
+
+
+class EmulatedStore:
+    """Hold what operators and backend servers wrote."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self.revision = 1
+        self.config: FleetConfig | None = None
+        self.backends: dict[str, BackendEntry] = {}
+        self.vms: dict[str, VmRegistration] = {}
+        # Hosts that get no answer; with all, nobody does.
+        self.refused: set[str] = set()
+        self.is_down = False
+        # Seconds by which answers are slower.
+        self.delay = 0.0
+        self.calls = 0
+
+    def note(self) -> int:
+        """Count a change and return its revision."""
+        self.revision += 1
+        return self.revision
+
+    async def serve(self, host: str) -> None:
+        """Wait as a call does; raise HttpFailure if it gets no answer."""
+        self.calls += 1
+        await asyncio.sleep(self._rng.uniform(0.5, 1.5) * ANSWER_SECONDS)
+        if self.is_down or host in self.refused:
+            raise HttpFailure(Code.STORE_UNAVAILABLE, "The store is away.", True)
+        if self.delay > TIMEOUT_SECONDS:
+            await asyncio.sleep(TIMEOUT_SECONDS)
+            raise HttpFailure(Code.BACKEND_TIMEOUT, "The store is slow.", True)
+        await asyncio.sleep(self.delay)
+
+
+class EmulatedSource(FleetSource):
+    """Read the emulated store as one host does."""
+
+    def __init__(
+        self, store: EmulatedStore, host: str, reaches: Callable[[], bool]
+    ) -> None:
+        self._store = store
+        self._host = host
+        self._reaches = reaches
+
+    async def read_config(self) -> ConfigRead:
+        """Return the newest configuration."""
+        await self._serve()
+        return ConfigRead(self._store.config, self._store.revision)
+
+    async def list_backends(self) -> BackendsRead:
+        """Return all registered backend servers."""
+        await self._serve()
+        return BackendsRead(tuple(self._store.backends.values()), self._store.revision)
+
+    async def register_vm(self, listing: VmListing) -> None:
+        """Register a VM at its address; doing so again changes nothing."""
+        await self._serve()
+        name = f"{listing.host}-{listing.peer_port}"
+        known = self._store.vms.get(name)
+        if known is None or known.listing != listing:
+            revision = self._store.note()
+            self._store.vms[name] = VmRegistration(name, listing, revision)
+
+    async def list_vms(self) -> tuple[VmRegistration, ...]:
+        """Return all registered VMs, also ones that no longer run."""
+        await self._serve()
+        return tuple(self._store.vms.values())
+
+    async def remove_vm(self, registration: VmRegistration) -> None:
+        """Remove a registration unless it has changed."""
+        await self._serve()
+        if self._store.vms.get(registration.name) == registration:
+            del self._store.vms[registration.name]
+            self._store.note()
+
+    async def _serve(self) -> None:
+        if not self._reaches():
+            await asyncio.sleep(TIMEOUT_SECONDS)
+            raise HttpFailure(Code.BACKEND_TIMEOUT, "The store is silent.", True)
+        await self._store.serve(self._host)
--- a/fireflyquay/dispatch/_grantor.py
+++ b/fireflyquay/dispatch/_grantor.py
@@ -124,6 +124,7 @@
         latest_start = now + ask.to_objective - self._forecast_least(queue, ask)
         item = WaitingAsk(ask, now, now + patience, latest_start, share)
         queue.waiting.add(item)
+        queue.records[ask.rank].note_arrival(now)
         decisions = self._advance(queue, now)
         if not item.is_over and self._is_hopeless(queue, ask, now):
             queue.waiting.remove(item.key)
@@ -205,6 +206,7 @@
         decisions: list[Decision] = []
         for queue in self._services.values():
             decisions += self._advance(queue, now)
+            decisions += self._give_up_late(queue, now)
         return decisions
 
     def count_waiting(self, service: ServiceId) -> int:
@@ -252,6 +254,21 @@
             decisions.append(self._give_up(queue, item, now))
         return decisions
 
+    def _give_up_late(self, queue: _ServiceQueue, now: float) -> list[Decision]:
+        """Refuse the late asks of ranks that get far fewer places than they ask for.
+
+        Answers sustained overload: those still on time take all places, and who is
+        late would only wait to be refused.
+        """
+        decisions: list[Decision] = []
+        for rank, items in queue.waiting.list_late(now).items():
+            if not queue.records[rank].is_overrun(now):
+                continue
+            for item in items:
+                queue.waiting.remove(item.key)
+                decisions.append(self._give_up(queue, item, now))
+        return decisions
+
     def _count_places(self, load: BackendLoad) -> float:
         return max(1.0, load.entry.slots * self._settings.window * self.share)
 
--- a/fireflyquay/dispatch/_waiting_line.py
+++ b/fireflyquay/dispatch/_waiting_line.py
@@ -188,6 +188,21 @@
         """Return how many asks of a client account wait."""
         return sum(item.ask.account == account for item in self._by_key.values())
 
+    def list_late(self, now: float) -> dict[tuple[int, int], list[WaitingAsk]]:
+        """Return the asks past their objective by rank, the first to try first."""
+        found = {}
+        for rank, line in self._ranks.items():
+            line.settle(now)
+            late = [
+                item
+                for party in line.parties.values()
+                for item in party.late
+                if not item.is_over
+            ]
+            if late:
+                found[rank] = sorted(late, key=lambda item: item.asked_at)
+        return found
+
     def take_expired(self, now: float) -> list[WaitingAsk]:
         """Remove and return the asks that are to be refused by now."""
         expired = []
--- a/fireflyquay/dispatch/tests/test_coordinator.py
+++ b/fireflyquay/dispatch/tests/test_coordinator.py
@@ -118,6 +118,59 @@
     assert fast.code is Code.RATE_LIMITED
 
 
+def play_overload(seconds, arrivals_per_second, run_seconds):
+    """Send one rank's requests to one place and return when each was refused."""
+    coordinator = make_coordinator()
+    coordinator.set_backends([make_entry("s1", slots=1)])
+    arrived, running, refused, late_grants = {}, {}, {}, 0
+    steps = round(seconds * 100)
+    for step in range(steps):
+        now = step / 100
+        decisions = []
+        for key, ends in list(running.items()):
+            if ends <= now:
+                del running[key]
+                ended = Ended(key, "s1", 50, 0.0, False)
+                decisions += coordinator.take(OWN, ended, now)
+        if step % round(100 / arrivals_per_second) == 0:
+            arrived[step] = now
+            ask = make_ask(step, to_objective=0.5, to_give_up=5.0, to_end=20.0)
+            decisions += coordinator.ask(ask, now)
+        decisions += coordinator.advance(now)
+        for it in decisions:
+            if isinstance(it, Grant):
+                running[it.number] = now + run_seconds
+                late_grants += now - arrived[it.number] > 0.5
+            else:
+                refused[it.number] = now - arrived[it.number]
+    return refused, late_grants
+
+
+def test_who_is_late_under_sustained_overload_is_refused_at_once():
+    refused, late_grants = play_overload(20.0, 10, 0.2)
+    assert len(refused) > 50
+    held = sorted(refused.values())
+    # The objective is 0.5 s; waiting further brings late requests no place.
+    assert held[len(held) * 9 // 10] < 1.2
+
+
+def test_who_is_late_after_a_short_burst_still_gets_a_place():
+    coordinator = make_coordinator()
+    coordinator.set_backends([make_entry("s1", slots=1)])
+    decisions = []
+    for number in range(4):
+        ask = make_ask(number, to_objective=0.3, to_give_up=20.0, to_end=60.0)
+        decisions += coordinator.ask(ask, 0.0)
+    for step in range(1, 400):
+        now = step / 100
+        if step % 50 == 0:
+            running = len(grants(decisions)) - 1
+            ended = Ended(running, "s1", 50, 0.0, False)
+            decisions += coordinator.take(OWN, ended, now)
+        decisions += coordinator.advance(now)
+    assert [number for _, number in grants(decisions)] == [0, 1, 2, 3]
+
+
 def test_repeats_stay_within_their_budget():
     coordinator = make_coordinator(repeats=RepeatBudget(0.5, 1, 10))
     coordinator.set_backends([make_entry("s1", slots=50)])
--- a/fireflyquay/gateway/_gateway.py
+++ b/fireflyquay/gateway/_gateway.py
@@ -96,6 +96,7 @@
         claims: KeyClaims | None = None,
         make_link: MakeLink = PeerLink,
         incarnation: Incarnation | None = None,
+        grantor_settings: GrantorSettings | None = None,
     ) -> None:
         self._settings = settings
         self._client = client
@@ -117,7 +118,7 @@
             promises.repeat_slack * REPEAT_MARGIN,
             promises.repeat_window,
         )
-        grantor = Grantor(GrantorSettings(), rng)
+        grantor = Grantor(grantor_settings or GrantorSettings(), rng)
         self._coordinator = Coordinator(
             self.beliefs.config,
             grantor,
@@ -148,7 +149,7 @@
         )
         self._watch_values()
         self.directory = Directory(
-            dialect, self._list_addresses, self.is_ready, promises.max_keep
+            dialect, self.list_addresses, self.is_ready, promises.max_keep
         )
         limits = HttpLimits(body_timeout=BODY_SECONDS)
         # Pages that clients' address serves besides requests, by path.
@@ -249,19 +250,8 @@
 
     async def start(self) -> None:
         """Begin to work and listen."""
+        await self.work()
         vm = self._settings.vm
-        await self.fleet.start()
-        for work in (
-            self.beliefs.follow_config(),
-            self.beliefs.follow_backends(),
-            self.fleet.keep_membership(),
-            self.fleet.keep_knowledge(),
-            self._discovery.register(),
-            self._discovery.look_around(),
-            self._desk.tick(),
-            self._desk.report_holding(),
-        ):
-            self._spawn(work)
         for server, address in (
             (self._clients, vm.client_address),
             (self._ready, vm.ready_address),
@@ -280,6 +270,21 @@
             },
         )
 
+    async def work(self) -> None:
+        """Begin to work without listening to clients."""
+        await self.fleet.start()
+        for work in (
+            self.beliefs.follow_config(),
+            self.beliefs.follow_backends(),
+            self.fleet.keep_membership(),
+            self.fleet.keep_knowledge(),
+            self._discovery.register(),
+            self._discovery.look_around(),
+            self._desk.tick(),
+            self._desk.report_holding(),
+        ):
+            self._spawn(work)
+
     async def stop(self) -> None:
         """End requests in progress within the grace, then close."""
         loop = asyncio.get_running_loop()
@@ -348,7 +353,8 @@
         if not task.cancelled() and task.exception() is not None:
             LOG.error("a task failed", extra={"cause": repr(task.exception())})
 
-    def _list_addresses(self, zone: str) -> Sequence[str]:
+    def list_addresses(self, zone: str) -> Sequence[str]:
+        """Return the addresses that clients of an availability zone may use."""
         entries = [vm for vm in self.fleet.list_entries() if self._is_fit(vm)]
         near = [vm for vm in entries if vm.zone == zone]
         chosen = near if len(near) >= MIN_NEAR_ENTRIES else entries
--- /dev/null
+++ b/proofs/_sites.py
@@ -0,0 +1,32 @@
+"""A small site on which plays are quick and places are scarce."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from emulator import EngineModel, Kind, ServiceModel, Site
+from fireflyquay.world import RepeatRule
+
+ONCE, AGAIN = RepeatRule.AT_MOST_ONCE, RepeatRule.IDEMPOTENT
+RESUMED = RepeatRule.RESUMABLE
+
+KINDS = (
+    Kind("draft", "llm", ONCE, 3.0, 0, 0.8, 0.3, 8, 8, 2.4, 1500, 60, 20),
+    Kind("ask", "llm", RESUMED, 5.0, 1, 0.4, 0.3, 6, 1.5, 0.5, 500, 60, 12),
+    Kind("label", "llm", RESUMED, 6.0, 2, 0.4, 0.3, 3, 0.4, 0.1, 400, 60, 3),
+    Kind("book", "app", ONCE, 5.0, 0, 0.3, 0, 2, 0.3, 0.1, work=0.05),
+    Kind("look", "app", AGAIN, 4.0, 1, 0.3, 0, 2, 0.3, 0.1, work=0.05),
+)
+
+
+def make_site(vms: int = 5, load: float = 1.0, **changes: object) -> Site:
+    """Return a site of some VMs under some load."""
+    site = Site(
+        "small",
+        KINDS,
+        {"llm": EngineModel(3, 4, 0.004, 0.0003, 60_000, 512, 4, 200_000, spread=1.5)},
+        {"app": ServiceModel(2, 4)},
+        vms=vms,
+        load=load,
+    )
+    return replace(site, **changes)
--- /dev/null
+++ b/proofs/tests/test_mutations.py
@@ -0,0 +1,287 @@
+"""Each check fails once the mechanism behind its promise is taken out."""
+
+from dataclasses import replace
+
+import pytest
+
+from emulator import Stage, run_virtual
+from fireflyquay.dispatch import (
+    BackendBook,
+    ConfigBook,
+    CrashList,
+    Grantor,
+    GrantorSettings,
+    KnowledgeExchange,
+    QuotaBook,
+    RepeatBudget,
+)
+from fireflyquay.dispatch._waiting_line import WaitingLine
+from fireflyquay.gateway import Gateway, _gateway, _ingress
+from fireflyquay.gateway._ingress import Ingress
+from fireflyquay.world import BackendPhase, Code
+from proofs import CHECKS, Oracle
+from proofs._oracle import UrgentFirst
+from proofs._sites import make_site
+
+STRICT = GrantorSettings(least_share=0.0, hope_share=0.0)
+
+
+def play(act, seconds=8.0, settle=9.0, seed=5, settings=None, **site):
+    place = make_site(**site)
+
+    async def run():
+        async with Stage(place, seed, settings) as stage:
+            stage.start_traffic(seconds)
+            await stage.run(1.5)
+            await act(stage)
+            await stage.run(seconds + settle)
+        return stage.evidence
+
+    evidence = run_virtual(run())
+    found = Oracle(place, (*CHECKS, UrgentFirst())).find_breaches(evidence)
+    return {breach.partition(":")[0] for breach in found}
+
+
+# What happens in the plays.
+
+
+async def crash_engines(stage):
+    for _ in range(4):
+        for name in ("llm-0", "app-0", "app-1"):
+            stage.crash(name, 0.4)
+        await stage.run(1.0)
+
+
+async def overload(stage):
+    return None
+
+
+async def leave(stage):
+    stage.remove("llm-0")
+    stage.remove("app-0")
+
+
+async def remove_key_behind_a_cut(stage):
+    first, *others = stage.list_hosts()
+    stage.clients.old_key_share = 0.5
+    stage.refuse_store(first, 14.0)
+    for host in others:
+        stage.cut(first, host, 14.0)
+    stage.add_key("account-0", "fresh-0")
+
+
+async def crash_engines_in_turn(stage):
+    for _ in range(2):
+        for name in ("llm-0", "llm-1", "llm-2"):
+            stage.crash(name, 0.3)
+            await stage.run(0.9)
+
+
+async def fail_services(stage):
+    for name in ("app-0", "app-1"):
+        stage.servers[name].failing_share = 1.0
+
+
+async def slow_engines(stage):
+    for name in ("llm-0", "llm-1", "llm-2"):
+        stage.servers[name].slowness = 60.0
+
+
+async def remove_key(stage):
+    stage.clients.old_key_share = 0.5
+    stage.add_key("account-0", "fresh-0")
+
+
+async def stop_one(stage):
+    stage.stop(stage.list_hosts()[0])
+
+
+async def send_what_crashes(stage):
+    for _ in range(16):
+        stage.clients.send(stage.find_kind("look"), "poison")
+        await stage.run(0.5)
+        for name in ("app-0", "app-1"):
+            stage.servers[name].come_back()
+
+
+async def lose_all(stage):
+    for host in stage.list_hosts():
+        stage.kill(host)
+    await stage.run(0.5)
+    for _ in range(5):
+        await stage.add_vm()
+
+
+# What takes the mechanisms out.
+
+
+def repeat_everything(patch):
+    patch.setattr(Ingress, "_may_go_on", lambda *_: True)
+
+
+def promise_everything(patch):
+    patch.setattr(_ingress, "PROMISING_STATUSES", ())
+    late = _ingress.Rejected(Code.DEADLINE_UNREACHABLE, "late")
+    patch.setattr(_ingress, "_judge_late", lambda call: late)
+    old = Ingress._give_up
+
+    def give_up(self, call, outcome):
+        call.may_have_run = False
+        try:
+            old(self, call, outcome)
+        except _ingress.Rejected:
+            raise _ingress.Rejected(Code.OVERLOADED, "not run", 0.5) from None
+
+    patch.setattr(Ingress, "_give_up", give_up)
+
+
+def pass_cut_streams(patch):
+    old = Ingress._answer
+
+    async def answer(self, exchange, responder, failure):
+        if responder.started:
+            await responder.finish()
+            return
+        await old(self, exchange, responder, failure)
+
+    patch.setattr(Ingress, "_answer", answer)
+
+
+def wait_for_ever(patch):
+    patch.setattr(Grantor, "_is_hopeless", lambda *_: False)
+    patch.setattr(Grantor, "_give_up_late", lambda *_: [])
+    patch.setattr(WaitingLine, "take_expired", lambda *_: [])
+    old = Ingress._open
+
+    def open_long(self, request, exchange, responder, arrived):
+        call = old(self, request, exchange, responder, arrived)
+        call.ends_at += 30.0
+        return call
+
+    patch.setattr(Ingress, "_open", open_long)
+    # Clients' patience would end what nobody answers.
+    patch.setattr("emulator._clients.SILENCE_SECONDS", 60.0)
+
+
+def forget_ranks(patch):
+    old = Ingress._make_ask
+
+    def make_ask(self, call):
+        from msgspec.structs import replace as change
+
+        return change(old(self, call), rank=(0, 0))
+
+    patch.setattr(Ingress, "_make_ask", make_ask)
+
+
+def trust_leaving_servers(patch):
+    def takes_requests(self, name):
+        return name in self._entries
+
+    old = BackendBook.list_all
+
+    def list_all(self):
+        return [replace(entry, phase=BackendPhase.READY) for entry in old(self)]
+
+    patch.setattr(BackendBook, "takes_requests", takes_requests)
+    patch.setattr(BackendBook, "list_all", list_all)
+
+
+def trust_old_config(patch):
+    patch.setattr(_ingress, "STALE_MARGIN_SECONDS", -60.0)
+    patch.setattr(_gateway, "READY_AGE_SHARE", 20.0)
+
+
+def go_back_to_older_config(patch):
+    versions = []
+
+    def offer(self, config, proof):
+        versions.append(config)
+        self.config = versions[0] if int(proof.proven_at) % 2 else config
+        self._index(self.config)
+        self.prove(proof)
+        return True
+
+    patch.setattr(ConfigBook, "offer", offer)
+
+
+def never_learn_config(patch):
+    old = ConfigBook.offer
+    patch.setattr(
+        ConfigBook,
+        "offer",
+        lambda self, config, proof: (
+            old(self, config, proof) if self.config is None else self.prove(proof)
+        ),
+    )
+    patch.setattr(KnowledgeExchange, "_take_config", lambda *_: False)
+
+
+def stop_at_once(patch):
+    patch.setattr(Gateway, "stop", Gateway.abort)
+
+
+def keep_running(patch):
+    async def handle(self, request, responder):
+        self.in_progress += 1
+        try:
+            await self._serve(request, responder)
+        finally:
+            self.in_progress -= 1
+
+    patch.setattr(Ingress, "handle", handle)
+
+
+def charge_nothing(patch):
+    patch.setattr(QuotaBook, "charge", lambda *_: None)
+
+
+def repeat_without_bound(patch):
+    patch.setattr(RepeatBudget, "take", lambda *_: True)
+    patch.setattr(Ingress, "_may_go_on", lambda self, call, outcome: True)
+    rule = "fireflyquay.gateway._forwarder.REFUSED_PAUSE_SECONDS"
+    patch.setattr(rule, 0.0)
+
+
+def forget_crashes(patch):
+    patch.setattr(CrashList, "is_barred", lambda *_: False)
+
+
+def never_ready(patch):
+    async def look_around(self):
+        return None
+
+    patch.setattr("fireflyquay.gateway._discovery.Discovery.look_around", look_around)
+    patch.setattr(
+        "fireflyquay.gateway._beliefs.Beliefs._read_backends", look_around, raising=True
+    )
+
+
+MUTATIONS = [
+    ("RunsOnce", repeat_everything, crash_engines, {}),
+    ("NotRunIsTrue", promise_everything, crash_engines, {}),
+    ("WholeAnswers", pass_cut_streams, crash_engines_in_turn, {"load": 2.0}),
+    ("FinalAnswers", wait_for_ever, overload, {"load": 4.0}),
+    ("UrgentFirst", forget_ranks, overload, {"load": 2.5, "settings": STRICT}),
+    ("LeavingServers", trust_leaving_servers, leave, {}),
+    ("KeysInForce", trust_old_config, remove_key_behind_a_cut, {"seconds": 14.0}),
+    ("KeysInForce", never_learn_config, remove_key, {}),
+    ("NothingReverts", go_back_to_older_config, remove_key, {"load": 2.0}),
+    ("PlannedStops", stop_at_once, stop_one, {}),
+    ("CancelsReach", keep_running, slow_engines, {"leave_share": 0.5}),
+    ("QuotasHold", charge_nothing, overload, {"quota_factor": 0.3}),
+    ("RepeatsBound", repeat_without_bound, fail_services, {"load": 6.0}),
+    ("CrashersStop", forget_crashes, send_what_crashes, {}),
+    ("Recovers", never_ready, lose_all, {"seconds": 24.0}),
+]
+
+
+@pytest.mark.parametrize(
+    ("check", "mutate", "act", "options"),
+    MUTATIONS,
+    ids=[f"{check}-{mutate.__name__}" for check, mutate, _, _ in MUTATIONS],
+)
+def test_a_check_fails_without_its_mechanism(check, mutate, act, options, monkeypatch):
+    assert check not in play(act, **options)
+    mutate(monkeypatch)
+    assert check in play(act, **options)
