--- a/fireflyquay/dispatch/_grantor.py
+++ b/fireflyquay/dispatch/_grantor.py
@@ -57,8 +57,8 @@
 class _ServiceQueue:
     """Hold the backend servers and waiting requests of one service."""
 
-    def __init__(self) -> None:
-        self.returns = ReturnSchedule()
+    def __init__(self, rng: random.Random) -> None:
+        self.returns = ReturnSchedule(rng)
         self.records: defaultdict[tuple[int, int], RankRecord] = defaultdict(RankRecord)
         self.loads: dict[BackendServerId, BackendLoad] = {}
         self.waiting = WaitingLine()
@@ -101,7 +101,7 @@
             service = self._services[self._where.pop(name)]
             service.loads.pop(name, None)
         for name, entry in fresh.items():
-            queue = self._services.setdefault(entry.service, _ServiceQueue())
+            queue = self._services.setdefault(entry.service, _ServiceQueue(self._rng))
             load = queue.loads.get(name)
             if load is None or load.entry.born_ms != entry.born_ms:
                 queue.loads[name] = BackendLoad(entry)
@@ -327,7 +327,8 @@
 
     def _give_up(self, queue: _ServiceQueue, item: WaitingAsk, now: float) -> Refusal:
         ask = item.ask
-        queue.records[ask.rank].note_refusal()
+        record = queue.records[ask.rank]
+        record.note_refusal()
         places = sum(load.entry.slots for load in queue.loads.values()) * self.share
         average = next(iter(queue.loads.values()))
         backlog = average.forecast_work(
@@ -335,7 +336,9 @@
         )
         backlog, work = backlog / places, average.forecast_run(ask) / places
         fingerprint = ask.fingerprint
-        seconds = queue.returns.book(fingerprint, backlog, work, ask.to_end, now)
+        seconds = queue.returns.book(
+            fingerprint, backlog, work, ask.to_end, now, record.is_overrun(now)
+        )
         waited = now - item.asked_at
         reason = f"waited {waited:.2f} s among {len(queue.waiting)}"
         return Refusal(ask.owner, ask.number, Code.OVERLOADED, seconds, reason)
--- a/fireflyquay/dispatch/_return_schedule.py
+++ b/fireflyquay/dispatch/_return_schedule.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from collections import OrderedDict
 
 from fireflyquay.world import Fingerprint
@@ -11,6 +12,8 @@
 HONOURED_SHARE = 0.32
 # Seconds before which the same queue would meet it again.
 MIN_RETRY_SECONDS = 0.3
+# Part of that time over which returns are spread while a rank is overrun.
+OVERRUN_SPREAD = 0.3
 # Refused requests that are remembered, and for how many seconds: as long as clients
 # stay away and wait.
 MAX_REMEMBERED = 4096
@@ -24,7 +27,8 @@
     one.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
         # Loop time from which there is room that nobody was promised.
         self._free_at = 0.0
         self._refused: OrderedDict[Fingerprint, float] = OrderedDict()
@@ -36,23 +40,32 @@
         work: float,
         to_end: float,
         now: float,
+        is_overrun: bool = False,
     ) -> float:
         """Return the seconds after which a refused client should come back.
 
         The backlog is how many seconds the waiting requests take, and the work how many
-        this one adds.
+        this one adds. While more keeps arriving than is served, no room is in sight:
+        the client comes as late as it will.
         """
+        if is_overrun:
+            self._remember(fingerprint, now)
+            latest = max(MIN_RETRY_SECONDS, HONOURED_SHARE * to_end)
+            return latest * self._rng.uniform(1.0 - OVERRUN_SPREAD, 1.0)
         self._free_at = max(self._free_at, now + backlog) + work
         limit = max(MIN_RETRY_SECONDS, HONOURED_SHARE * to_end)
         seconds = max(MIN_RETRY_SECONDS, self._free_at - now)
         if seconds > limit:
             seconds = limit
             self._free_at = min(self._free_at, now + limit)
+        self._remember(fingerprint, now)
+        return seconds
+
+    def _remember(self, fingerprint: Fingerprint, now: float) -> None:
         self._refused[fingerprint] = now
         self._refused.move_to_end(fingerprint)
         while len(self._refused) > MAX_REMEMBERED:
             self._refused.popitem(last=False)
-        return seconds
 
     def is_return(self, fingerprint: Fingerprint, now: float) -> bool:
         """Tell whether a request was refused lately."""
--- a/fireflyquay/dispatch/tests/test_waiting_line.py
+++ b/fireflyquay/dispatch/tests/test_waiting_line.py
@@ -1,5 +1,7 @@
 """The order in which waiting requests get places."""
 
+import random
+
 from fireflyquay.dispatch._rank_record import RankRecord
 from fireflyquay.dispatch._return_schedule import ReturnSchedule
 from fireflyquay.dispatch._running_rate import RunningRate
@@ -54,7 +56,7 @@
 
 
 def test_returns_are_spread_behind_the_backlog():
-    schedule = ReturnSchedule()
+    schedule = ReturnSchedule(random.Random(1))
     times = [schedule.book(f"f{n}", 1.0, 0.1, 30.0, now=0.0) for n in range(5)]
     assert times == sorted(times)
     assert times[0] > 1.0
@@ -64,13 +66,25 @@
 
 
 def test_a_return_is_asked_within_what_the_client_honours():
-    schedule = ReturnSchedule()
+    schedule = ReturnSchedule(random.Random(1))
     times = [schedule.book(f"f{n}", 20.0, 5.0, 6.0, now=0.0) for n in range(9)]
     assert max(times) <= 2.0
 
 
+def test_returns_come_late_and_spread_while_more_arrives_than_is_served():
+    schedule = ReturnSchedule(random.Random(1))
+    times = [
+        schedule.book(f"f{n}", 0.0, 0.001, 9.0, now=0.0, is_overrun=True)
+        for n in range(50)
+    ]
+    # Clients honour up to a third of the time that they have left.
+    assert 2.0 < min(times) and max(times) <= 3.0
+    assert max(times) - min(times) > 0.5
+    assert schedule.is_return("f1", 2.0)
+
+
 def test_a_return_is_known_for_a_while():
-    schedule = ReturnSchedule()
+    schedule = ReturnSchedule(random.Random(1))
     schedule.book("f1", 1.0, 0.1, 30.0, now=0.0)
     assert schedule.is_return("f1", 2.0)
     assert not schedule.is_return("f2", 2.0)
