--- /dev/null
+++ b/emulator/__main__.py
@@ -0,0 +1,70 @@
+"""Play emulated sites and compare ways: ``python -m emulator --help``.
+
+Plays of one seed repeat exactly.
+"""
+
+from __future__ import annotations
+
+import argparse
+import os
+import sys
+from pathlib import Path
+
+from ._figures import summarize
+from ._report import Played, draw_ways, format_kinds, format_ways
+from ._sites import DAYS, SITES, find_site
+from ._stage import play
+from ._ways import WAYS, find_way
+
+SECONDS = 20.0
+# Set in the environment of this process so that sets keep their order.
+HASH_SEED = ("PYTHONHASHSEED", "0")
+
+
+def main() -> int:
+    """Play what the arguments name; return 0, or 2 for wrong arguments."""
+    if os.environ.get(HASH_SEED[0]) != HASH_SEED[1]:
+        environment = {**os.environ, HASH_SEED[0]: HASH_SEED[1]}
+        command = [sys.executable, "-m", "emulator", *sys.argv[1:]]
+        os.execve(sys.executable, command, environment)
+    arguments = make_parser().parse_args()
+    plays = []
+    for way in arguments.ways or ["today"]:
+        for seed in range(1, arguments.seeds + 1):
+            plays.append(play_one(arguments, way, seed))
+            if not arguments.ways:
+                print(format_kinds(plays[-1]), end="\n\n")
+    print(format_ways(plays))
+    if arguments.plot:
+        draw_ways(plays, Path(arguments.plot))
+    return 0
+
+
+def play_one(arguments: argparse.Namespace, way: str, seed: int) -> Played:
+    """Play one seed of one way."""
+    site = find_site(arguments.site, arguments.day)
+    settings = find_way(way).settings
+    evidence = play(site, arguments.seconds, seed, settings)
+    return Played(site.name, arguments.day, way, seed, summarize(site, evidence))
+
+
+def make_parser() -> argparse.ArgumentParser:
+    """Make the parser of the arguments."""
+    parser = argparse.ArgumentParser(prog="python -m emulator", description=__doc__)
+    parser.add_argument("site", choices=sorted(SITES))
+    parser.add_argument("--day", choices=DAYS, default="quiet")
+    parser.add_argument("--seconds", type=float, default=SECONDS, help="of traffic")
+    parser.add_argument("--seeds", type=int, default=1, help="plays of each way")
+    parser.add_argument(
+        "--ways",
+        nargs="+",
+        metavar="WAY",
+        choices=[way.name for way in WAYS],
+        help="compare: " + "; ".join(f"{way.name} ({way.what})" for way in WAYS),
+    )
+    parser.add_argument("--plot", metavar="FILE", help="draw the ways as PNG")
+    return parser
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/emulator/_clients.py
+++ b/emulator/_clients.py
@@ -34,7 +34,7 @@
 # Seconds between two things that happen one after another.
 ORDER_SECONDS = 1e-6
 # Requests in one clump of arrivals, on average.
-CLUMP = 3.0
+CLUMP = 2.0
 # Sessions whose prompts share their beginning.
 PREFIXES = 40
 
--- /dev/null
+++ b/emulator/_report.py
@@ -0,0 +1,86 @@
+"""Tables and plots of plays."""
+
+from __future__ import annotations
+
+import statistics
+from collections.abc import Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+from ._figures import Figures
+
+
+@dataclass(frozen=True, slots=True)
+class Played:
+    """Hold the figures of one play."""
+
+    site: str
+    day: str
+    way: str
+    seed: int
+    figures: Figures
+
+
+def format_kinds(played: Played) -> str:
+    """Write how each kind of request was served in one play."""
+    rows = [("kind", "asked", "on time", "late", "refused", "failed", "p50", "p99")]
+    for it in played.figures.kinds:
+        shares = (it.on_time, it.late, it.refused, it.failed, it.p50, it.p99)
+        rows.append((it.kind, str(it.asked), *(f"{value:.3f}" for value in shares)))
+    return _align(rows)
+
+
+def format_ways(plays: Sequence[Played]) -> str:
+    """Write each way's mean figures over its seeds."""
+    head = ("site", "day", "way", "worth", "from", "to", "whole", "windows", "kind")
+    rows = [(*head, "held", "again", "waste")]
+    for site, day, way in dict.fromkeys((it.site, it.day, it.way) for it in plays):
+        group = [
+            it.figures for it in plays if (it.site, it.day, it.way) == (site, day, way)
+        ]
+        worths = [it.worth for it in group]
+        values = (
+            statistics.mean(worths),
+            min(worths),
+            max(worths),
+            _mean(group, "whole"),
+            _mean(group, "worst_windows"),
+            _mean(group, "worst_kind"),
+            _mean(group, "held"),
+            _mean(group, "refused_again"),
+            _mean(group, "wasted_prefill"),
+        )
+        rows.append((site, day, way, *(f"{value:.3f}" for value in values)))
+    return _align(rows)
+
+
+def draw_ways(plays: Sequence[Played], path: Path) -> None:
+    """Plot each way's worth with its range over seeds."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    names = list(dict.fromkeys(it.way for it in plays))
+    figure, axes = pyplot.subplots(figsize=(8, 0.5 * len(names) + 1.5))
+    for place, name in enumerate(names):
+        worths = [it.figures.worth for it in plays if it.way == name]
+        axes.plot([min(worths), max(worths)], [place, place], "-", color="gray")
+        axes.plot([statistics.mean(worths)], [place], "o", color="black")
+    axes.set_yticks(range(len(names)), names)
+    axes.set_xlabel("worth (emulated)")
+    figure.tight_layout()
+    figure.savefig(path, metadata={"Software": None})
+    pyplot.close(figure)
+
+
+def _mean(group: Sequence[Figures], name: str) -> float:
+    return statistics.mean(getattr(it, name) for it in group)
+
+
+def _align(rows: Sequence[tuple[str, ...]]) -> str:
+    widths = [max(len(row[n]) for row in rows) for n in range(len(rows[0]))]
+    return "\n".join(
+        "  ".join(cell.rjust(width) for cell, width in zip(row, widths, strict=True))
+        for row in rows
+    )
--- a/emulator/_servers.py
+++ b/emulator/_servers.py
@@ -161,7 +161,7 @@
 
 
 class EmulatedEngine(EmulatedServer):
-    """Run streams in one batch: a step for all, with a chunk of one prompt between."""
+    """Run streams in one batch: a step for all, with a chunk of one prompt beside."""
 
     def __init__(
         self, entry: BackendEntry, model: EngineModel, speed: float, rng: random.Random
@@ -198,7 +198,8 @@
             seconds += model.step + model.step_per_request * (len(writers) - 1)
         if reader is not None:
             chunk = min(model.chunk_tokens, reader.to_read)
-            seconds += chunk / model.prefill_rate
+            # Reading goes on beside the step.
+            seconds = max(seconds, chunk / model.prefill_rate)
         seconds *= self._speed * self.slowness
         loop.call_later(seconds, self._step, reader, chunk, writers)
 
--- a/emulator/_site.py
+++ b/emulator/_site.py
@@ -60,7 +60,7 @@
     # Requests that wait at an engine before it declines.
     queue: int = 4
     # Slowest engine's time as a multiple of the fastest one's.
-    spread: float = 2.0
+    spread: float = 1.2
 
 
 @dataclass(frozen=True, slots=True)
--- a/emulator/_sites.py
+++ b/emulator/_sites.py
@@ -22,7 +22,7 @@
 BROLGA = Site(
     "brolga",
     BROLGA_KINDS,
-    {LLM: EngineModel(5, 10, 0.00382, 0.0002, 68_200, 512, 5, 529_743)},
+    {LLM: EngineModel(5, 10, 0.00382, 0.00005, 68_200, 300, 5, 529_743)},
     {APP: ServiceModel(3, 6)},
     vms=8,
     client_delay=0.003,
@@ -38,7 +38,7 @@
 TREIPUU = Site(
     "treipuu",
     TREIPUU_KINDS,
-    {LLM: EngineModel(5, 10, 0.00423, 0.0002, 64_200, 512, 4, 601_731)},
+    {LLM: EngineModel(5, 10, 0.00423, 0.00005, 64_200, 300, 4, 601_731)},
     {APP: ServiceModel(3, 6)},
     vms=9,
 )
@@ -52,7 +52,7 @@
 BROLGA_GROWN = Site(
     "brolga-grown",
     BROLGA_GROWN_KINDS,
-    {LLM: EngineModel(70, 5, 0.00382, 0.0002, 68_200, 512, 9, 351_623)},
+    {LLM: EngineModel(70, 5, 0.00382, 0.00005, 68_200, 300, 9, 351_623)},
     {APP: ServiceModel(4, 6)},
     vms=30,
     zones=("a", "b", "c", "d"),
@@ -61,7 +61,7 @@
     accounts=16,
 )
 SITES = {site.name: site for site in (BROLGA, TREIPUU, BROLGA_GROWN)}
-# Load and waves by the kind of day.
+DAYS = ("quiet", "scale")
 BURSTS = (Wave(4.0, 4.0, 1.8), Wave(14.0, 5.0, 2.2))
 
 
