--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test lint measure format
+.PHONY: demo test lint measure soak format
 
 $(STAMP): requirements.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -27,3 +27,7 @@
 
 measure: $(STAMP)
 	$(VENV)/bin/python -m measure
+
+# Some minutes with fresh seeds.
+soak: $(STAMP)
+	PYTHONPATH=platform:. $(VENV)/bin/python -m soak --minutes 3
--- /dev/null
+++ b/emulator/tests/test_stage.py
@@ -0,0 +1,112 @@
+"""The emulator repeats itself, freezes machines, and serves as its models say."""
+
+import asyncio
+
+from emulator import Stage, VirtualLoop, play, run_virtual, summarize
+from emulator._report import Played, format_kinds, format_ways
+from proofs import make_site
+
+
+def describe(evidence):
+    return [
+        (it.kind, round(it.sent_at, 6), it.is_served, it.first_output)
+        for it in evidence.requests
+    ]
+
+
+def test_plays_of_one_seed_are_alike():
+    first, second = (play(make_site(), 3.0, seed=4, settle=6.0) for _ in range(2))
+    assert describe(first) == describe(second)
+    assert describe(play(make_site(), 3.0, seed=5, settle=6.0)) != describe(first)
+
+
+def test_time_jumps_to_what_is_due():
+    async def wait():
+        await asyncio.sleep(1000.0)
+        return asyncio.get_running_loop().time()
+
+    assert run_virtual(wait()) >= 1000.0
+
+
+def test_a_frozen_machine_does_nothing_until_it_thaws():
+    async def run():
+        loop = asyncio.get_running_loop()
+        assert isinstance(loop, VirtualLoop)
+        ticks = []
+
+        async def tick():
+            while True:
+                await asyncio.sleep(1.0)
+                ticks.append(loop.time())
+
+        task = loop.start_as("m", tick())
+        await asyncio.sleep(2.5)
+        loop.freeze("m")
+        await asyncio.sleep(5.0)
+        loop.thaw("m")
+        await asyncio.sleep(1.2)
+        task.cancel()
+        return [round(at, 1) for at in ticks]
+
+    assert run_virtual(run()) == [1.0, 2.0, 7.5, 8.5]
+
+
+def test_a_timer_that_is_cancelled_while_its_machine_is_frozen_does_not_run():
+    async def run():
+        loop = asyncio.get_running_loop()
+        ran = []
+        handles = []
+
+        async def arm():
+            handles.append(loop.call_later(1.0, ran.append, 1))
+
+        await loop.start_as("m", arm())
+        loop.freeze("m")
+        await asyncio.sleep(2.0)
+        handles[0].cancel()
+        loop.thaw("m")
+        await asyncio.sleep(1.0)
+        return ran
+
+    assert run_virtual(run()) == []
+
+
+def test_a_lone_stream_takes_its_prompt_and_its_steps():
+    async def run():
+        async with Stage(make_site(vms=1), seed=1) as stage:
+            request = stage.clients.send(stage.find_kind("draft"))
+            await stage.run(6.0)
+        return request
+
+    request = run_virtual(run())
+    engine = make_site().engines["llm"]
+    least = request.prompt_tokens / engine.prefill_rate + engine.stride * engine.step
+    assert request.is_served
+    assert least < request.first_output < 2 * least * engine.spread + 0.05
+    assert request.attempts[0].events == list(range(1, request.events + 1))
+
+
+def test_a_client_that_is_refused_comes_back_when_told():
+    async def run():
+        async with Stage(make_site(vms=1), seed=1) as stage:
+            for name in ("app-0", "app-1"):
+                stage.crash(name, 0.3)
+                stage.store.backends.pop(name)
+            stage.store.note()
+            await stage.run(1.0)
+            request = stage.clients.send(stage.find_kind("book"))
+            await stage.run(5.0)
+        return request
+
+    first, second = run_virtual(run()).attempts
+    assert (first.status, first.code) == (503, "NO_BACKEND_SERVER")
+    assert second.sent_at >= first.ended_at + 0.9 * first.retry_after
+
+
+def test_reports_name_kinds_and_ways():
+    site = make_site()
+    figures = summarize(site, play(site, 2.0, settle=6.0))
+    played = Played("small", "quiet", "today", 1, figures)
+    assert all(kind.name in format_kinds(played) for kind in site.kinds)
+    assert "today" in format_ways([played])
+    assert 0.0 < figures.worth <= 1.0
--- a/fireflyquay/links/__init__.py
+++ b/fireflyquay/links/__init__.py
@@ -10,7 +10,7 @@
     HttpStream,
     RawHeaders,
 )
-from ._http_responder import HttpResponder
+from ._http_responder import HttpResponder, abort_connection
 from ._http_server import Handler, HttpServer
 from ._line_log import LineHandler
 from ._peer import Envelope, Link, MakeLink, PeerAddress, PeerLink, PeerTraffic
@@ -37,6 +37,7 @@
     "SseParser",
     "Store",
     "VmList",
+    "abort_connection",
     "encode_sse",
     "read_status",
     "LineHandler",
--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -13,6 +13,7 @@
 COMMANDS = {
     "transport": ["measure.transport"],
     "grants": ["measure.grants"],
+    "fleets": ["measure.fleets"],
 }
 
 
--- /dev/null
+++ b/soak/_evidence.py
@@ -0,0 +1,141 @@
+"""What callers and workers saw, and when what was wrong."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter, defaultdict
+
+from fleetwire.tests.client import Ended, Outcome
+from fleetwire.tests.worker_standin import Arrival, Worker
+
+# Seconds after a key's removal from which nothing under it may run.
+REVOKE_SECONDS = 5.0
+# Seconds after a worker's entry says so until it gets nothing new, and more for a
+# machine whose own way or process was in trouble.
+LEAVING_SECONDS = 3.0
+# Seconds past its time limit by which a request has an answer.
+ANSWER_SECONDS = 1.0
+PROMISES = (408, 421, 429, 503)
+
+
+class Evidence:
+    """Collect what was seen and find broken promises."""
+
+    def __init__(self) -> None:
+        self._began = asyncio.get_running_loop().time()
+        self.outcomes: list[Outcome] = []
+        self.faults: Counter[str] = Counter()
+        self._removed: dict[str, float] = {}
+        self._leaving: dict[str, float] = {}
+        self._troubled = False
+
+    def note_fault(self, name: str) -> None:
+        """Count a fault."""
+        self.faults[name] += 1
+
+    def note_unplanned(self, host: str) -> None:
+        """Note that a gateway was killed or suspended."""
+        self._troubled = True
+
+    def note_stop(self, host: str) -> None:
+        """Note a planned stop of a gateway."""
+
+    def note_cut(self, host: str) -> None:
+        """Note that a gateway was cut off from the store."""
+        self._troubled = True
+
+    def note_store_trouble(self) -> None:
+        """Note that the store failed everyone."""
+        self._troubled = True
+
+    def note_leaving(self, worker: str) -> None:
+        """Note that a worker's entry says that it leaves."""
+        self._leaving[worker] = asyncio.get_running_loop().time()
+
+    def note_key_removed(self, key: str) -> None:
+        """Note that a key was taken away."""
+        self._removed[key] = asyncio.get_running_loop().time()
+
+    def find_breaches(self, workers: list[Worker]) -> list[str]:
+        """Return a sentence for each promise that broke."""
+        runs: dict[str, list[Arrival]] = defaultdict(list)
+        for worker in workers:
+            for arrival in worker.arrivals:
+                if arrival.ran:
+                    runs[arrival.attempt].append(arrival)
+        breaches: list[str] = []
+        for outcome in self.outcomes:
+            breaches += _judge(outcome, runs)
+        breaches += self._find_late_keys(workers)
+        breaches += self._find_late_work(workers)
+        breaches += _find_strangers(self.outcomes, workers)
+        return breaches
+
+    def measure_served(self, since: float) -> float:
+        """Return the part of the requests sent after a loop time that was served."""
+        late = [it for it in self.outcomes if it.sent_at >= since]
+        if not late:
+            return 1.0
+        return sum(it.ended is Ended.SERVED for it in late) / len(late)
+
+    def _find_late_keys(self, workers: list[Worker]) -> list[str]:
+        keys = {
+            name: outcome.job.key
+            for outcome in self.outcomes
+            for name in outcome.attempts
+        }
+        sent = {n: o.sent_at for o in self.outcomes for n in o.attempts}
+        return [
+            f"{arrival.attempt} ran under a removed key"
+            for worker in workers
+            for arrival in worker.arrivals
+            if arrival.ran
+            and sent.get(arrival.attempt, 0.0)
+            > self._removed.get(keys.get(arrival.attempt, ""), 1e18) + REVOKE_SECONDS
+        ]
+
+    def _find_late_work(self, workers: list[Worker]) -> list[str]:
+        if self._troubled:
+            # A machine that was cut off or suspended may act on what it knew.
+            return []
+        return [
+            f"{worker.name} got {arrival.attempt} after it was to leave"
+            for worker in workers
+            for arrival in worker.arrivals
+            if arrival.at > self._leaving.get(worker.name, 1e18) + LEAVING_SECONDS
+        ]
+
+
+def _judge(outcome: Outcome, runs: dict[str, list[Arrival]]) -> list[str]:
+    found: list[str] = []
+    job = outcome.job
+    is_resumed = job.target.startswith("/ask/")
+    for name, status in zip(outcome.attempts, outcome.statuses, strict=False):
+        count = len(runs[name])
+        if count > 1 and not job.is_idempotent and not is_resumed:
+            found.append(f"{name} ran {count} times")
+        if status in PROMISES and count:
+            found.append(f"{name} was told {status} and ran")
+    if outcome.ended is Ended.SERVED and outcome.body != _expect(outcome):
+        found.append(f"{outcome.attempts[-1]} got {outcome.body[-40:]!r}")
+    if outcome.seconds > job.seconds + ANSWER_SECONDS:
+        found.append(f"{outcome.attempts[-1:]} took {outcome.seconds:.1f} s")
+    return found
+
+
+def _expect(outcome: Outcome) -> bytes:
+    job = outcome.job
+    if job.tokens is None:
+        return f"done {job.target}".encode()
+    numbers = range(1, job.tokens[1] + 1)
+    return b"".join(f"id: {n}\ndata: piece {n}\n\n".encode() for n in numbers)
+
+
+def _find_strangers(outcomes: list[Outcome], workers: list[Worker]) -> list[str]:
+    sent = {name for outcome in outcomes for name in outcome.attempts}
+    return [
+        f"a worker got {arrival.attempt!r}, which nobody sent"
+        for worker in workers
+        for arrival in worker.arrivals
+        if arrival.attempt not in sent
+    ]
--- /dev/null
+++ b/soak/_faults.py
@@ -0,0 +1,159 @@
+"""Faults from outside, drawn from a seed; they come in series and overlap."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+from collections.abc import Awaitable, Callable
+
+from fleetwire.tests.store_standin import Trouble
+from fleetwire.tests.worker_standin import Manner
+
+from ._evidence import Evidence
+from ._fleet import ENGINES, PLAIN, Fleet
+from ._relay import Mode, Relay
+
+# Seconds that a fault lasts at most; most are shorter.
+MAX_FAULT_SECONDS = 3.0
+# Seconds between the beginnings of two faults, on average.
+PAUSE_SECONDS = 0.8
+# Manners of workers that a gateway must bear.
+MANNERS = [it for it in Manner if it not in (Manner.WELL, Manner.CRASH)]
+BREAKING_MODES = [Mode.RESET, Mode.SILENT, Mode.ONE_WAY]
+
+
+class Faults:
+    """Inject faults until it is told to end."""
+
+    def __init__(self, fleet: Fleet, evidence: Evidence, rng: random.Random) -> None:
+        self._fleet = fleet
+        self._evidence = evidence
+        self._rng = rng
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._acts: list[Callable[[], Awaitable[None]]] = [
+            self.kill,
+            self.stop_and_continue,
+            self.stop_as_planned,
+            self.reload,
+            self.break_store_way,
+            self.trouble_store,
+            self.break_worker_way,
+            self.misbehave,
+            self.crash_worker,
+            self.replace_worker,
+            self.change_key,
+        ]
+
+    async def run(self, seconds: float) -> None:
+        """Begin faults for some seconds, then wait until all have ended."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + seconds
+        while loop.time() < end:
+            act = self._rng.choice(self._acts)
+            self._evidence.note_fault(act.__name__)
+            task = loop.create_task(act())
+            self._tasks.add(task)
+            await asyncio.sleep(self._rng.expovariate(1 / PAUSE_SECONDS))
+        await asyncio.gather(*self._tasks)
+
+    async def kill(self) -> None:
+        """Kill a gateway and start it again."""
+        program = self._rng.choice(self._fleet.programs)
+        self._evidence.note_unplanned(program.host)
+        await program.kill()
+        await asyncio.sleep(self._draw())
+        if not program.is_running:
+            await program.start()
+
+    async def stop_and_continue(self) -> None:
+        """Suspend a gateway's process for a while."""
+        program = self._rng.choice(self._fleet.programs)
+        self._evidence.note_unplanned(program.host)
+        program.signal(signal.SIGSTOP)
+        await asyncio.sleep(self._draw())
+        program.signal(signal.SIGCONT)
+
+    async def stop_as_planned(self) -> None:
+        """Stop a gateway as planned and start it again."""
+        program = self._rng.choice(self._fleet.programs)
+        self._evidence.note_stop(program.host)
+        program.signal(signal.SIGTERM)
+        process = program.process
+        await process.wait()
+        if program.process is process:
+            await self._fleet.restart(program)
+
+    async def reload(self) -> None:
+        """Have a gateway read its settings again."""
+        self._rng.choice(self._fleet.programs).signal(signal.SIGHUP)
+
+    async def break_store_way(self) -> None:
+        """Break a gateway's way to the store."""
+        place = self._rng.randrange(len(self._fleet.store_relays))
+        self._evidence.note_cut(self._fleet.programs[place].host)
+        await self._break(self._fleet.store_relays[place])
+
+    async def trouble_store(self) -> None:
+        """Have the store fail everyone."""
+        switches = self._fleet.store.switches
+        self._evidence.note_store_trouble()
+        if self._rng.random() < 0.3:
+            switches.delay = self._rng.uniform(0.1, 0.8)
+        else:
+            switches.trouble = self._rng.choice([it for it in Trouble])
+        await asyncio.sleep(self._draw())
+        switches.trouble, switches.delay = Trouble.NONE, 0.0
+
+    async def break_worker_way(self) -> None:
+        """Break the way to a worker."""
+        relays = list(self._fleet.worker_relays.values())
+        await self._break(self._rng.choice(relays))
+
+    async def misbehave(self) -> None:
+        """Have a worker treat its next requests badly."""
+        worker = self._rng.choice(self._fleet.workers)
+        count = self._rng.randint(1, 4)
+        worker.manners += [self._rng.choice(MANNERS) for _ in range(count)]
+
+    async def crash_worker(self) -> None:
+        """Crash a worker, which is back at its address after a while."""
+        worker = self._rng.choice(self._fleet.workers)
+        await worker.close()
+        await asyncio.sleep(self._draw())
+        await worker.start()
+
+    async def replace_worker(self) -> None:
+        """Have a worker leave and another one come."""
+        service = self._rng.choice((PLAIN, ENGINES))
+        entries = self._fleet.store.objects
+        ready = [
+            worker
+            for worker in self._fleet.workers
+            if entries.get(("servers", worker.name), {}).get("spec", {}).get("service")
+            == service
+        ]
+        if len(ready) < 2:
+            return
+        leaving = self._rng.choice(ready)
+        await self._fleet.add_worker(service)
+        self._fleet.register(leaving, service, "draining")
+        self._evidence.note_leaving(leaving.name)
+        await asyncio.sleep(self._draw())
+        if ("servers", leaving.name) in entries:
+            self._fleet.store.remove("servers", leaving.name)
+
+    async def change_key(self) -> None:
+        """Take a key away and give another."""
+        self._evidence.note_key_removed(self._fleet.change_key())
+
+    async def _break(self, relay: Relay) -> None:
+        if self._rng.random() < 0.4:
+            relay.set_mode(Mode.DELAY, self._rng.uniform(0.05, 0.6))
+        else:
+            relay.set_mode(self._rng.choice(BREAKING_MODES))
+        await asyncio.sleep(self._draw())
+        relay.set_mode(Mode.PASS)
+
+    def _draw(self) -> float:
+        return min(MAX_FAULT_SECONDS, self._rng.expovariate(1.0))
--- /dev/null
+++ b/soak/_fleet.py
@@ -0,0 +1,115 @@
+"""Gateways as processes, with the store and workers behind relays."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import tempfile
+from pathlib import Path
+from typing import Any
+
+from fleetwire.tests.fleet import Program, write_toml
+from fleetwire.tests.rig import find_free_port, make_settings, make_spec
+from fleetwire.tests.store_standin import Store
+from fleetwire.tests.worker_standin import Worker
+
+from ._relay import Relay
+
+PLAIN, ENGINES = "plain", "engines"
+
+
+class Fleet:
+    """Hold all processes, stand-ins and relays of one play."""
+
+    def __init__(self, gateways: int, mutant: str = "") -> None:
+        self._count = gateways
+        self._mutant = mutant
+        self._folder = tempfile.TemporaryDirectory(prefix="fireflyquay-soak-")
+        self.store = Store()
+        self.workers: list[Worker] = []
+        self.programs: list[Program] = []
+        self.ports = [find_free_port() for _ in range(4)]
+        # The store's relay of each gateway, and each worker's.
+        self.store_relays: list[Relay] = []
+        self.worker_relays: dict[str, Relay] = {}
+        # Version and keys in force.
+        self.version = 1
+        self.key = "key-1"
+
+    async def start(self, plain: int, engines: int) -> None:
+        """Start everything and wait until all gateways know each other."""
+        await self.store.start()
+        self.put_config()
+        for service, count in ((PLAIN, plain), (ENGINES, engines)):
+            for _ in range(count):
+                await self.add_worker(service)
+        for number in range(self._count):
+            await self._add_gateway(number)
+        for program in self.programs:
+            await program.wait_ready(self._count - 1)
+
+    def put_config(self, **changes: Any) -> None:
+        """Put a version of the configuration in force."""
+        tenants = [{"name": "hule", "apiKeys": [self.key], "priority": 1}]
+        spec = make_spec(self.version, **{"tenants": tenants, **changes})
+        self.store.put("config", "main", spec)
+
+    def change_key(self) -> str:
+        """Take the key away, give another and return the old one."""
+        old = self.key
+        self.version += 1
+        self.key = f"key-{self.version}"
+        self.put_config()
+        return old
+
+    async def add_worker(self, service: str) -> Worker:
+        """Start a worker behind a relay and register the relay's address."""
+        worker = Worker()
+        await worker.start()
+        relay = Relay(worker.port)
+        await relay.start()
+        self.workers.append(worker)
+        self.worker_relays[worker.name] = relay
+        self.register(worker, service)
+        return worker
+
+    def register(self, worker: Worker, service: str, state: str = "ready") -> None:
+        """Write a worker's entry."""
+        entry = worker.describe(service, state)
+        relay = self.worker_relays[worker.name]
+        entry["address"] = f"127.0.0.1:{relay.port}"
+        self.store.put("servers", worker.name, entry)
+
+    async def restart(self, program: Program) -> None:
+        """Start a gateway again that has ended."""
+        await program.kill()
+        await program.start()
+
+    async def close(self) -> None:
+        """End all processes that this fleet started."""
+        for program in self.programs:
+            program.signal(signal.SIGCONT)
+            await program.kill()
+        for worker in self.workers:
+            await worker.close()
+        for relay in (*self.store_relays, *self.worker_relays.values()):
+            await relay.close()
+        await self.store.close()
+        self._folder.cleanup()
+
+    async def _add_gateway(self, number: int) -> None:
+        relay = Relay(self.store.port)
+        await relay.start()
+        self.store_relays.append(relay)
+        host = f"127.0.0.{number + 1}"
+        settings = make_settings(host, self.ports, relay.port, stop_grace=3.0)
+        path = Path(self._folder.name) / f"{number}.toml"
+        path.write_text(write_toml(settings))
+        program = Program(path, host, self._mutant)
+        self.programs.append(program)
+        await program.start()
+
+
+async def wait_while_running(seconds: float) -> None:
+    """Let real time pass."""
+    await asyncio.sleep(seconds)
--- /dev/null
+++ b/soak/_relay.py
@@ -0,0 +1,108 @@
+"""A loopback proxy that delays, resets, silences or cuts connections one way."""
+
+from __future__ import annotations
+
+import asyncio
+from enum import StrEnum
+
+from fireflyquay.links import abort_connection
+
+CHUNK_BYTES = 65536
+POLL_SECONDS = 0.02
+
+
+class Mode(StrEnum):
+    """Say what a relay does with its connections."""
+
+    PASS = "PASS"  # noqa: S105
+    # Each chunk comes later.
+    DELAY = "DELAY"
+    # New connections and those in use are reset.
+    RESET = "RESET"
+    # Nothing passes; connections stay open.
+    SILENT = "SILENT"
+    # Requests pass, answers don't.
+    ONE_WAY = "ONE_WAY"
+
+
+class Relay:
+    """Pass bytes between a port of its own and another one."""
+
+    def __init__(self, target: int, host: str = "127.0.0.1") -> None:
+        self._host = host
+        self._target = target
+        self.mode = Mode.PASS
+        # Seconds by which chunks are late.
+        self.delay = 0.0
+        self.port = 0
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> int:
+        """Listen and return the port."""
+        self._server = await asyncio.start_server(self._serve, self._host, 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+        return self.port
+
+    def set_mode(self, mode: Mode, delay: float = 0.0) -> None:
+        """Change what happens to connections, those in use included."""
+        self.mode, self.delay = mode, delay
+        if mode is Mode.RESET:
+            for writer in list(self._writers):
+                abort_connection(writer)
+
+    async def close(self) -> None:
+        """Reset all connections and stop."""
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._writers):
+            abort_connection(writer)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if self.mode is Mode.RESET:
+            abort_connection(writer)
+            return
+        try:
+            far_reader, far_writer = await asyncio.open_connection(
+                self._host, self._target
+            )
+        except OSError:
+            abort_connection(writer)
+            return
+        ends = (writer, far_writer)
+        self._writers.update(ends)
+        try:
+            await asyncio.gather(
+                self._pump(reader, far_writer, False),
+                self._pump(far_reader, writer, True),
+            )
+        except (OSError, asyncio.CancelledError):
+            pass
+        finally:
+            self._writers.difference_update(ends)
+            for end in ends:
+                end.close()
+
+    async def _pump(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        is_answer: bool,
+    ) -> None:
+        while True:
+            data = await reader.read(CHUNK_BYTES)
+            while self._holds(is_answer):
+                await asyncio.sleep(POLL_SECONDS)
+            if self.mode is Mode.DELAY:
+                await asyncio.sleep(self.delay)
+            if not data:
+                # The other way ends with the connection, as most servers do it.
+                writer.close()
+                return
+            writer.write(data)
+            await writer.drain()
+
+    def _holds(self, is_answer: bool) -> bool:
+        return self.mode is Mode.SILENT or (self.mode is Mode.ONE_WAY and is_answer)
--- /dev/null
+++ b/soak/mutants.py
@@ -0,0 +1,87 @@
+"""The program with one mechanism taken out, to show that the soak can fail."""
+
+from __future__ import annotations
+
+import asyncio
+import runpy
+import sys
+from collections.abc import Callable
+from pathlib import Path
+
+from fireflyquay.gateway import _gateway, _ingress
+from fireflyquay.gateway._ingress import Ingress, Rejected
+from fireflyquay.world import Code
+
+START = Path(__file__).parents[1] / "platform" / "start.py"
+
+
+def repeat_everything() -> None:
+    """Send requests again that may have run."""
+    Ingress._may_go_on = lambda *_: True
+
+
+def promise_everything() -> None:
+    """Tell what failed that it has not run."""
+    old = Ingress._give_up
+
+    def give_up(self: Ingress, call: object, outcome: object) -> None:
+        call.may_have_run = False
+        try:
+            old(self, call, outcome)
+        except Rejected:
+            raise Rejected(Code.OVERLOADED, "not run", 0.5) from None
+
+    Ingress._give_up = give_up
+
+
+def pass_cut_streams() -> None:
+    """Let streams that broke off look whole."""
+    old = Ingress._answer
+
+    async def answer(self: Ingress, exchange, responder, failure) -> None:  # noqa: ANN001
+        if responder.started:
+            await responder.finish()
+            return
+        await old(self, exchange, responder, failure)
+
+    Ingress._answer = answer
+
+
+def trust_old_keys() -> None:
+    """Serve by whatever configuration was known last."""
+    _ingress.STALE_MARGIN_SECONDS = -3600.0
+    _gateway.READY_AGE_SHARE = 1000.0
+    from fireflyquay.dispatch import ConfigBook
+
+    old = ConfigBook.offer
+
+    def offer(self: ConfigBook, config, proof) -> bool:  # noqa: ANN001
+        return old(self, config, proof) if self.config is None else False
+
+    ConfigBook.offer = offer
+
+
+def answer_never() -> None:
+    """Keep requests that fail without an answer."""
+
+    async def answer(self: Ingress, exchange, responder, failure) -> None:  # noqa: ANN001
+        await asyncio.sleep(3600)
+
+    Ingress._answer = answer
+
+
+MUTANTS: dict[str, Callable[[], None]] = {
+    it.__name__: it
+    for it in (
+        repeat_everything,
+        promise_everything,
+        pass_cut_streams,
+        trust_old_keys,
+        answer_never,
+    )
+}
+
+
+if __name__ == "__main__":
+    MUTANTS[sys.argv[1]]()
+    runpy.run_path(str(START), run_name="__main__")
