--- /dev/null
+++ b/emulator/_responder.py
@@ -0,0 +1,77 @@
+"""Takes a gateway's response for an emulated client."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from fireflyquay.links import CallerGoneError
+
+# Seconds between two parts that arrive one after another.
+ORDER_SECONDS = 1e-6
+
+
+class EmulatedResponder:
+    """Take a gateway's response for one emulated client."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, delay: float) -> None:
+        self._loop = loop
+        self._delay = delay
+        self.disconnected = asyncio.Event()
+        self.started = False
+        # Whether the gateway has ended the response, and whether its end has come.
+        self.is_closed = False
+        self.finished = False
+        self.status = 0
+        self.is_aborted = False
+        # Times and bytes as the client gets them.
+        self.parts: list[tuple[float, bytes]] = []
+        # Set whenever something has come.
+        self.news = asyncio.Event()
+        self._last_at = 0.0
+
+    async def send(self, status: int, headers: object, body: bytes) -> None:
+        """Send a whole response."""
+        await self.start(status, headers)
+        await self.write(body)
+        await self.finish()
+
+    async def start(self, status: int, headers: object) -> None:
+        """Send the status."""
+        self._check()
+        self.started, self.status = True, status
+
+    async def write(self, chunk: bytes) -> None:
+        """Send a chunk."""
+        self._check()
+        self._schedule(self._arrive, chunk)
+
+    async def finish(self) -> None:
+        """End the response."""
+        self._check()
+        self.is_closed = True
+        self._schedule(self._end, False)
+
+    def abort(self) -> None:
+        """Break the response off."""
+        self.is_closed = True
+        self._end(True)
+
+    def _schedule(self, call: Callable, argument: object) -> None:
+        """Have a part arrive after all earlier ones."""
+        earliest = self._last_at + ORDER_SECONDS
+        self._last_at = max(self._loop.time() + self._delay, earliest)
+        self._loop.call_at(self._last_at, call, argument)
+
+    def _arrive(self, chunk: bytes) -> None:
+        self.parts.append((self._loop.time(), chunk))
+        self.news.set()
+
+    def _end(self, is_aborted: bool) -> None:
+        if not self.finished:
+            self.finished, self.is_aborted = True, is_aborted
+            self.news.set()
+
+    def _check(self) -> None:
+        if self.disconnected.is_set() or self.is_closed:
+            raise CallerGoneError
--- a/emulator/_stage.py
+++ b/emulator/_stage.py
@@ -9,44 +9,20 @@
 from typing import Any
 
 from fireflyquay.dispatch import GrantorSettings
-from fireflyquay.gateway import (
-    Gateway,
-    GatewaySettings,
-    LoopClock,
-    PromiseSettings,
-    StoreSettings,
-    VmSettings,
-)
-from fireflyquay.world import (
-    BackendPhase,
-    ClientAccount,
-    ClientAccountId,
-    ClientLimits,
-    FleetConfig,
-    Incarnation,
-    Quota,
-    QuotaUnit,
-    Route,
-    Service,
-    ServiceId,
-    ServiceShare,
-    ZoneId,
-)
+from fireflyquay.gateway import Gateway, LoopClock
+from fireflyquay.world import BackendPhase, Incarnation, ZoneId
 
 from ._backend_link import EmulatedClient
 from ._clients import Clients, Gate
-from ._dialect import HOST, EmulatedDialect
+from ._dialect import EmulatedDialect
 from ._evidence import Evidence, Mark, Trouble
 from ._loop import VirtualLoop, run_virtual
 from ._network import EmulatedLink, Network
 from ._servers import EmulatedServer, make_servers
 from ._site import Kind, Site
+from ._stage_config import list_quotas, make_config, make_settings
 from ._store import EmulatedSource, EmulatedStore
 
-PEER_PORT, CLIENT_PORT = 7600, 8221
-SEEDS = 3
-# Seconds in which a stop must end what is in progress.
-STOP_GRACE = 8.0
 # Seconds for which an entry that left keeps serving.
 LEAVING_SECONDS = 2.0
 # Seconds from the start of the first VM until all know each other.
@@ -87,7 +63,8 @@
             self._add_servers(make_servers(name, engine, self._fork(), self._zones()))
         for name, service in self.site.services.items():
             self._add_servers(make_servers(name, service, self._fork(), self._zones()))
-        self.store.config = self._make_config(1)
+        self.store.config = make_config(self.site, 1, self.clients.keys)
+        self.evidence.quotas = list_quotas(self.store.config)
         self._mark("version", "1")
         for _ in range(self.site.vms):
             await self.add_vm()
@@ -151,7 +128,7 @@
         name = Incarnation(f"vm{number:04d}")
         rng = self._fork()
         gateway = Gateway(
-            self._make_settings(host, zone),
+            make_settings(self.site, host, zone, list(self.gateways)),
             EmulatedDialect(),
             EmulatedSource(
                 self.store, host, lambda: self.network.reaches(host, "store")
@@ -247,7 +224,7 @@
         """Put a new version of the configuration in the store."""
         assert self.store.config is not None
         version = self.store.config.version + 1
-        self.store.config = self._make_config(version)
+        self.store.config = make_config(self.site, version, self.clients.keys)
         self.store.note()
         self._mark("version", str(version))
         return version
@@ -279,57 +256,6 @@
         self.store.note()
         self._mark("gone", name)
 
-    def _make_settings(self, host: str, zone: str) -> GatewaySettings:
-        hosts = [host, *self.gateways][:SEEDS]
-        vm = VmSettings(
-            name=host,
-            zone=zone,
-            region="region",
-            client_address=f"{host}:{CLIENT_PORT}",
-            ready_address=f"{host}:{CLIENT_PORT}",
-            directory_address=f"{host}:{CLIENT_PORT}",
-            peer_address=f"{host}:{PEER_PORT}",
-            peer_port=PEER_PORT,
-            seeds=tuple(f"{it}:{PEER_PORT}" for it in hosts),
-        )
-        promises = {
-            "revoke": self.site.revoke,
-            "stop_grace": STOP_GRACE,
-            "repeat_ratio": 0.2,
-            "repeat_slack": 50.0,
-            "repeat_window": 10.0,
-            "quota_overshoot": 0.1,
-            "quota_slack": 0.0,
-            "max_keep": 5.0,
-            **self.site.promises,
-        }
-        store = StoreSettings("10.200.0.1:1", 1.0)
-        return GatewaySettings(vm, store, PromiseSettings(**promises))
-
-    def _make_config(self, version: int) -> FleetConfig:
-        limits = ClientLimits(16384, 1 << 20, 3.0, 15.0)
-        services = [*self.site.engines, *self.site.services]
-        return FleetConfig(
-            version,
-            tuple(_make_route(kind) for kind in self.site.kinds),
-            {ServiceId(name): Service(ServiceId(name), 500) for name in services},
-            limits,
-            tuple(self._make_account(name) for name in self.clients.keys),
-        )
-
-    def _make_account(self, name: str) -> ClientAccount:
-        quotas: tuple[Quota, ...] = ()
-        if self.site.quota_factor:
-            mean = sum(
-                kind.rate * (kind.prompt_tokens + kind.events * 5 + 200)
-                for kind in self.site.kinds
-            )
-            rate = self.site.quota_factor * mean / self.site.accounts
-            quotas = (Quota(QuotaUnit.TOKEN, rate, 4 * rate, 200.0),)
-            self.evidence.quotas[name] = (rate, 4 * rate)
-        key = self.clients.keys[name]
-        return ClientAccount(ClientAccountId(name), frozenset((key,)), None, quotas)
-
     def _resolve(self, zone: str) -> Sequence[str] | None:
         hosts = [
             host
@@ -371,23 +297,6 @@
         task.add_done_callback(self._tasks.discard)
 
 
-def _make_route(kind: Kind) -> Route:
-    return Route(
-        name=kind.name,
-        host=HOST,
-        path_prefix=f"/{kind.name}/",
-        is_stream=kind.is_stream,
-        repeat_rule=kind.repeat_rule,
-        timeout=kind.time_limit,
-        target_latency=kind.target,
-        rank=kind.rank,
-        shares=(ServiceShare(ServiceId(kind.service), 1),),
-        max_attempts=2,
-        is_public=False,
-        max_gap=kind.max_gap or None,
-    )
-
-
 def play(
     site: Site,
     seconds: float,
--- /dev/null
+++ b/emulator/_stage_config.py
@@ -0,0 +1,120 @@
+"""Settings and configuration of an emulated site."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+
+from fireflyquay.gateway import (
+    GatewaySettings,
+    PromiseSettings,
+    StoreSettings,
+    VmSettings,
+)
+from fireflyquay.world import (
+    ClientAccount,
+    ClientAccountId,
+    ClientLimits,
+    FleetConfig,
+    Quota,
+    QuotaUnit,
+    Route,
+    Service,
+    ServiceId,
+    ServiceShare,
+)
+
+from ._dialect import HOST
+from ._site import Kind, Site
+
+PEER_PORT, CLIENT_PORT = 7600, 8221
+# VMs that a new one is told of.
+SEEDS = 3
+# Seconds in which a stop must end what is in progress.
+STOP_GRACE = 8.0
+# Tokens of a plain request, and seconds of a quota's rate that may be used at once.
+PLAIN_TOKENS = 200.0
+BURST_SECONDS = 4.0
+
+
+def make_settings(
+    site: Site, host: str, zone: str, known: Sequence[str]
+) -> GatewaySettings:
+    """Return a gateway's settings; it is told of some hosts that run."""
+    hosts = [host, *known][:SEEDS]
+    address = f"{host}:{CLIENT_PORT}"
+    vm = VmSettings(
+        name=host,
+        zone=zone,
+        region="region",
+        client_address=address,
+        ready_address=address,
+        directory_address=address,
+        peer_address=f"{host}:{PEER_PORT}",
+        peer_port=PEER_PORT,
+        seeds=tuple(f"{it}:{PEER_PORT}" for it in hosts),
+    )
+    promises = {
+        "revoke": site.revoke,
+        "stop_grace": STOP_GRACE,
+        "repeat_ratio": 0.2,
+        "repeat_slack": 50.0,
+        "repeat_window": 10.0,
+        "quota_overshoot": 0.1,
+        "quota_slack": 0.0,
+        "max_keep": 5.0,
+        **site.promises,
+    }
+    store = StoreSettings("10.200.0.1:1", 1.0)
+    return GatewaySettings(vm, store, PromiseSettings(**promises))
+
+
+def make_config(site: Site, version: int, keys: Mapping[str, str]) -> FleetConfig:
+    """Return a version of the configuration with each account's key."""
+    limits = ClientLimits(16384, 1 << 20, 3.0, 15.0)
+    services = [*site.engines, *site.services]
+    return FleetConfig(
+        version,
+        tuple(_make_route(kind) for kind in site.kinds),
+        {ServiceId(name): Service(ServiceId(name), 500) for name in services},
+        limits,
+        tuple(_make_account(site, name, key) for name, key in keys.items()),
+    )
+
+
+def list_quotas(config: FleetConfig) -> dict[str, tuple[float, float]]:
+    """Return each account's tokens a second, and at once."""
+    return {
+        account.id: (quota.rate, quota.burst)
+        for account in config.accounts
+        for quota in account.quotas
+    }
+
+
+def _make_account(site: Site, name: str, key: str) -> ClientAccount:
+    quotas: tuple[Quota, ...] = ()
+    if site.quota_factor:
+        mean = sum(
+            kind.rate * (kind.prompt_tokens + kind.events * 5 + PLAIN_TOKENS)
+            for kind in site.kinds
+        )
+        rate = site.quota_factor * mean / site.accounts
+        burst = BURST_SECONDS * rate
+        quotas = (Quota(QuotaUnit.TOKEN, rate, burst, PLAIN_TOKENS),)
+    return ClientAccount(ClientAccountId(name), frozenset((key,)), None, quotas)
+
+
+def _make_route(kind: Kind) -> Route:
+    return Route(
+        name=kind.name,
+        host=HOST,
+        path_prefix=f"/{kind.name}/",
+        is_stream=kind.is_stream,
+        repeat_rule=kind.repeat_rule,
+        timeout=kind.time_limit,
+        target_latency=kind.target,
+        rank=kind.rank,
+        shares=(ServiceShare(ServiceId(kind.service), 1),),
+        max_attempts=2,
+        is_public=False,
+        max_gap=kind.max_gap or None,
+    )
--- a/proofs/__init__.py
+++ b/proofs/__init__.py
@@ -1,6 +1,8 @@
 """Proofs of the promises: an oracle, scenarios and a state machine over fleets."""
 
-from ._oracle import CHECKS, Check, Oracle
+from ._check import Check
+from ._oracle import CHECKS, Oracle
+from ._request_checks import UrgentFirst
 from ._sites import make_site
 
-__all__ = ["CHECKS", "Check", "Oracle", "make_site"]
+__all__ = ["CHECKS", "Check", "Oracle", "UrgentFirst", "make_site"]
--- a/proofs/tests/test_fleet_machine.py
+++ b/proofs/tests/test_fleet_machine.py
@@ -6,8 +6,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
 
 from emulator import Stage, VirtualLoop
-from proofs import Oracle
-from proofs._sites import make_site
+from proofs import Oracle, make_site
 
 PICKS = st.integers(0, 99)
 SHORT = st.floats(0.2, 3.0)
--- a/proofs/tests/test_mutations.py
+++ b/proofs/tests/test_mutations.py
@@ -19,9 +19,7 @@
 from fireflyquay.gateway import Gateway, _gateway, _ingress
 from fireflyquay.gateway._ingress import Ingress
 from fireflyquay.world import BackendPhase, Code
-from proofs import CHECKS, Oracle
-from proofs._oracle import UrgentFirst
-from proofs._sites import make_site
+from proofs import CHECKS, Oracle, UrgentFirst, make_site
 
 STRICT = GrantorSettings(least_share=0.0, hope_share=0.0)
 
--- a/proofs/tests/test_plays.py
+++ b/proofs/tests/test_plays.py
@@ -3,8 +3,7 @@
 import pytest
 
 from emulator import Stage, run_virtual
-from proofs import Oracle
-from proofs._sites import make_site
+from proofs import Oracle, make_site
 
 
 def play(trouble, seconds=12.0, settle=10.0, seed=1, **site):
--- a/soak/_evidence.py
+++ b/soak/_evidence.py
@@ -4,6 +4,8 @@
 
 import asyncio
 from collections import Counter, defaultdict
+from collections.abc import Iterator
+from contextlib import contextmanager
 
 from fleetwire.tests.client import Ended, Outcome
 from fleetwire.tests.worker_standin import Arrival, Worker
@@ -15,6 +17,8 @@
 LEAVING_SECONDS = 3.0
 # Seconds past its time limit by which a request has an answer.
 ANSWER_SECONDS = 1.0
+# Seconds after trouble in which a gateway may still be slow.
+CALM_SECONDS = 3.0
 PROMISES = (408, 421, 429, 503)
 
 
@@ -27,26 +31,22 @@
         self.faults: Counter[str] = Counter()
         self._removed: dict[str, float] = {}
         self._leaving: dict[str, float] = {}
-        self._troubled = False
+        # Host, beginning and end of each trouble; an empty host stands for all.
+        self._troubles: list[tuple[str, float, float]] = []
 
     def note_fault(self, name: str) -> None:
         """Count a fault."""
         self.faults[name] += 1
 
-    def note_unplanned(self, host: str) -> None:
-        """Note that a gateway was killed or suspended."""
-        self._troubled = True
-
-    def note_stop(self, host: str) -> None:
-        """Note a planned stop of a gateway."""
-
-    def note_cut(self, host: str) -> None:
-        """Note that a gateway was cut off from the store."""
-        self._troubled = True
-
-    def note_store_trouble(self) -> None:
-        """Note that the store failed everyone."""
-        self._troubled = True
+    @contextmanager
+    def trouble(self, host: str = "") -> Iterator[None]:
+        """Note that a gateway, or all of them, were in trouble meanwhile."""
+        loop = asyncio.get_running_loop()
+        since = loop.time()
+        try:
+            yield
+        finally:
+            self._troubles.append((host, since, loop.time()))
 
     def note_leaving(self, worker: str) -> None:
         """Note that a worker's entry says that it leaves."""
@@ -66,6 +66,7 @@
         breaches: list[str] = []
         for outcome in self.outcomes:
             breaches += _judge(outcome, runs)
+            breaches += self._find_unanswered(outcome, runs)
         breaches += self._find_late_keys(workers)
         breaches += self._find_late_work(workers)
         breaches += _find_strangers(self.outcomes, workers)
@@ -94,8 +95,27 @@
             > self._removed.get(keys.get(arrival.attempt, ""), 1e18) + REVOKE_SECONDS
         ]
 
+    def _find_unanswered(
+        self, outcome: Outcome, runs: dict[str, list[Arrival]]
+    ) -> list[str]:
+        """Find requests that a sound gateway neither sent on nor answered."""
+        since, until = outcome.sent_at - CALM_SECONDS, outcome.sent_at + outcome.seconds
+        return [
+            f"{name} got no answer from {host}"
+            for name, host, status in zip(
+                outcome.attempts, outcome.hosts, outcome.statuses, strict=False
+            )
+            if not status
+            and not runs[name]
+            and outcome.seconds >= outcome.job.seconds - 0.2
+            and not any(
+                who in ("", host) and began < until and ended > since
+                for who, began, ended in self._troubles
+            )
+        ]
+
     def _find_late_work(self, workers: list[Worker]) -> list[str]:
-        if self._troubled:
+        if self._troubles:
             # A machine that was cut off or suspended may act on what it knew.
             return []
         return [
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -60,29 +60,29 @@
     async def kill(self) -> None:
         """Kill a gateway and start it again."""
         program = self._rng.choice(self._fleet.programs)
-        self._evidence.note_unplanned(program.host)
-        await program.kill()
-        await asyncio.sleep(self._draw())
-        if not program.is_running:
-            await program.start()
+        with self._evidence.trouble(program.host):
+            await program.kill()
+            await asyncio.sleep(self._draw())
+            if not program.is_running:
+                await program.start()
 
     async def stop_and_continue(self) -> None:
         """Suspend a gateway's process for a while."""
         program = self._rng.choice(self._fleet.programs)
-        self._evidence.note_unplanned(program.host)
-        program.signal(signal.SIGSTOP)
-        await asyncio.sleep(self._draw())
-        program.signal(signal.SIGCONT)
+        with self._evidence.trouble(program.host):
+            program.signal(signal.SIGSTOP)
+            await asyncio.sleep(self._draw())
+            program.signal(signal.SIGCONT)
 
     async def stop_as_planned(self) -> None:
         """Stop a gateway as planned and start it again."""
         program = self._rng.choice(self._fleet.programs)
-        self._evidence.note_stop(program.host)
-        program.signal(signal.SIGTERM)
-        process = program.process
-        await process.wait()
-        if program.process is process:
-            await self._fleet.restart(program)
+        with self._evidence.trouble(program.host):
+            program.signal(signal.SIGTERM)
+            process = program.process
+            await process.wait()
+            if program.process is process:
+                await self._fleet.restart(program)
 
     async def reload(self) -> None:
         """Have a gateway read its settings again."""
@@ -91,18 +91,18 @@
     async def break_store_way(self) -> None:
         """Break a gateway's way to the store."""
         place = self._rng.randrange(len(self._fleet.store_relays))
-        self._evidence.note_cut(self._fleet.programs[place].host)
-        await self._break(self._fleet.store_relays[place])
+        with self._evidence.trouble(self._fleet.programs[place].host):
+            await self._break(self._fleet.store_relays[place])
 
     async def trouble_store(self) -> None:
         """Have the store fail everyone."""
         switches = self._fleet.store.switches
-        self._evidence.note_store_trouble()
         if self._rng.random() < 0.3:
             switches.delay = self._rng.uniform(0.1, 0.8)
         else:
             switches.trouble = self._rng.choice([it for it in Trouble])
-        await asyncio.sleep(self._draw())
+        with self._evidence.trouble():
+            await asyncio.sleep(self._draw())
         switches.trouble, switches.delay = Trouble.NONE, 0.0
 
     async def break_worker_way(self) -> None:
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import signal
 import tempfile
 from pathlib import Path
@@ -35,6 +34,7 @@
         # Version and keys in force.
         self.version = 1
         self.key = "key-1"
+        self.old_keys: list[str] = []
 
     async def start(self, plain: int, engines: int) -> None:
         """Start everything and wait until all gateways know each other."""
@@ -57,6 +57,7 @@
     def change_key(self) -> str:
         """Take the key away, give another and return the old one."""
         old = self.key
+        self.old_keys.append(old)
         self.version += 1
         self.key = f"key-{self.version}"
         self.put_config()
@@ -108,8 +109,3 @@
         program = Program(path, host, self._mutant)
         self.programs.append(program)
         await program.start()
-
-
-async def wait_while_running(seconds: float) -> None:
-    """Let real time pass."""
-    await asyncio.sleep(seconds)
--- a/soak/_play.py
+++ b/soak/_play.py
@@ -79,7 +79,6 @@
         ]
         self._tasks: set[asyncio.Task[None]] = set()
         self._number = 0
-        self._old_key = fleet.key
 
     async def run(self) -> None:
         """Send until cancelled."""
@@ -98,9 +97,7 @@
         self._number += 1
         key = self._fleet.key
         if self._rng.random() < OLD_KEY_SHARE:
-            key = self._old_key
-        elif self._rng.random() < OLD_KEY_SHARE:
-            self._old_key = key
+            key = self._rng.choice(self._fleet.old_keys or [key])
         job = Job(
             f"/{kind}/{self._number}",
             key,
