Bear values of others that are nested thousands deep

Cause: decoders raise RecursionError on such bytes, which none of our handlers caught; a task that reads the store would have ended. One object of that kind made the platform's whole page unreadable.

--- a/fireflyquay/client/_answer.py
+++ b/fireflyquay/client/_answer.py
@@ -7,7 +7,13 @@
 
 import msgspec
 
-from fireflyquay.world import Code, FireflyquayError, RequestKey, Verdict
+from fireflyquay.world import (
+    UNREADABLE,
+    Code,
+    FireflyquayError,
+    RequestKey,
+    Verdict,
+)
 
 STATUS_OK = 200
 
@@ -78,7 +84,7 @@
     """Read an answer; raise RequestFailed when it can't be read."""
     try:
         decoded = msgspec.json.decode(body, type=AnswerBody)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+    except UNREADABLE:
         raise make_unreadable(key) from None
     if decoded.verdict is not Verdict.RAN:
         raise make_unreadable(key)
@@ -94,7 +100,7 @@
     """
     try:
         decoded = msgspec.json.decode(body, type=FailureBody)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+    except UNREADABLE:
         return make_unreadable(key)
     code = _read_code(decoded.code)
     if decoded.retry_after is not None:
--- a/fireflyquay/client/_attempt.py
+++ b/fireflyquay/client/_attempt.py
@@ -11,7 +11,12 @@
 
 import msgspec
 
-from fireflyquay.world import Code, RequestKey, Verdict
+from fireflyquay.world import (
+    UNREADABLE,
+    Code,
+    RequestKey,
+    Verdict,
+)
 
 from ._answer import (
     STATUS_OK,
@@ -254,7 +259,7 @@
     def _decode(self, event: ServerEvent, target: type[T]) -> T:
         try:
             return msgspec.json.decode(event.data, type=target)
-        except msgspec.MsgspecError:
+        except UNREADABLE:
             raise make_unreadable(self.key) from None
 
 
--- a/fireflyquay/client/_directory.py
+++ b/fireflyquay/client/_directory.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from fireflyquay.world import UNREADABLE
+
 from ._answer import EntriesUnreachable
 from ._wire import ConnectionLost, HttpClient, send_request
 
@@ -85,7 +87,7 @@
                 self._http, address, "GET", ENTRIES_TARGET, headers, b"", timeout
             )
             listed = msgspec.json.decode(reply.body, type=EntryList)
-        except (ConnectionLost, msgspec.MsgspecError, UnicodeDecodeError):
+        except (ConnectionLost, *UNREADABLE):
             return False
         if reply.status != 200 or not listed.entries:
             return False
--- a/fireflyquay/contracts/_record_codec.py
+++ b/fireflyquay/contracts/_record_codec.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from fireflyquay.world import (
+    UNREADABLE,
     BackendRecord,
     BackendServer,
     Code,
@@ -51,7 +52,7 @@
                     self._code, f"Format {envelope.format} is unknown."
                 )
             return self._records.decode(envelope.record)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        except UNREADABLE as error:
             raise FireflyquayError(
                 self._code, f"The stored value is unreadable: {error}."
             ) from error
--- a/fireflyquay/daemons/_output.py
+++ b/fireflyquay/daemons/_output.py
@@ -10,7 +10,13 @@
 import msgspec
 
 from fireflyquay.client import EntriesUnreachable, RequestFailed
-from fireflyquay.world import Code, FireflyquayError, Tier, Verdict
+from fireflyquay.world import (
+    UNREADABLE,
+    Code,
+    FireflyquayError,
+    Tier,
+    Verdict,
+)
 
 HIDDEN = "(hidden)"
 
@@ -152,5 +158,5 @@
         return None
     try:
         return hide_tokens(msgspec.json.decode(text))
-    except msgspec.MsgspecError:
+    except UNREADABLE:
         return text
--- a/fireflyquay/daemons/_request_commands.py
+++ b/fireflyquay/daemons/_request_commands.py
@@ -9,7 +9,10 @@
 import msgspec
 
 from fireflyquay.client import Client
-from fireflyquay.world import Code
+from fireflyquay.world import (
+    UNREADABLE,
+    Code,
+)
 
 from ._context import Context, add_entry_options, add_json_option
 from ._output import ExitCode, UsageFault, format_json, to_plain
@@ -90,7 +93,7 @@
         )
     try:
         return msgspec.json.decode(arguments.body)
-    except msgspec.MsgspecError as error:
+    except UNREADABLE as error:
         sentence = f"The body is not JSON: {error}."
         raise UsageFault(Code.BAD_REQUEST, sentence) from error
 
--- a/fireflyquay/daemons/_trace_commands.py
+++ b/fireflyquay/daemons/_trace_commands.py
@@ -7,7 +7,11 @@
 
 import msgspec
 
-from fireflyquay.world import Code, FireflyquayError
+from fireflyquay.world import (
+    UNREADABLE,
+    Code,
+    FireflyquayError,
+)
 
 from ._change_view import describe_change, list_changes
 from ._context import (
@@ -92,7 +96,7 @@
         return "no answer"
     try:
         return msgspec.json.decode(body)
-    except msgspec.MsgspecError:
+    except UNREADABLE:
         return "an unreadable answer"
 
 
--- a/fireflyquay/interface/_dialect.py
+++ b/fireflyquay/interface/_dialect.py
@@ -22,6 +22,7 @@
 )
 from fireflyquay.links import HttpRequest, RawHeaders
 from fireflyquay.world import (
+    UNREADABLE,
     AttemptId,
     BackendEntry,
     BackendKind,
@@ -231,7 +232,7 @@
 def _decode_refusal(body: bytes) -> BackendRefusal:
     try:
         return msgspec.json.decode(body, type=BackendRefusal)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+    except UNREADABLE:
         return BackendRefusal()
 
 
@@ -239,6 +240,6 @@
     """Return a service's answer as JSON, or as text if it is none."""
     try:
         msgspec.json.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+    except UNREADABLE:
         return body.decode("utf-8", "replace")
     return msgspec.Raw(body)
--- a/fireflyquay/interface/_engine_reader.py
+++ b/fireflyquay/interface/_engine_reader.py
@@ -6,7 +6,12 @@
 
 from fireflyquay.gateway import BrokenAnswer, EventReader
 from fireflyquay.links import SseEvent, SseParser, encode_sse
-from fireflyquay.world import FireflyquayError, RequestKey, Verdict
+from fireflyquay.world import (
+    UNREADABLE,
+    FireflyquayError,
+    RequestKey,
+    Verdict,
+)
 
 
 class EngineChunk(msgspec.Struct, frozen=True):
@@ -103,7 +108,7 @@
                 case "failed":
                     fault = msgspec.json.decode(event.data, type=EngineFault)
                     raise BrokenAnswer(fault.sentence)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except UNREADABLE as error:
             raise BrokenAnswer(f"Unreadable event: {error}.") from None
         raise BrokenAnswer(f"Unknown event {event.name!r}.")
 
--- a/fireflyquay/interface/_key_claims.py
+++ b/fireflyquay/interface/_key_claims.py
@@ -16,7 +16,13 @@
 )
 from fireflyquay.gateway import Call, KeyClaims, Rejected, fingerprint_request
 from fireflyquay.links import Store
-from fireflyquay.world import Code, Fingerprint, Incarnation, RepeatRule
+from fireflyquay.world import (
+    UNREADABLE,
+    Code,
+    Fingerprint,
+    Incarnation,
+    RepeatRule,
+)
 
 from ._parser import CallerFacts
 
@@ -122,7 +128,7 @@
     """Return a stored claim, None if it can't be read."""
     try:
         return msgspec.json.decode(value, type=ClaimRecord)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except UNREADABLE:
         return None
 
 
--- a/fireflyquay/interface/_parser.py
+++ b/fireflyquay/interface/_parser.py
@@ -11,6 +11,7 @@
 from fireflyquay.gateway import RequestFacts
 from fireflyquay.links import HttpRequest
 from fireflyquay.world import (
+    UNREADABLE,
     AttemptId,
     Code,
     FireflyquayError,
@@ -110,7 +111,7 @@
         return RequestBody()
     try:
         return msgspec.json.decode(body, type=RequestBody)
-    except (msgspec.DecodeError, RecursionError) as error:
+    except UNREADABLE as error:
         sentence = f"The body is wrong: {error}."
         raise FireflyquayError(Code.BAD_REQUEST, sentence) from None
 
--- a/fireflyquay/links/_peer.py
+++ b/fireflyquay/links/_peer.py
@@ -12,7 +12,11 @@
 from fireflyquay.membership import (
     Message,
 )
-from fireflyquay.world import EntryVm, Incarnation
+from fireflyquay.world import (
+    UNREADABLE,
+    EntryVm,
+    Incarnation,
+)
 
 from ._sockets import configure_socket
 
@@ -242,7 +246,7 @@
     def _take_frame(self, body: bytes) -> None:
         try:
             envelope = self._envelopes.decode(body)
-        except (msgspec.DecodeError, msgspec.ValidationError):
+        except UNREADABLE:
             self.traffic.rejected += 1
             return
         if envelope.target not in ("", self._own):
@@ -253,7 +257,7 @@
     def _take_message(self, sender: Incarnation, raw: msgspec.Raw) -> None:
         try:
             message = self._decoder.decode(raw)
-        except (msgspec.DecodeError, msgspec.ValidationError):
+        except UNREADABLE:
             self.traffic.rejected += 1
             return
         self.traffic.messages_received += 1
--- a/fireflyquay/links/_store.py
+++ b/fireflyquay/links/_store.py
@@ -20,7 +20,12 @@
     StoreRead,
     StoreWrite,
 )
-from fireflyquay.world import Code, FireflyquayError, VmListing
+from fireflyquay.world import (
+    UNREADABLE,
+    Code,
+    FireflyquayError,
+    VmListing,
+)
 
 from ._http_client import HttpClient
 from ._http_message import HttpFailure, HttpResponse
@@ -185,5 +190,5 @@
 def _decode(response: HttpResponse, kind: type[T]) -> T | None:
     try:
         return msgspec.json.decode(response.body, type=kind)
-    except msgspec.DecodeError:
+    except UNREADABLE:
         return None
--- a/fireflyquay/world/__init__.py
+++ b/fireflyquay/world/__init__.py
@@ -40,9 +40,11 @@
     ZoneId,
 )
 from ._key import is_valid_key
+from ._unreadable import UNREADABLE
 from ._verdict import Verdict
 
 __all__ = [
+    "UNREADABLE",
     "AttemptId",
     "BackendEntry",
     "BackendPhase",
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -5,7 +5,6 @@
 import signal
 import tempfile
 from pathlib import Path
-from typing import Any
 
 from fleetwire.tests.fleet import Program, write_toml
 from fleetwire.tests.rig import find_free_port, make_settings, make_spec
@@ -48,11 +47,9 @@
         for program in self.programs:
             await program.wait_ready(self._count - 1)
 
-    def put_config(self, **changes: Any) -> None:
+    def put_config(self) -> None:
         """Put a version of the configuration in force."""
-        tenants = [{"name": "hule", "apiKeys": [self.key], "priority": 1}]
-        spec = make_spec(self.version, **{"tenants": tenants, **changes})
-        self.store.put("config", "main", spec)
+        self.store.put("config", "main", make_spec(self.version, self.key))
 
     def change_key(self) -> str:
         """Take the key away, give another and return the old one."""
--- /dev/null
+++ b/tests/test_bad_input.py
@@ -0,0 +1,211 @@
+"""Input of any kind gets a coded error or is passed over; the fleet goes on."""
+
+import json
+
+import msgspec
+import pytest
+from hypothesis import given, settings, strategies as st
+from msgspec import inspect
+
+from emulator import Stage, run_virtual
+from fireflyquay.contracts import (
+    BACKEND_CODEC,
+    BACKENDS_PREFIX,
+    CONTRACT_CODEC,
+    CONTRACTS_PREFIX,
+    StoredValue,
+    StoreListing,
+)
+from fireflyquay.dispatch import CONTROL_MESSAGE
+from fireflyquay.interface import ContractDialect, ContractSource, load_settings
+from fireflyquay.interface._key_claims import decode_claim
+from fireflyquay.links import HttpRequest
+from fireflyquay.world import Code, FireflyquayError
+from proofs import make_site
+
+NAMES = st.sampled_from(
+    ["vm0001", "vm0002", "nobody", "", "llm", "app", "llm-0", "account-0", "draft"]
+    + ["\x00", "ä" * 300, "ALIVE", "DEAD"]
+)
+INTEGERS = st.one_of(
+    st.integers(-3, 40), st.sampled_from([2**31, 2**63 - 1, 2**64 - 1, -(2**63)])
+)
+FLOATS = st.one_of(
+    st.floats(-2, 50, width=32),
+    st.sampled_from([float("nan"), float("inf"), -float("inf"), 1e308, -1e308, 5e-324]),
+)
+TYPES = inspect.type_info(CONTROL_MESSAGE).types
+# Seconds after which what nonsense claimed no longer counts.
+REST_SECONDS = 12.0
+
+
+def build_values(kind):
+    """Return a strategy of msgpack values that have a message's shape."""
+    match kind:
+        case inspect.StructType():
+            fields = st.tuples(*(build_values(it.type) for it in kind.fields))
+            tag = () if kind.tag is None else (kind.tag,)
+            return fields.map(lambda values: [*tag, *values])
+        case inspect.DataclassType():
+            return st.fixed_dictionaries(
+                {it.encode_name: build_values(it.type) for it in kind.fields}
+            )
+        case inspect.VarTupleType():
+            return st.lists(build_values(kind.item_type), max_size=5)
+        case inspect.TupleType():
+            return st.tuples(*(build_values(it) for it in kind.item_types))
+        case inspect.FrozenSetType():
+            return st.lists(build_values(kind.item_type), max_size=3)
+        case inspect.DictType():
+            return st.dictionaries(NAMES, build_values(kind.value_type), max_size=3)
+        case inspect.EnumType():
+            return st.sampled_from([item.value for item in kind.cls])
+        case inspect.UnionType():
+            return st.one_of(*(build_values(part) for part in kind.types))
+        case inspect.NoneType():
+            return st.none()
+        case inspect.BoolType():
+            return st.booleans()
+        case inspect.IntType():
+            return INTEGERS
+        case inspect.FloatType():
+            return FLOATS
+        case inspect.BytesType():
+            return st.binary(max_size=8)
+    return NAMES
+
+
+def list_nonsense(kind, count):
+    """Return messages of nonsense that can be decoded, the same in each run."""
+    found = []
+
+    @settings(derandomize=True, deadline=None, max_examples=count, database=None)
+    @given(build_values(kind))
+    def draw(value):
+        try:
+            data = msgspec.msgpack.encode(value)
+            found.append(msgspec.msgpack.decode(data, type=CONTROL_MESSAGE))
+        except (msgspec.ValidationError, OverflowError, UnicodeEncodeError):
+            return
+
+    draw()
+    return found
+
+
+@pytest.mark.parametrize("kind", TYPES, ids=lambda kind: kind.cls.__name__)
+def test_messages_of_nonsense_do_not_stop_a_fleet(kind):
+    messages = list_nonsense(kind, 60)
+    failures = []
+
+    async def play():
+        async with Stage(make_site(vms=2), seed=1) as stage:
+            handler = lambda loop, context: failures.append(context)  # noqa: E731
+            stage.loop.set_exception_handler(handler)
+            links = list(stage.network.links.values())
+            for number, message in enumerate(messages):
+                sender = ("vm0001", "vm0002", "nobody")[number % 3]
+                links[number % 2].take(sender, message)
+                await stage.run(0.01)
+            await stage.run(REST_SECONDS)
+            sent = [
+                stage.clients.send(stage.find_kind(name))
+                for name in ("look", "book", "ask", "draft") * 2
+            ]
+            await stage.run(6.0)
+        return sent
+
+    sent = run_virtual(play())
+    assert not failures, failures[0]
+    assert sum(request.is_served for request in sent) >= len(sent) - 1
+
+
+def change_bytes(sample):
+    """Return a strategy of a value's text, cut, grown or with other bytes in it."""
+    cut = st.integers(0, len(sample)).map(lambda end: sample[:end])
+    place = st.integers(0, len(sample) - 1)
+    piece = st.one_of(
+        st.binary(min_size=1, max_size=4),
+        st.sampled_from([b"-1", b"1e999", b"null", b'"x"', b"[" * 5000, b"9" * 400]),
+    )
+    swapped = st.tuples(place, st.integers(0, 8), piece).map(
+        lambda t: sample[: t[0]] + t[2] + sample[t[0] + t[1] :]
+    )
+    return st.one_of(cut, swapped, st.binary(max_size=30))
+
+
+TEXTS = st.text(st.characters(max_codepoint=255), max_size=250)
+BODIES = st.one_of(
+    change_bytes(
+        b'{"prompt": "p", "max_tokens": 4, "prompt_tokens": 3, "prefix": "x"}'
+    ),
+    st.sampled_from(
+        [b"[" * 10_000, b'{"a":' * 10_000, b'"\\ud800"', b"\xef\xbb\xbf{}"]
+    ),
+    st.recursive(
+        st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5),
+        lambda inner: st.lists(inner) | st.dictionaries(st.text(max_size=5), inner),
+        max_leaves=8,
+    ).map(lambda value: json.dumps(value).encode()),
+)
+OWN_FAULTS = (Code.BAD_REQUEST, Code.BAD_KEY, Code.UNKNOWN_CUSTOMER, Code.NOT_FOUND)
+
+
+@settings(derandomize=True, deadline=None, max_examples=400)
+@given(BODIES, TEXTS, TEXTS, TEXTS)
+def test_requests_of_nonsense_get_a_code_of_their_own_fault(body, key, token, path):
+    headers = {"idempotency-key": key, "authorization": f"Bearer {token}"}
+    target = b"/v1/requests/" + path.encode("latin-1")
+    request = HttpRequest(
+        "POST", "/v1/requests/label", {}, headers, body, target, list(headers.items())
+    )
+    try:
+        facts = ContractDialect().open(request).facts
+    except FireflyquayError as error:
+        assert error.code in OWN_FAULTS
+        return
+    assert facts.prompt_tokens >= 0 and facts.output_tokens >= 0
+
+
+class OneListing:
+    """Answer each list with one object."""
+
+    def __init__(self, path, value):
+        self.value = StoredValue(path, value, 1, 1)
+
+    async def call(self, call, timeout):
+        fits = self.value.path.startswith(call.prefix)
+        return StoreListing((self.value,) if fits else (), 1)
+
+
+CONTRACT = CONTRACT_CODEC.encode
+SAMPLES = {
+    f"{CONTRACTS_PREFIX}treipuu": b'{"format":1,"record":{"contract":{"customer":'
+    b'"treipuu","token":"t","tiers":{"label":0},"limits":{"requests_per_second":1.0,'
+    b'"tokens_per_second":1.0,"in_flight":1}},"version":1}}',
+    f"{BACKENDS_PREFIX}engine": b'{"format":1,"record":{"backend":{"server":"e","pool":'
+    b'"p","kind":"MODEL_ENGINE","zone":"z","host":"h","port":1,"slots":1,'
+    b'"token_slots":1},"version":1}}',
+}
+
+
+def test_samples_are_good():
+    contract, backend = SAMPLES.values()
+    assert CONTRACT_CODEC.decode(contract).version == 1
+    assert BACKEND_CODEC.decode(backend).version == 1
+
+
+@pytest.mark.parametrize("path", SAMPLES)
+def test_stored_values_of_nonsense_are_passed_over(path):
+    example = load_settings("docs/examples/node.toml")
+
+    @settings(derandomize=True, deadline=None, max_examples=200)
+    @given(change_bytes(SAMPLES[path]))
+    def read(value):
+        source = ContractSource(OneListing(path, value), None, example)
+        config = run_virtual(source.read_config()).config
+        backends = run_virtual(source.list_backends())
+        assert config.version >= 1
+        assert len(backends.entries) + len(backends.unreadable) <= 1
+        assert decode_claim(value) is None
+
+    read()
