End a link to a peer also when it was just connected

Cause: asyncio.wait_for drops a cancel that arrives in the turn in which the connection is made; the sender went on and the link's close waited for it. Ruled out: a second SIGTERM (seven moments tried, all ended); the HTTP servers (their ports were closed). Change: asyncio.timeout in its place. Test: fails before, in the link alone.

--- a/fireflyquay/links/_peer.py
+++ b/fireflyquay/links/_peer.py
@@ -102,8 +102,11 @@
                 await asyncio.sleep(RECONNECT_DELAY_S)
 
     async def _send_while_connected(self) -> None:
-        connect = asyncio.open_connection(self._address.host, self._address.port)
-        reader, writer = await asyncio.wait_for(connect, CONNECT_TIMEOUT_S)
+        # Not wait_for: it drops a cancel that comes as the connection is made.
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            reader, writer = await asyncio.open_connection(
+                self._address.host, self._address.port
+            )
         configure_socket(writer)
         closed = asyncio.ensure_future(reader.read(1))
         closed.add_done_callback(lambda _: self._wake.set())
--- a/fireflyquay/links/tests/test_peer.py
+++ b/fireflyquay/links/tests/test_peer.py
@@ -50,6 +50,50 @@
     assert {sender for sender, _ in heard} == {"one"}
 
 
+class SlowConnect:
+    """Stand in for asyncio.open_connection; complete when told."""
+
+    def __init__(self):
+        self.done = asyncio.get_running_loop().create_future()
+        self.called = asyncio.Event()
+
+    async def __call__(self, host, port):
+        self.called.set()
+        return await self.done
+
+
+class SilentWriter:
+    """Stand in for a stream's writer."""
+
+    def get_extra_info(self, name):
+        return None
+
+    def write(self, data):
+        return None
+
+    async def drain(self):
+        return None
+
+    def close(self):
+        return None
+
+
+async def close_while_connecting(monkeypatch):
+    connect = SlowConnect()
+    monkeypatch.setattr(asyncio, "open_connection", connect)
+    link = make_link("one", [])
+    link.send(make_vm("two", 9), Queued(1))
+    await connect.called.wait()
+    # The connection is there in the very turn in which the link is closed.
+    connect.done.set_result((asyncio.StreamReader(), SilentWriter()))
+    async with asyncio.timeout(WAIT_S):
+        await link.close()
+
+
+def test_a_link_that_just_connected_closes(monkeypatch):
+    asyncio.run(close_while_connecting(monkeypatch))
+
+
 async def send_garbage():
     heard = []
     link = make_link("two", heard)
--- a/soak/_evidence.py
+++ b/soak/_evidence.py
@@ -29,11 +29,16 @@
         self._began = asyncio.get_running_loop().time()
         self.outcomes: list[Outcome] = []
         self.faults: Counter[str] = Counter()
+        self._seen: list[str] = []
         self._removed: dict[str, float] = {}
         self._leaving: dict[str, float] = {}
         # Host, beginning and end of each trouble; an empty host stands for all.
         self._troubles: list[tuple[str, float, float]] = []
 
+    def note_breach(self, sentence: str) -> None:
+        """Note a promise that was seen broken while the play ran."""
+        self._seen.append(sentence)
+
     def note_fault(self, name: str) -> None:
         """Count a fault."""
         self.faults[name] += 1
@@ -63,7 +68,7 @@
             for arrival in worker.arrivals:
                 if arrival.ran:
                     runs[arrival.attempt].append(arrival)
-        breaches: list[str] = []
+        breaches = list(self._seen)
         for outcome in self.outcomes:
             breaches += _judge(outcome, runs)
             breaches += self._find_unanswered(outcome, runs)
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -18,6 +18,9 @@
 MAX_FAULT_SECONDS = 3.0
 # Seconds between the beginnings of two faults, on average.
 PAUSE_SECONDS = 0.8
+# Seconds in which a gateway ends after SIGTERM: its grace, and as long as it may have
+# been suspended meanwhile.
+STOP_SECONDS = 4.0 + MAX_FAULT_SECONDS
 # Manners of workers that a gateway must bear.
 MANNERS = [it for it in Manner if it not in (Manner.WELL, Manner.CRASH)]
 BREAKING_MODES = [Mode.RESET, Mode.SILENT, Mode.ONE_WAY]
@@ -80,7 +83,12 @@
         with self._evidence.trouble(program.host):
             program.signal(signal.SIGTERM)
             process = program.process
-            await process.wait()
+            try:
+                async with asyncio.timeout(STOP_SECONDS):
+                    await process.wait()
+            except TimeoutError:
+                last = [event["event"] for event in program.events[-5:]]
+                self._evidence.note_breach(f"{program.host} did not stop: {last}")
             if program.process is process:
                 await self._fleet.restart(program)
 
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -11,7 +11,9 @@
 SECONDS = 4.0
 GATEWAYS = 3
 # Seeds that broke a promise once, with the cause.
-REGRESSIONS: dict[int, str] = {}
+REGRESSIONS = {
+    1006: "a link that had just connected never closed, so a stop never ended",
+}
 
 
 @pytest.mark.parametrize("seed", [SEED, *REGRESSIONS])
