--- a/fireflyquay/membership/__init__.py
+++ b/fireflyquay/membership/__init__.py
@@ -16,7 +16,7 @@
 )
 from ._membership_settings import MembershipSettings
 from ._message import Message
-from ._rendezvous import choose_one, rank
+from ._rendezvous import rank
 
 __all__ = [
     "Ack",
@@ -35,6 +35,5 @@
     "PingRequest",
     "Send",
     "SendTo",
-    "choose_one",
     "rank",
 ]
