--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -14,6 +14,7 @@
     "transport": ["measure.transport"],
     "grants": ["measure.grants"],
     "fleets": ["measure.fleets"],
+    "recovery": ["measure.recovery"],
 }
 
 
