Ask a store that fails less and less often, and log the outcome in any case

Change: pauses between failed reads grow from 0.25 to 1.0 s. Overlapping faults of the soak no longer start one gateway twice at once.

--- a/fireflyquay/gateway/_beliefs.py
+++ b/fireflyquay/gateway/_beliefs.py
@@ -16,8 +16,10 @@
 
 LOG = logbook.Logger("beliefs")
 
-# Seconds after a failed read until the next.
+# Seconds after a first failed read until the next; twice as many after each further
+# one, up to a bound at which its return is noticed in time for what operators change.
 RETRY_SECONDS = 0.25
+MAX_RETRY_SECONDS = 1.0
 # Seconds without a successful read after which the store counts as having been away.
 OUTAGE_SECONDS = 2.5
 # Age in seconds of knowledge that other VMs vouch for at which this VM reads by itself.
@@ -86,12 +88,18 @@
         get_proof: Callable[[], Proof],
         wanted: asyncio.Event,
     ) -> None:
+        pause = RETRY_SECONDS
         while True:
             age = get_proof().measure_age(self._clock.read())
             is_old = age > OWN_READ_AGE_SECONDS
             if self._reads_always() or is_old or wanted.is_set():
                 wanted.clear()
-                await asyncio.sleep(await self._try(read))
+                if await self._try(read):
+                    pause = RETRY_SECONDS
+                    await asyncio.sleep(self._read_period)
+                else:
+                    await asyncio.sleep(pause)
+                    pause = min(2 * pause, MAX_RETRY_SECONDS)
                 continue
             try:
                 async with asyncio.timeout(LOOK_SECONDS):
@@ -99,14 +107,15 @@
             except TimeoutError:
                 continue
 
-    async def _try(self, read: Callable[[], Awaitable[None]]) -> float:
+    async def _try(self, read: Callable[[], Awaitable[None]]) -> bool:
+        """Read once; tell whether the store answered."""
         try:
             await read()
         except HttpFailure as failure:
             self._note_store(False, failure.sentence)
-            return RETRY_SECONDS
+            return False
         self._note_store(True, "")
-        return self._read_period
+        return True
 
     async def _read_config(self) -> None:
         sent_at = self._clock.read()
--- a/fireflyquay/gateway/_ingress.py
+++ b/fireflyquay/gateway/_ingress.py
@@ -120,10 +120,13 @@
             if is_on_time(call, loop.time()):
                 self._metrics.note_on_time(call.rank)
         except Rejected as rejected:
-            outcome, reason = await self._reject(exchange, call, responder, rejected)
+            true = _tell_truth(call, rejected)
+            outcome, reason = true.code.value, true.sentence
+            await self._reject(exchange, call, responder, true)
         except TimeoutError:
             late = _judge_late(call)
-            outcome, reason = await self._reject(exchange, call, responder, late)
+            outcome, reason = late.code.value, late.sentence
+            await self._reject(exchange, call, responder, late)
         except (asyncio.CancelledError, CallerGoneError):
             outcome = Code.CALLER_GONE.value
             raise
@@ -136,11 +139,9 @@
         call: Call | None,
         responder: HttpResponder,
         rejected: Rejected,
-    ) -> tuple[str, str]:
-        """Answer a request that failed; return its outcome and the reason."""
+    ) -> None:
+        """Answer a request that failed."""
         may_have_run = call is not None and call.may_have_run
-        if may_have_run and read_status(rejected.code) in PROMISING_STATUSES:
-            rejected = Rejected(Code.BACKEND_FAILED, rejected.sentence)
         if call is not None and call.is_claimed and not may_have_run:
             assert self._claims is not None
             await self._claims.release(call)
@@ -152,7 +153,6 @@
                 rejected.code, rejected.sentence, rejected.retry_after, may_have_run
             )
             await self._answer(exchange, responder, failure)
-        return rejected.code.value, rejected.sentence
 
     async def _refuse_malformed(
         self, responder: HttpResponder, error: FireflyquayError
@@ -339,6 +339,14 @@
         )
 
 
+def _tell_truth(call: Call | None, rejected: Rejected) -> Rejected:
+    """Return a rejection that does not promise what may be untrue."""
+    is_promise = read_status(rejected.code) in PROMISING_STATUSES
+    if is_promise and call is not None and call.may_have_run:
+        return Rejected(Code.BACKEND_FAILED, rejected.sentence)
+    return rejected
+
+
 def _judge_late(call: Call | None) -> Rejected:
     """Return the answer to a request whose time is up."""
     if call is not None and not call.may_have_run:
--- a/proofs/tests/test_plays.py
+++ b/proofs/tests/test_plays.py
@@ -206,3 +206,21 @@
 def test_a_killed_coordinator_costs_little():
     calm = count_served(play(nothing))
     assert count_served(play(kill_coordinator)) > calm - 0.05
+
+
+def test_an_outage_of_the_store_costs_few_calls():
+    async def outage(stage):
+        stage.calls_before = stage.store.calls
+        stage.stop_store(8.0)
+        await stage.run(8.0)
+        stage.calls_meanwhile = stage.store.calls - stage.calls_before
+
+    calls = []
+
+    async def count(stage):
+        await outage(stage)
+        calls.append(stage.calls_meanwhile)
+
+    play(count, vms=8)
+    # Two kinds of reads a second and VM, and half as many again at its beginning.
+    assert calls[0] < 8 * 8 * 3
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -64,9 +64,9 @@
         """Kill a gateway and start it again."""
         program = self._rng.choice(self._fleet.programs)
         with self._evidence.trouble(program.host):
-            await program.kill()
-            await asyncio.sleep(self._draw())
-            if not program.is_running:
+            async with program.changing:
+                await program.kill()
+                await asyncio.sleep(self._draw())
                 await program.start()
 
     async def stop_and_continue(self) -> None:
@@ -82,7 +82,8 @@
         program = self._rng.choice(self._fleet.programs)
         with self._evidence.trouble(program.host):
             program.signal(signal.SIGTERM)
-            process = program.process
+            async with program.changing:
+                process = program.process
             try:
                 async with asyncio.timeout(STOP_SECONDS):
                     await process.wait()
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -79,9 +79,10 @@
         self.store.put("servers", worker.name, entry)
 
     async def restart(self, program: Program) -> None:
-        """Start a gateway again that has ended."""
-        await program.kill()
-        await program.start()
+        """Start a gateway again, after killing it if it still runs."""
+        async with program.changing:
+            await program.kill()
+            await program.start()
 
     async def close(self) -> None:
         """End all processes that this fleet started."""
