--- a/emulator/__main__.py
+++ b/emulator/__main__.py
@@ -43,8 +43,9 @@
 def play_one(arguments: argparse.Namespace, way: str, seed: int) -> Played:
     """Play one seed of one way."""
     site = find_site(arguments.site, arguments.day)
-    settings = find_way(way).settings
-    evidence = play(site, arguments.seconds, seed, settings)
+    chosen = find_way(way)
+    with chosen.install():
+        evidence = play(site, arguments.seconds, seed, chosen.settings)
     return Played(site.name, arguments.day, way, seed, summarize(site, evidence))
 
 
--- a/emulator/_backend_link.py
+++ b/emulator/_backend_link.py
@@ -77,6 +77,7 @@
             async with asyncio.timeout(timeout):
                 first = await self._read_first(job)
                 status = FAILED if first == FAILURE else 200
+                self.note_load(server)
                 yield HttpStream(status, {}, self._read_rest(job, first, address))
         except (ServerGone, TimeoutError) as error:
             sentence = type(error).__name__
@@ -85,6 +86,9 @@
             if not job.is_over:
                 server.drop(job)
 
+    def note_load(self, server: EmulatedServer) -> None:
+        """Take the load that a response tells, which the daemon does not use."""
+
     async def can_connect(self, address: tuple[str, int], timeout: float) -> bool:
         """Tell whether an address accepts a connection within some seconds."""
         server = self._find_server(address)
--- /dev/null
+++ b/emulator/_rivals.py
@@ -0,0 +1,157 @@
+"""Ways that the daemon does not have, to compare it with."""
+
+from __future__ import annotations
+
+import zlib
+from abc import ABC, abstractmethod
+from collections.abc import Callable, Iterator, Sequence
+from contextlib import ExitStack, contextmanager
+from typing import Any
+from unittest.mock import patch
+
+from fireflyquay.dispatch import Grantor
+from fireflyquay.dispatch._backend_load import BackendLoad
+from fireflyquay.dispatch._waiting_line import WaitingAsk, WaitingLine
+from fireflyquay.gateway._fleet import Fleet
+from fireflyquay.world import Incarnation
+
+from ._backend_link import EmulatedClient
+from ._loop import MACHINE
+from ._servers import EmulatedServer
+
+# A function that stands in for a method: whose, of what name, by what.
+Replacement = tuple[type, str, Callable[..., Any]]
+# Coordinators that share the places of one fleet. A fleet of which half turn to one
+# coordinator gives it all places, so two would each give out all.
+GROUPS = 3
+# Backend servers of which the less loaded is chosen.
+CHOICES = 2
+
+
+class Rival(ABC):
+    """Replace a part of the daemon's decisions during plays."""
+
+    @abstractmethod
+    def list_replacements(self) -> Sequence[Replacement]:
+        """Return what stands in for what."""
+
+    @contextmanager
+    def install(self) -> Iterator[None]:
+        """Decide by this way within the context."""
+        with ExitStack() as stack:
+            for owner, name, function in self.list_replacements():
+                stack.enter_context(patch.object(owner, name, function))
+            yield
+
+
+class Alone(Rival):
+    """Each VM gives out its share of the places by itself."""
+
+    def list_replacements(self) -> Sequence[Replacement]:
+        """Return what stands in for what."""
+        return [(Fleet, "choose_coordinator", _choose_own)]
+
+
+class LeastOwn(Rival):
+    """Each VM sends at once to where it has the fewest requests itself."""
+
+    def list_replacements(self) -> Sequence[Replacement]:
+        """Return what stands in for what."""
+        return [
+            (Fleet, "choose_coordinator", _choose_own),
+            (Grantor, "_place", self._place),
+        ]
+
+    @staticmethod
+    def _place(
+        grantor: Grantor, loads: Sequence[BackendLoad], item: WaitingAsk, now: float
+    ) -> BackendLoad | None:
+        fit = [it for it in loads if it.entry.id not in item.ask.excluded]
+        return min(
+            fit, key=lambda it: (len(it.runs), grantor._rng.random()), default=None
+        )
+
+
+class TwoChoices(Rival):
+    """Each VM sends at once to the less loaded of two, as their responses told it."""
+
+    def __init__(self) -> None:
+        # Requests at a backend server when it last answered a VM, by both.
+        self._told: dict[tuple[str, str], int] = {}
+
+    def list_replacements(self) -> Sequence[Replacement]:
+        """Return what stands in for what."""
+
+        def note_load(client: EmulatedClient, server: EmulatedServer) -> None:
+            told = len(server.running) + len(server.waiting)
+            self._told[MACHINE.get(), server.entry.id] = told
+
+        def place(
+            grantor: Grantor, loads: Sequence[BackendLoad], item: WaitingAsk, now: float
+        ) -> BackendLoad | None:
+            fit = [it for it in loads if it.entry.id not in item.ask.excluded]
+            drawn = grantor._rng.sample(fit, min(CHOICES, len(fit)))
+            return min(drawn, key=self._measure, default=None)
+
+        self._told.clear()
+        return [
+            (Fleet, "choose_coordinator", _choose_own),
+            (Grantor, "_place", place),
+            (EmulatedClient, "note_load", note_load),
+        ]
+
+    def _measure(self, load: BackendLoad) -> int:
+        told = self._told.get((MACHINE.get(), load.entry.id), 0)
+        return max(told, len(load.runs))
+
+
+class Groups(Rival):
+    """Several VMs coordinate, each for a part of the fleet on a part of the places."""
+
+    def list_replacements(self) -> Sequence[Replacement]:
+        """Return what stands in for what."""
+        choose = Fleet.choose_coordinator
+
+        def choose_in_group(fleet: Fleet) -> Incarnation:
+            choose(fleet)
+            own = fleet._own.incarnation
+            group = _find_group(own)
+            return next(n for n in fleet._ranking if _find_group(n) == group)
+
+        return [(Fleet, "choose_coordinator", choose_in_group)]
+
+
+class ByArrival(Rival):
+    """Whoever came first goes first, whatever the rank."""
+
+    def list_replacements(self) -> Sequence[Replacement]:
+        """Return what stands in for what."""
+        return [(WaitingLine, "list_next", _list_by(lambda item: item.asked_at))]
+
+
+class ByObjective(Rival):
+    """Whoever must start first to be on time goes first, whatever the rank."""
+
+    def list_replacements(self) -> Sequence[Replacement]:
+        """Return what stands in for what."""
+        return [(WaitingLine, "list_next", _list_by(lambda item: item.latest_start))]
+
+
+def _choose_own(fleet: Fleet) -> Incarnation:
+    # Keeps the ranking, from which follows the share of the places.
+    fleet._ranking = tuple(fleet._membership.live_names())
+    fleet._update_share()
+    return fleet._own.incarnation
+
+
+def _find_group(name: Incarnation) -> int:
+    return zlib.crc32(name.encode()) % GROUPS
+
+
+def _list_by(key: Callable[[WaitingAsk], float]) -> Callable[..., Iterator[WaitingAsk]]:
+    def list_next(
+        line: WaitingLine, now: float, first: tuple[int, int] | None = None
+    ) -> Iterator[WaitingAsk]:
+        return iter(sorted(line._by_key.values(), key=key))
+
+    return list_next
--- a/emulator/_ways.py
+++ b/emulator/_ways.py
@@ -2,20 +2,30 @@
 
 from __future__ import annotations
 
+from contextlib import AbstractContextManager, nullcontext
 from dataclasses import dataclass, replace
 
 from fireflyquay.dispatch import GrantorSettings
 
+from ._rivals import Alone, ByArrival, ByObjective, Groups, LeastOwn, Rival, TwoChoices
+
 BASE = GrantorSettings()
+# Sends at once, whatever the slots.
+UNBOUNDED = replace(BASE, window=1e9)
 
 
 @dataclass(frozen=True, slots=True)
 class Way:
-    """Name settings of the grantor and say what they try."""
+    """Name settings of the grantor, or a rival to it, and say what they try."""
 
     name: str
     what: str
     settings: GrantorSettings
+    rival: Rival | None = None
+
+    def install(self) -> AbstractContextManager[None]:
+        """Decide by this way within the context."""
+        return nullcontext() if self.rival is None else self.rival.install()
 
 
 WAYS = (
@@ -28,6 +38,12 @@
     Way("no-forecast", "no refusal on arrival", replace(BASE, forecast_share=1e9)),
     Way("strict", "ranks may starve", replace(BASE, least_share=0.0)),
     Way("first-output", "place by first output", replace(BASE, run_weight=0.0)),
+    Way("arrival", "first come, first served", BASE, ByArrival()),
+    Way("objective", "earliest objective first", BASE, ByObjective()),
+    Way("groups", "three coordinators, a third of the places each", BASE, Groups()),
+    Way("alone", "each VM on its share of the places", BASE, Alone()),
+    Way("least-own", "fewest own, no waiting", UNBOUNDED, LeastOwn()),
+    Way("two-choices", "less loaded of two, no waiting", UNBOUNDED, TwoChoices()),
 )
 
 
--- a/emulator/tests/test_stage.py
+++ b/emulator/tests/test_stage.py
@@ -1,9 +1,13 @@
 """The emulator repeats itself, freezes machines, and serves as its models say."""
 
 import asyncio
+from dataclasses import replace
+
+import pytest
 
 from emulator import Stage, VirtualLoop, play, run_virtual, summarize
 from emulator._report import Played, format_kinds, format_ways
+from emulator._ways import WAYS
 from proofs import make_site
 
 
@@ -110,3 +114,18 @@
     assert all(kind.name in format_kinds(played) for kind in site.kinds)
     assert "today" in format_ways([played])
     assert 0.0 < figures.worth <= 1.0
+
+
+@pytest.mark.parametrize(
+    "way", [way for way in WAYS if way.rival], ids=lambda w: w.name
+)
+def test_rivals_decide_in_their_own_ways_and_leave_no_trace(way):
+    site = replace(make_site(), load=2.0)
+    before = describe(play(site, 3.0, seed=3, settle=6.0))
+    with way.install():
+        rival = describe(
+            play(site, 3.0, seed=3, settle=6.0, grantor_settings=way.settings)
+        )
+    assert rival != before
+    assert any(is_served for _, _, is_served, _ in rival)
+    assert describe(play(site, 3.0, seed=3, settle=6.0)) == before
