--- a/emulator/_rivals.py
+++ b/emulator/_rivals.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-import zlib
 from abc import ABC, abstractmethod
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from contextlib import ExitStack, contextmanager
 from typing import Any
 from unittest.mock import patch
@@ -13,7 +12,7 @@
 from fireflyquay.dispatch._backend_load import BackendLoad
 from fireflyquay.dispatch._waiting_line import WaitingAsk, WaitingLine
 from fireflyquay.gateway._fleet import Fleet
-from fireflyquay.world import Incarnation
+from fireflyquay.world import BackendEntry, Incarnation
 
 from ._backend_link import EmulatedClient
 from ._loop import MACHINE
@@ -105,8 +104,8 @@
         return max(told, len(load.runs))
 
 
-class Groups(Rival):
-    """Several VMs coordinate, each for a part of the fleet on a part of the places."""
+class SharedGroups(Rival):
+    """Several VMs coordinate, each for a part of the fleet on a part of all places."""
 
     def list_replacements(self) -> Sequence[Replacement]:
         """Return what stands in for what."""
@@ -114,13 +113,39 @@
 
         def choose_in_group(fleet: Fleet) -> Incarnation:
             choose(fleet)
-            own = fleet._own.incarnation
-            group = _find_group(own)
-            return next(n for n in fleet._ranking if _find_group(n) == group)
+            group = _find_group(fleet.describe_own().host)
+            for name in fleet._ranking:
+                record = fleet._membership.get(name)
+                if record is not None and _find_group(record.vm.host) == group:
+                    return name
+            return fleet.describe_own().incarnation
 
         return [(Fleet, "choose_coordinator", choose_in_group)]
 
 
+class SplitGroups(SharedGroups):
+    """Several VMs coordinate, each for a part of the fleet and of the servers."""
+
+    def list_replacements(self) -> Sequence[Replacement]:
+        """Return what stands in for what."""
+        update, set_backends = Fleet._update_share, Grantor.set_backends
+
+        def update_share(fleet: Fleet) -> None:
+            update(fleet)
+            fleet._coordinator._grantor.share = 1.0
+
+        def set_own(grantor: Grantor, entries: Iterable[BackendEntry]) -> None:
+            ordered = sorted(entries, key=lambda it: (it.service, it.id))
+            first = _find_group(MACHINE.get())
+            set_backends(grantor, ordered[first::GROUPS])
+
+        return [
+            *super().list_replacements(),
+            (Fleet, "_update_share", update_share),
+            (Grantor, "set_backends", set_own),
+        ]
+
+
 class ByArrival(Rival):
     """Whoever came first goes first, whatever the rank."""
 
@@ -144,8 +169,8 @@
     return fleet._own.incarnation
 
 
-def _find_group(name: Incarnation) -> int:
-    return zlib.crc32(name.encode()) % GROUPS
+def _find_group(host: str) -> int:
+    return int(host.rpartition(".")[2]) % GROUPS
 
 
 def _list_by(key: Callable[[WaitingAsk], float]) -> Callable[..., Iterator[WaitingAsk]]:
--- a/emulator/_ways.py
+++ b/emulator/_ways.py
@@ -7,7 +7,16 @@
 
 from fireflyquay.dispatch import GrantorSettings
 
-from ._rivals import Alone, ByArrival, ByObjective, Groups, LeastOwn, Rival, TwoChoices
+from ._rivals import (
+    Alone,
+    ByArrival,
+    ByObjective,
+    LeastOwn,
+    Rival,
+    SharedGroups,
+    SplitGroups,
+    TwoChoices,
+)
 
 BASE = GrantorSettings()
 # Sends at once, whatever the slots.
@@ -40,7 +49,8 @@
     Way("first-output", "place by first output", replace(BASE, run_weight=0.0)),
     Way("arrival", "first come, first served", BASE, ByArrival()),
     Way("objective", "earliest objective first", BASE, ByObjective()),
-    Way("groups", "three coordinators, a third of the places each", BASE, Groups()),
+    Way("groups", "three coordinators, a third of all places", BASE, SharedGroups()),
+    Way("split", "three coordinators, a third of the servers", BASE, SplitGroups()),
     Way("alone", "each VM on its share of the places", BASE, Alone()),
     Way("least-own", "fewest own, no waiting", UNBOUNDED, LeastOwn()),
     Way("two-choices", "less loaded of two, no waiting", UNBOUNDED, TwoChoices()),
