--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -81,9 +81,10 @@
         """Stop a gateway as planned and start it again."""
         program = self._rng.choice(self._fleet.programs)
         with self._evidence.trouble(program.host):
+            # Another fault may have killed this process, and start one that was not
+            # told to stop, before the wait below ends.
+            process = program.process
             program.signal(signal.SIGTERM)
-            async with program.changing:
-                process = program.process
             try:
                 async with asyncio.timeout(STOP_SECONDS):
                     await process.wait()
