Split the gateway: the coordinator's making and the list of VMs stand alone

Cause: 401 lines held the daemon, how clients are told of VMs, and the margins of quotas and repeats. Change: _entry_list and _coordination; constants that lacked their source have one. No change of behaviour.

--- a/fireflyquay/dispatch/_coordinator.py
+++ b/fireflyquay/dispatch/_coordinator.py
@@ -38,11 +38,12 @@
 # Bounds of what a client over its quota is told, in seconds.
 MIN_QUOTA_RETRY_SECONDS = 0.2
 MAX_QUOTA_RETRY_SECONDS = 4.0
+# Seconds after which the budget for repeats may have room: a part of its window.
 REPEAT_RETRY_SECONDS = 0.5
 # Seconds after which a client account with too many requests in progress may have
 # fewer: some runs of usual length.
 BUSY_SECONDS = 0.5
-# Seconds of use that a handover tells of.
+# Seconds of use that a handover tells of: about a quota's burst at its rate.
 USAGE_SECONDS = 4.0
 
 
--- a/fireflyquay/gateway/_gateway.py
+++ b/fireflyquay/gateway/_gateway.py
@@ -7,19 +7,12 @@
 import random
 import secrets
 from collections import Counter
-from collections.abc import Coroutine, Sequence
+from collections.abc import Coroutine
 from dataclasses import replace
 
 import logbook
 
-from fireflyquay.dispatch import (
-    Coordinator,
-    Grantor,
-    GrantorSettings,
-    KnowledgeExchange,
-    QuotaBook,
-    RepeatBudget,
-)
+from fireflyquay.dispatch import GrantorSettings, KnowledgeExchange
 from fireflyquay.links import (
     BackendClient,
     Handler,
@@ -35,14 +28,16 @@
 from ._beliefs import Beliefs
 from ._claims import KeyClaims
 from ._clock import AgeClock, BootClock
+from ._coordination import make_coordinator
 from ._dialect import Dialect, FleetSource
-from ._directory import Directory
+from ._directory import KEEP_SECONDS, Directory
 from ._discovery import Discovery
+from ._entry_list import EntryList, measure_strength
 from ._fleet import Fleet
 from ._forwarder import Forwarder
 from ._gateway_metrics import GatewayMetrics
 from ._ingress import Ingress
-from ._settings import GatewaySettings, VmSettings, split_address
+from ._settings import GatewaySettings, split_address
 from ._slot_desk import SlotDesk
 from ._status import GatewayStatus
 
@@ -51,35 +46,23 @@
 INCARNATION_BYTES = 6
 # Stands for the age of what was never known.
 UNKNOWN_AGE = -1.0
-# Seconds after a stop's begin in which clients with an old list still connect.
-LINGER_SECONDS = 2.5
-# Seconds of the stop's grace that are left for closing connections.
+# Seconds after a stop's begin in which clients with an old list still connect: those
+# for which they keep it, and the way there.
+LINGER_SECONDS = KEEP_SECONDS + 0.5
+# Seconds of the stop's grace that are left for closing connections; it takes some tens
+# of milliseconds, more on a busy machine.
 CLOSE_MARGIN_SECONDS = 0.5
-# Seconds between looks at whether a stop is complete.
+# Seconds between looks at whether a stop is complete; short beside the grace.
 STOP_POLL_SECONDS = 0.05
-# Seconds beyond the stated idle time for which a client's connection is kept.
+# Seconds beyond the stated idle time for which a client's connection is kept: a request
+# that is under way as the time ends still finds it.
 IDLE_MARGIN_SECONDS = 2.0
 # Age of the configuration at which a VM no longer counts as ready, as a part of the
-# promised bound.
+# promised bound: whoever is sent here then still has the rest to be served.
 READY_AGE_SHARE = 0.6
-# Seconds from the end of a request's headers to the end of its body.
+# Seconds from the end of a request's headers to the end of its body: the largest body
+# over a link of some Mbit/s that others use too.
 BODY_SECONDS = 30.0
-# Part of the budget for repeats that is used: when the coordinator changes, the new one
-# does not know what the old one gave out.
-REPEAT_MARGIN = 0.6
-# Parts of the overshoot and slack of quotas that one coordinator gives out: the rest
-# covers what VMs decide by themselves when another one takes over.
-QUOTA_OVERSHOOT_SHARE = 0.5
-QUOTA_SLACK_SHARE = 0.75
-# VMs of a client's own availability zone that are enough for it.
-MIN_NEAR_ENTRIES = 2
-# Processor and link that bear a VM's usual part of the clients: 8 requests a second
-# with their streams take a twentieth of a core and up to 2 Mbit/s, bursts several times
-# as much.
-USUAL_CORES = 1.0
-USUAL_LINK_MBPS = 20.0
-# Addresses in one answer, as many as clients take.
-MAX_ENTRIES = 64
 
 
 class Gateway:
@@ -101,7 +84,7 @@
         self._settings = settings
         self._client = client
         self._clock = clock or BootClock()
-        self._rng = rng = rng or random.Random()
+        rng = rng or random.Random()
         self.metrics = GatewayMetrics()
         self._make_link = make_link
         self.incarnation = incarnation or draw_incarnation()
@@ -113,20 +96,8 @@
             lambda: self.fleet.is_coordinating,
         )
         self.beliefs.on_change = self._apply_beliefs
-        repeats = RepeatBudget(
-            promises.repeat_ratio * REPEAT_MARGIN,
-            promises.repeat_slack * REPEAT_MARGIN,
-            promises.repeat_window,
-        )
-        grantor = Grantor(grantor_settings or GrantorSettings(), rng)
-        self._coordinator = Coordinator(
-            self.beliefs.config,
-            grantor,
-            repeats,
-            QuotaBook(
-                promises.quota_overshoot * QUOTA_OVERSHOOT_SHARE,
-                promises.quota_slack * QUOTA_SLACK_SHARE,
-            ),
+        self._coordinator = make_coordinator(
+            promises, self.beliefs.config, grantor_settings, rng
         )
         self._desk = SlotDesk(self.incarnation, self._coordinator)
         self.fleet = self._make_fleet(rng)
@@ -148,8 +119,9 @@
             rng,
         )
         self._watch_values()
+        self.entries = EntryList(self.fleet, self.is_ready, rng)
         self.directory = Directory(
-            dialect, self.list_addresses, self.is_ready, promises.max_keep
+            dialect, self.entries.list_addresses, self.is_ready, promises.max_keep
         )
         limits = HttpLimits(body_timeout=BODY_SECONDS)
         # Pages that clients' address serves besides requests, by path.
@@ -173,7 +145,7 @@
             host,
             client_port,
             peer_port,
-            _measure_strength(vm),
+            measure_strength(vm),
         )
         hosts = [split_address(seed)[0] for seed in vm.seeds]
         seeds = [VmListing(it, vm.peer_port, zone, region) for it in hosts]
@@ -353,19 +325,6 @@
         if not task.cancelled() and task.exception() is not None:
             LOG.error("a task failed", extra={"cause": repr(task.exception())})
 
-    def list_addresses(self, zone: str) -> Sequence[str]:
-        """Return the addresses that clients of an availability zone may use."""
-        entries = [vm for vm in self.fleet.list_entries() if self._is_fit(vm)]
-        near = [vm for vm in entries if vm.zone == zone]
-        chosen = near if len(near) >= MIN_NEAR_ENTRIES else entries
-        named = [vm for vm in chosen if self._rng.randrange(100) < vm.strength]
-        if len(named) < MIN_NEAR_ENTRIES:
-            named = chosen
-        return [f"{vm.host}:{vm.http_port}" for vm in named[:MAX_ENTRIES]]
-
-    def _is_fit(self, vm: EntryVm) -> bool:
-        return vm.incarnation != self.incarnation or self.is_ready()
-
     def _apply_beliefs(self) -> None:
         book = self.beliefs.backends
         ready = [entry for entry in book.list_all() if book.takes_requests(entry.id)]
@@ -392,10 +351,3 @@
 def draw_incarnation() -> Incarnation:
     """Return a name for a process's life."""
     return Incarnation(secrets.token_hex(INCARNATION_BYTES))
-
-
-def _measure_strength(vm: VmSettings) -> int:
-    """Return what a VM bears, in hundredths of a usual one."""
-    processor = vm.cpu_share * vm.cpu_speed / USUAL_CORES
-    link = vm.link_mbps / USUAL_LINK_MBPS
-    return max(1, min(100, round(100 * min(processor, link))))
--- a/fireflyquay/interface/_parser.py
+++ b/fireflyquay/interface/_parser.py
@@ -24,7 +24,9 @@
 
 # Usual length of a token, for prompts whose caller does not count them.
 CHARS_PER_TOKEN = 4
+# Output tokens of a request that names none: a usual answer.
 DEFAULT_MAX_TOKENS = 256
+# Tokens that a request may name, many times what engines hold of one request.
 TOKEN_LIMIT = 1_000_000
 # Leading part of a prompt that names what engines may have cached.
 PREFIX_CHARS = 256
--- a/fireflyquay/links/_peer.py
+++ b/fireflyquay/links/_peer.py
@@ -21,9 +21,15 @@
 from ._sockets import configure_socket
 
 FRAME_HEADER_BYTES = 4
+# Bytes of one frame, at most: the registry of thousands of backend servers fits.
 MAX_FRAME_BYTES = 4 * 1024 * 1024
+# Messages that wait for one peer: a coordinator's for seconds at thousands of requests
+# a second. What is beyond is dropped and counted.
 MAX_WAITING_MESSAGES = 20_000
+# Seconds to a peer's acceptance of a connection: an opening packet that was lost is
+# sent again after one.
 CONNECT_TIMEOUT_S = 1.0
+# Seconds between two tries to connect; a start of a process takes some 0.4.
 RECONNECT_DELAY_S = 0.2
 
 
--- a/fireflyquay/links/_sse.py
+++ b/fireflyquay/links/_sse.py
@@ -6,6 +6,7 @@
 
 from fireflyquay.world import Code, FireflyquayError
 
+# Bytes of one event, as many as are held back of a response.
 MAX_EVENT_BYTES = 256 * 1024
 
 
--- a/fireflyquay/membership/_bounds.py
+++ b/fireflyquay/membership/_bounds.py
@@ -6,6 +6,7 @@
 
 from msgspec import Meta
 
+# Bound of counters in messages: doubles are exact below it.
 MAX_COUNT = 2**53
 
 # A whole number from 0.
