--- a/proofs/_language.py
+++ b/proofs/_language.py
@@ -2,21 +2,26 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, field
 from enum import StrEnum
 from functools import cache
 from pathlib import Path
 from typing import Any
 
-from lark import Lark, Transformer, UnexpectedInput, v_args
+from lark import Lark, Token, Transformer, UnexpectedInput, v_args
+from lark.exceptions import VisitError
 
 from emulator import Stage
 
+from ._sites import make_site
+
 GRAMMAR = Path(__file__).with_name("scenario.lark")
 # Seconds of traffic unless a scenario gives them.
 TRAFFIC_SECONDS = 10.0
+# Bounds within which a play takes minutes at most.
 MAX_VMS = 30
+MAX_LOAD = 10.0
 MAX_SECONDS = 600.0
 
 Act = Callable[[Stage], Awaitable[None]]
@@ -28,6 +33,7 @@
     BAD_SYNTAX = "BAD_SYNTAX"
     OUT_OF_RANGE = "OUT_OF_RANGE"
     OUT_OF_ORDER = "OUT_OF_ORDER"
+    UNKNOWN_NAME = "UNKNOWN_NAME"
 
 
 class ScriptError(Exception):
@@ -74,7 +80,12 @@
         wanted = sorted(next((found for found in names if found), ()))
         sentence = f"expected {' or '.join(wanted)}".lower()
         raise ScriptError(ScriptCode.BAD_SYNTAX, line, sentence) from None
-    scripts: list[Script] = _Builder(visit_tokens=False).transform(tree)
+    try:
+        scripts: list[Script] = _Builder(visit_tokens=False).transform(tree)
+    except VisitError as error:
+        if isinstance(error.orig_exc, ScriptError):
+            raise error.orig_exc from None
+        raise
     for script in scripts:
         _check(script)
     return scripts
@@ -86,29 +97,50 @@
 
 
 def _check(script: Script) -> None:
-    first = script.steps[0].line if script.steps else 1
-    if not 1 <= script.vms <= MAX_VMS:
-        sentence = f"from 1 to {MAX_VMS} VMs"
-        raise ScriptError(ScriptCode.OUT_OF_RANGE, first, sentence)
     last = 0.0
     for step in script.steps:
-        if step.at > MAX_SECONDS:
-            sentence = f"a time of at most {MAX_SECONDS:g}s"
-            raise ScriptError(ScriptCode.OUT_OF_RANGE, step.line, sentence)
         if step.at < last:
-            sentence = f"a time from {last:g}s on"
+            sentence = f"expected a time from {last:g}s on"
             raise ScriptError(ScriptCode.OUT_OF_ORDER, step.line, sentence)
         last = step.at
 
 
-def _read_time(text: str) -> float:
-    if text.endswith("ms"):
-        return float(text[:-2]) / 1000
-    return float(text[:-1])
+def _check_range(token: Token, is_within: bool, wanted: str) -> None:
+    if not is_within:
+        line = token.line or 1
+        raise ScriptError(ScriptCode.OUT_OF_RANGE, line, f"expected {wanted}")
+
+
+def _read_name(token: Token, known: Sequence[str]) -> str:
+    if token not in known:
+        sentence = f"expected one of {', '.join(known)}"
+        raise ScriptError(ScriptCode.UNKNOWN_NAME, token.line or 1, sentence)
+    return str(token)
+
+
+@cache
+def _list_servers() -> tuple[str, ...]:
+    site = make_site()
+    models = {**site.engines, **site.services}
+    return tuple(f"{name}-{n}" for name, it in models.items() for n in range(it.count))
+
+
+@cache
+def _list_accounts() -> tuple[str, ...]:
+    return tuple(f"account-{n}" for n in range(make_site().accounts))
+
 
+def _read_time(token: Token) -> float:
+    is_short = token.endswith("ms")
+    seconds = float(token[:-2]) / 1000 if is_short else float(token[:-1])
+    _check_range(token, seconds <= MAX_SECONDS, f"a time of at most {MAX_SECONDS:g}s")
+    return seconds
 
-def _read_share(text: str) -> float:
-    return float(text[:-1]) / 100
+
+def _read_share(token: Token) -> float:
+    percent = float(token[:-1])
+    _check_range(token, percent <= 100, "at most 100%")
+    return percent / 100
 
 
 def _find_host(stage: Stage, target: int | None) -> str | None:
@@ -142,7 +174,7 @@
     def start(self, *scripts: Script) -> list[Script]:
         return list(scripts)
 
-    def scenario(self, title: Any, *parts: Any) -> Script:
+    def scenario(self, title: Token, *parts: Any) -> Script:
         script = Script(title[1:-1])
         for part in parts:
             if isinstance(part, Step):
@@ -153,39 +185,44 @@
                     setattr(script, name, value)
         return script
 
-    def given_vms(self, count: Any) -> tuple[str, int]:
-        return "vms", int(count)
+    def given_vms(self, count: Token) -> tuple[str, int]:
+        vms = int(count)
+        _check_range(count, 1 <= vms <= MAX_VMS, f"1 to {MAX_VMS} VMs")
+        return "vms", vms
 
-    def given_seed(self, seed: Any) -> tuple[str, int]:
+    def given_seed(self, seed: Token) -> tuple[str, int]:
         return "seed", int(seed)
 
-    def given_load(self, load: Any) -> tuple[str, float]:
-        return "load", float(load)
+    def given_load(self, load: Token) -> tuple[str, float]:
+        value = float(load)
+        wanted = f"a load of at most {MAX_LOAD:g} and above 0"
+        _check_range(load, 0 < value <= MAX_LOAD, wanted)
+        return "load", value
 
-    def given_traffic(self, time: Any) -> tuple[str, float]:
+    def given_traffic(self, time: Token) -> tuple[str, float]:
         return "traffic", _read_time(time)
 
-    def step(self, time: Any, act: Act) -> Step:
+    def step(self, time: Token, act: Act) -> Step:
         return Step(_read_time(time), act, time.line)
 
     def coordinator(self) -> None:
         return None
 
-    def vm(self, number: Any) -> int:
+    def vm(self, number: Token) -> int:
         return int(number)
 
     def kill(self, target: int | None) -> Act:
         return _at_host(target, lambda stage, host: stage.kill(host))
 
-    def freeze(self, target: int | None, time: Any) -> Act:
+    def freeze(self, target: int | None, time: Token) -> Act:
         seconds = _read_time(time)
         return _at_host(target, lambda stage, host: stage.freeze(host, seconds))
 
-    def isolate(self, target: int | None, time: Any) -> Act:
+    def isolate(self, target: int | None, time: Token) -> Act:
         seconds = _read_time(time)
         return _at_host(target, lambda stage, host: stage.isolate(host, seconds))
 
-    def cut(self, first: int | None, second: int | None, time: Any) -> Act:
+    def cut(self, first: int | None, second: int | None, time: Token) -> Act:
         seconds = _read_time(time)
 
         async def run(stage: Stage) -> None:
@@ -204,38 +241,41 @@
 
         return run
 
-    def store_down(self, time: Any) -> Act:
+    def store_down(self, time: Token) -> Act:
         seconds = _read_time(time)
         return _plainly(lambda stage: stage.stop_store(seconds))
 
-    def store_refuses(self, target: int | None, time: Any) -> Act:
+    def store_refuses(self, target: int | None, time: Token) -> Act:
         seconds = _read_time(time)
         return _at_host(target, lambda stage, host: stage.refuse_store(host, seconds))
 
-    def crash(self, server: Any, time: Any) -> Act:
-        seconds = _read_time(time)
-        return _plainly(lambda stage: stage.crash(str(server), seconds))
+    def crash(self, server: Token, time: Token) -> Act:
+        name, seconds = _read_name(server, _list_servers()), _read_time(time)
+        return _plainly(lambda stage: stage.crash(name, seconds))
+
+    def remove(self, server: Token) -> Act:
+        name = _read_name(server, _list_servers())
+        return _plainly(lambda stage: stage.remove(name))
 
-    def remove(self, server: Any) -> Act:
-        return _plainly(lambda stage: stage.remove(str(server)))
+    def change_key(self, account: Token) -> Act:
+        name = _read_name(account, _list_accounts())
 
-    def change_key(self, account: Any) -> Act:
         async def run(stage: Stage) -> None:
             stage.clients.old_key_share = 0.3
             version = stage.store.config.version
-            stage.add_key(str(account), f"{account}-{version}")
+            stage.add_key(name, f"{name}-{version}")
 
         return run
 
     def change_configuration(self) -> Act:
         return _plainly(lambda stage: stage.apply_config())
 
-    def lose(self, share: Any) -> Act:
+    def lose(self, share: Token) -> Act:
         value = _read_share(share)
         return _plainly(lambda stage: setattr(stage.network, "loss", value))
 
     def expect_promises(self) -> tuple[str, None]:
         return "", None
 
-    def expect_served(self, share: Any) -> tuple[str, float]:
+    def expect_served(self, share: Token) -> tuple[str, float]:
         return "least_served", _read_share(share)
--- a/proofs/run.py
+++ b/proofs/run.py
@@ -18,7 +18,7 @@
     for name in parser.parse_args().files:
         try:
             scripts = parse_scripts(Path(name).read_text())
-        except (OSError, ScriptError) as error:
+        except (OSError, UnicodeDecodeError, ScriptError) as error:
             print(f"{name}: {error}", file=sys.stderr)
             return 2
         for script in scripts:
