--- a/soak/_evidence.py
+++ b/soak/_evidence.py
@@ -8,7 +8,8 @@
 from contextlib import contextmanager
 
 from fleetwire.tests.client import Ended, Outcome
-from fleetwire.tests.worker_standin import Arrival, Worker
+from fleetwire.tests.worker_answers import Arrival
+from fleetwire.tests.worker_standin import Worker
 
 # Seconds after a key's removal from which nothing under it may run.
 REVOKE_SECONDS = 5.0
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -8,7 +8,7 @@
 from collections.abc import Awaitable, Callable
 
 from fleetwire.tests.store_standin import Trouble
-from fleetwire.tests.worker_standin import Manner
+from fleetwire.tests.worker_answers import Manner
 
 from ._evidence import Evidence
 from ._fleet import ENGINES, PLAIN, Fleet
