Forget requests that the budget for repeats no longer needs

Cause: reading the change again. Requests were counted for each service and trimmed only when a repeat was asked for; a coordinator without repeats kept all.

--- a/fireflyquay/dispatch/_repeat_budget.py
+++ b/fireflyquay/dispatch/_repeat_budget.py
@@ -25,7 +25,7 @@
 
     def note_request(self, service: ServiceId, now: float) -> None:
         """Count a request that arrived for a service."""
-        self._requests.setdefault(service, deque()).append(now)
+        self._trim(self._requests, service, now).append(now)
 
     def take(self, service: ServiceId, share: float, now: float) -> bool:
         """Take one repeat if the budget allows it.
