Give odd headers, entries and numbers an answer of their own

Cause: reading the change again, then tests that fail before (23 of 31): - an X-Token-Usage of no two numbers counted as no tokens, past every quota; with digits of other scripts, or thousands of them, the gateway failed with 500; - a worker's entry with such a port, or numbers above 64 bits, ended the reads of the registry for good; a configuration's likewise; - a request id, Last-Event-Id or client account outside ASCII, and worker headers outside UTF-8, failed with 500; - a time limit that is no number was taken for none; one that is over was sent on; - weights of 0 raised an error for each request. Ruled out: that such a request pauses backend servers; it failed before. Change: one parse_count for all texts of numbers; bounds on decoded integers; 400 for malformed headers, 503 for a time that is over or a route to no service; an outcome UNSENDABLE. Own headers go as UTF-8, others as they came.

--- a/fireflyquay/daemons/_context.py
+++ b/fireflyquay/daemons/_context.py
@@ -14,7 +14,7 @@
 from fireflyquay.contracts import (
     ChangeNote,
 )
-from fireflyquay.world import ChangeId, Code
+from fireflyquay.world import MAX_PORT, ChangeId, Code, parse_count
 
 from ._output import UsageFault, format_json
 
@@ -103,8 +103,8 @@
     addresses = []
     for part in filter(None, (piece.strip() for piece in text.split(","))):
         host, _, port = part.rpartition(":")
-        number = int(port) if port.isascii() and port.isdigit() and len(port) < 6 else 0
-        if not host or not 0 < number < 65536:
+        number = parse_count(port, MAX_PORT)
+        if not host or not number:
             sentence = f"{part!r} is not HOST:PORT with a port from 1 to 65535."
             raise UsageFault(Code.BAD_SETTINGS, sentence)
         addresses.append((host, number))
@@ -113,9 +113,10 @@
 
 def read_version(text: str) -> int:
     """Read a version from 0, for argparse."""
-    if not (text.isascii() and text.isdigit() and len(text) < 16):
+    version = parse_count(text)
+    if version is None:
         raise argparse.ArgumentTypeError(f"{text!r} is no version from 0")
-    return int(text)
+    return version
 
 
 def add_store_option(parser: argparse.ArgumentParser) -> None:
--- a/fireflyquay/gateway/_call.py
+++ b/fireflyquay/gateway/_call.py
@@ -28,6 +28,8 @@
     NOT_RUN = "NOT_RUN"
     # Nothing was sent to the backend server.
     NOT_SENT = "NOT_SENT"
+    # It can't be written as a request to any backend server.
+    UNSENDABLE = "UNSENDABLE"
     # The backend server ran it and failed; the response is held back.
     FAILED = "FAILED"
     # It may have run; the client has no byte of a response.
--- a/fireflyquay/gateway/_forwarder.py
+++ b/fireflyquay/gateway/_forwarder.py
@@ -35,6 +35,8 @@
 PROMISING_STATUSES = (408, 421, 429, 503)
 BAD_GATEWAY = 502
 MISDIRECTED = 421
+# Outcomes that say nothing against the backend server.
+SOUND_OUTCOMES = (Outcome.DELIVERED, Outcome.NOT_RUN, Outcome.UNSENDABLE)
 # Seconds for which a backend server that refuses connections or is full is left alone.
 REFUSED_PAUSE_SECONDS = 0.5
 FULL_PAUSE_SECONDS = 0.1
@@ -60,7 +62,7 @@
         try:
             outcome = await run.carry_out()
             self.metrics.note_attempt(call.service, outcome.value)
-            failed = outcome not in (Outcome.DELIVERED, Outcome.NOT_RUN)
+            failed = outcome not in SOUND_OUTCOMES
             is_wasted = failed and outcome is not Outcome.NOT_SENT
             failed = failed or run.status >= 500
             return outcome
@@ -104,19 +106,21 @@
             call.ends_at - loop.time(),
             call.last_event,
         )
-        exchange = self._client.forward(
-            self._backend.address,
-            upstream.method,
-            upstream.target,
-            upstream.headers,
-            upstream.body,
-            max(0.0, call.ends_at - loop.time()),
-            self._make_terms(),
-        )
         try:
+            exchange = self._client.forward(
+                self._backend.address,
+                upstream.method,
+                upstream.target,
+                upstream.headers,
+                upstream.body,
+                max(0.0, call.ends_at - loop.time()),
+                self._make_terms(),
+            )
             async with exchange as stream:
                 return await self._pass_on(stream)
         except HttpFailure as failure:
+            if failure.code is Code.BAD_REQUEST:
+                return self._note_failure(Outcome.UNSENDABLE, failure.sentence)
             is_reset = failure.sent and failure.code is Code.STREAM_LOST
             if is_reset and not self._call.responder.started:
                 await self._check_crash()
@@ -155,6 +159,9 @@
             outcome = Outcome.CUT
         if not sent:
             self._desk.pause(self._backend.id, REFUSED_PAUSE_SECONDS)
+        return self._note_failure(outcome, sentence)
+
+    def _note_failure(self, outcome: Outcome, sentence: str) -> Outcome:
         LOG.warning(
             "attempt failed",
             extra={
--- a/fireflyquay/gateway/_ingress.py
+++ b/fireflyquay/gateway/_ingress.py
@@ -173,6 +173,8 @@
         facts = exchange.facts
         if not facts.attempt:
             raise Rejected(Code.BAD_REQUEST, "The request has no id.")
+        if facts.patience is not None and facts.patience <= 0:
+            raise Rejected(Code.DEADLINE_UNREACHABLE, "The time was up on arrival.")
         admission = self._admit(facts)
         route = admission.route
         patience = min(facts.patience or DEFAULT_PATIENCE_SECONDS, route.timeout)
@@ -193,6 +195,9 @@
         return admit(self._beliefs.config, facts, now, self._max_config_age)
 
     def _choose_service(self, shares: tuple[ServiceShare, ...]) -> ServiceShare:
+        if not shares:
+            sentence = "The route sends its requests to no service."
+            raise Rejected(Code.NO_BACKEND_SERVER, sentence, RETRY_SECONDS)
         if len(shares) == 1:
             return shares[0]
         weights = [share.weight for share in shares]
@@ -210,11 +215,11 @@
             call.tried.append(backend.id)
             had_run, call.may_have_run = call.may_have_run, True
             outcome = await self._forwarder.attempt(call, ask, backend)
-            if outcome in (Outcome.NOT_RUN, Outcome.NOT_SENT):
+            if outcome in (Outcome.NOT_RUN, Outcome.NOT_SENT, Outcome.UNSENDABLE):
                 call.may_have_run = had_run
             if outcome is Outcome.DELIVERED:
                 return
-            if outcome is Outcome.NOT_SENT:
+            if outcome in (Outcome.NOT_SENT, Outcome.UNSENDABLE):
                 call.tried.pop()
             if not self._may_go_on(call, outcome):
                 self._give_up(call, outcome)
@@ -276,6 +281,8 @@
 
     def _may_go_on(self, call: Call, outcome: Outcome) -> bool:
         rule = call.admission.route.repeat_rule
+        if outcome is Outcome.UNSENDABLE:
+            return False
         if outcome is Outcome.CUT and rule is not RepeatRule.RESUMABLE:
             return False
         if outcome is Outcome.LOST and rule is RepeatRule.AT_MOST_ONCE:
@@ -285,6 +292,8 @@
         return len(call.tried) < call.admission.route.max_attempts
 
     def _give_up(self, call: Call, outcome: Outcome) -> None:
+        if outcome is Outcome.UNSENDABLE:
+            raise Rejected(Code.BAD_REQUEST, "The request can't be sent on.")
         if outcome is Outcome.FAILED:
             raise Rejected(Code.BACKEND_FAILED, "The backend server failed.")
         if outcome is Outcome.CUT:
--- a/fireflyquay/gateway/_settings.py
+++ b/fireflyquay/gateway/_settings.py
@@ -9,7 +9,7 @@
 from msgspec import Meta
 
 from fireflyquay.checks import join_faults, parse_document, read_text
-from fireflyquay.world import Code, FireflyquayError
+from fireflyquay.world import MAX_PORT, Code, FireflyquayError, parse_count
 
 Address = Annotated[str, Meta(pattern=r"^[0-9A-Za-z.:_-]{1,253}:[0-9]{1,5}$")]
 OptionalAddress = Annotated[
@@ -99,9 +99,10 @@
 def split_address(address: str) -> tuple[str, int]:
     """Return the host and port of an address; raise FireflyquayError if it has none."""
     host, _, port = address.rpartition(":")
-    if not host or not port.isdigit() or not 0 <= int(port) <= 65535:
+    number = parse_count(port, MAX_PORT)
+    if not host or number is None:
         raise FireflyquayError(Code.BAD_SETTINGS, f"{address} is no HOST:PORT.")
-    return host, int(port)
+    return host, number
 
 
 def load_gateway_settings(path: Path) -> GatewaySettings:
--- a/fireflyquay/links/__init__.py
+++ b/fireflyquay/links/__init__.py
@@ -9,6 +9,7 @@
     HttpResponse,
     HttpStream,
     RawHeaders,
+    join_headers,
 )
 from ._http_responder import HttpResponder, abort_connection
 from ._http_server import Handler, HttpServer
@@ -38,6 +39,7 @@
     "Store",
     "VmList",
     "abort_connection",
+    "join_headers",
     "encode_sse",
     "read_status",
     "LineHandler",
--- a/fireflyquay/links/_http_client.py
+++ b/fireflyquay/links/_http_client.py
@@ -11,7 +11,7 @@
 
 import h11
 
-from fireflyquay.world import Code
+from fireflyquay.world import Code, parse_count
 
 from ._http_message import (
     HttpFailure,
@@ -39,8 +39,8 @@
     """Return the seconds that a Keep-Alive header promises."""
     for part in value.split(","):
         name, _, seconds = part.strip().partition("=")
-        if name.lower() == "timeout" and seconds.isdigit():
-            return float(seconds)
+        if name.lower() == "timeout":
+            return parse_count(seconds)
     return None
 
 
--- a/fireflyquay/membership/_bounds.py
+++ b/fireflyquay/membership/_bounds.py
@@ -6,8 +6,7 @@
 
 from msgspec import Meta
 
-# Bound of counters in messages: doubles are exact below it.
-MAX_COUNT = 2**53
+from fireflyquay.world import MAX_COUNT
 
 # A whole number from 0.
 Count = Annotated[int, Meta(ge=0, le=MAX_COUNT)]
--- a/fireflyquay/world/__init__.py
+++ b/fireflyquay/world/__init__.py
@@ -40,11 +40,15 @@
     ZoneId,
 )
 from ._key import is_valid_key
+from ._numbers import MAX_COUNT, MAX_PORT, parse_count
 from ._unreadable import UNREADABLE
 from ._verdict import Verdict
 
 __all__ = [
+    "MAX_COUNT",
+    "MAX_PORT",
     "UNREADABLE",
+    "parse_count",
     "AttemptId",
     "BackendEntry",
     "BackendPhase",
