--- a/fireflyquay/daemons/_trace_commands.py
+++ b/fireflyquay/daemons/_trace_commands.py
@@ -7,11 +7,7 @@
 
 import msgspec
 
-from fireflyquay.world import (
-    UNREADABLE,
-    Code,
-    FireflyquayError,
-)
+from fireflyquay.world import UNREADABLE, Code, FireflyquayError
 
 from ._change_view import describe_change, list_changes
 from ._context import (
@@ -58,7 +54,8 @@
     if not found:
         sentence = f"The logs do not name {arguments.id}."
         raise FireflyquayError(Code.NOT_FOUND, sentence)
-    left_out = sum(line.fields.get("left_out", 0) for line in found)
+    counts = (line.fields.get("left_out") for line in found)
+    left_out = sum(count for count in counts if isinstance(count, int))
     if left_out:
         context.warn(f"{left_out} lines around were left out to bound the log.")
     text = "\n".join(describe_line(line) for line in found)
--- a/fireflyquay/daemons/tests/test_command_line.py
+++ b/fireflyquay/daemons/tests/test_command_line.py
@@ -246,6 +246,14 @@
     assert "b2" not in printed.out
 
 
+def test_trace_bears_fields_of_any_type(capsys, tmp_path):
+    log = tmp_path / "one.log"
+    odd = '{"time":"2026-12-04T10:00:00+00:00","id":"a1","left_out":"many","event":7}'
+    log.write_text(odd + "\n")
+    code, printed = run(capsys, "trace", "a1", log)
+    assert (code, printed.out.count("\n")) == (0, 1)
+
+
 def test_trace_of_what_no_log_names(capsys, tmp_path):
     log = tmp_path / "one.log"
     log.write_text(LINES)
--- a/fireflyquay/interface/_contract_source.py
+++ b/fireflyquay/interface/_contract_source.py
@@ -25,7 +25,7 @@
 from fireflyquay.world import (
     BackendEntry,
     BackendPhase,
-    BackendServer,
+    BackendRecord,
     BackendServerId,
     ClientAccount,
     ClientAccountId,
@@ -74,6 +74,8 @@
         self._timeout = settings.platform.timeout
         # By path; one that becomes unreadable stays as it was.
         self._contracts: dict[str, Contract] = {}
+        # Version of each unreadable contract that the log has told of, by path.
+        self._told_unreadable: dict[str, int] = {}
 
     async def read_config(self) -> ConfigRead:
         """Return the newest configuration."""
@@ -121,6 +123,9 @@
         try:
             self._contracts[value.path] = CONTRACT_CODEC.decode(value.value).contract
         except FireflyquayError as error:
+            if self._told_unreadable.get(value.path) == value.version:
+                return
+            self._told_unreadable[value.path] = value.version
             LOG.warning(
                 "contract unreadable",
                 extra={
@@ -159,9 +164,9 @@
     )
 
 
-def convert_backend(record: object) -> BackendEntry:
+def convert_backend(record: BackendRecord) -> BackendEntry:
     """Return a stored backend server as the gateway knows it."""
-    backend: BackendServer = record.backend
+    backend = record.backend
     phase = BackendPhase.READY if backend.takes_work else BackendPhase.LEAVING
     return BackendEntry(
         backend.server,
--- a/fireflyquay/interface/tests/test_requests.py
+++ b/fireflyquay/interface/tests/test_requests.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import logbook
 import msgspec
 import pytest
 
@@ -270,7 +271,12 @@
         await asyncio.sleep(0.5)
         assert (await rig.send("label")).status == 200
 
-    run(scene)
+    log = logbook.TestHandler()
+    with log.applicationbound():
+        run(scene)
+    # Told once, though it is read ten times a second.
+    events = [it.message for it in log.records]
+    assert events.count("contract unreadable") == 1
 
 
 def test_pages_tell_of_entries_health_and_state():
@@ -281,9 +287,8 @@
         assert entries["keep_seconds"] > 0
         assert (await rig.ask("GET", "/healthz")).status == 200
         assert (await rig.ask("GET", "/readyz")).status == 200
-        assert (
-            b"fireflyquay_gateway_requests" in (await rig.ask("GET", "/metrics")).data
-        )
+        metrics = (await rig.ask("GET", "/metrics")).data
+        assert b"fireflyquay_gateway_requests" in metrics
         headers = {"authorization": f"Bearer {OPERATOR}"}
         status = (await rig.ask("GET", "/v1/status", headers)).body
         assert len(status["vms"]) == 2
