Reserve the ports of tests until their servers listen

Cause: find_free_port bound a port, closed it and returned its number. Until the test's server bound it, the system could give it to any other socket, such as the source port of a client. Stand-ins that crash and restart left their port open in the same way.

Ruled out: another test run as the only cause; one of the failures came beside busy loops that open no sockets.

Change: PortReservation keeps a bound socket that does not listen. The system skips its port for other sockets, connects are refused, and servers, which set SO_REUSEADDR, can listen on it. Gateways of both clusters and of the soak, and stand-ins that may restart, use it.

--- a/fireflyquay/interface/tests/cluster.py
+++ b/fireflyquay/interface/tests/cluster.py
@@ -33,7 +33,7 @@
     VmListing,
     ZoneId,
 )
-from standins import find_free_port, wait_until
+from standins import PortReservation, wait_until
 from standins.engine import Engine
 from standins.platform import Platform
 from standins.service import Service
@@ -110,7 +110,8 @@
         self.engines: list[Engine] = []
         self.services: list[Service] = []
         self.entries: list[Gateway] = []
-        self.ports = [find_free_port(), find_free_port()]
+        self._reservation = PortReservation(2)
+        self.ports = self._reservation.ports
         self.client = HttpClient(HttpLimits())
 
     def put_contract(
@@ -235,6 +236,7 @@
             await server.close()
         await self.platform.close()
         await self.client.close()
+        self._reservation.release()
 
     def _put(self, path: str, value: bytes) -> None:
         current = self.platform.objects.read(path)
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -136,7 +136,7 @@
     async def crash_worker(self) -> None:
         """Crash a worker and restart it at its address after a random time."""
         worker = self._rng.choice(self._fleet.workers)
-        await worker.close()
+        await worker.crash()
         await asyncio.sleep(self._draw_duration())
         await worker.start()
 
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -11,7 +11,7 @@
 from fleetwire.tests.store_standin import StoreStandIn
 from fleetwire.tests.worker_standin import WorkerStandIn
 
-from standins import find_free_port
+from standins import PortReservation
 
 from ._relay import Relay
 
@@ -29,7 +29,8 @@
         self.workers: list[WorkerStandIn] = []
         self.gateways: list[GatewayProcess] = []
         # Ports of all gateways for clients, readiness, the directory and peers.
-        self.ports = [find_free_port() for _ in range(4)]
+        self._reservation = PortReservation(4)
+        self.ports = self._reservation.ports
         # One relay to the store for each gateway, and one to each worker by its name.
         self.store_relays: list[Relay] = []
         self.worker_relays: dict[str, Relay] = {}
@@ -103,6 +104,7 @@
             await relay.close()
         await self.store.close()
         self._directory.cleanup()
+        self._reservation.release()
 
     async def _add_gateway(self, number: int) -> None:
         relay = Relay(self.store.port)
--- a/standins/_base.py
+++ b/standins/_base.py
@@ -12,6 +12,8 @@
 
 from fireflyquay.links import HttpLimits, HttpRequest, HttpResponder, HttpServer
 
+from ._loopback import PortReservation
+
 HOST = "127.0.0.1"
 # Interval of polling a switch that delays requests.
 SWITCH_POLL_SECONDS = 0.02
@@ -37,11 +39,16 @@
         self.host = HOST
         self.port = 0
         self._server: HttpServer | None = None
+        # Keeps the port of a crashed stand-in until it listens again.
+        self._reservation: PortReservation | None = None
         self._restart_task: asyncio.Task[None] | None = None
 
     async def start(self, host: str = HOST, port: int = 0) -> int:
         """Start listening and return the port."""
         self.host = host
+        if not port:
+            self._reservation = PortReservation(1)
+            port = self._reservation.ports[0]
         self._server = HttpServer(self._dispatch, self.limits)
         self.port = await self._server.start(host, port)
         return self.port
@@ -52,6 +59,8 @@
             self._restart_task.cancel()
         if self._server is not None:
             await self._server.close(0)
+        if self._reservation is not None:
+            self._reservation.release()
 
     def crash(self, downtime: float) -> None:
         """Close all connections and refuse new ones for `downtime` seconds."""
