State why a queued request is refused, and log its size

An on-call engineer could not tell from the logs who is turned away: the line `ended` held no size, and the reason "waited 0.31 s among 40" was the same for three decisions.

Change: `ended` holds the prompt tokens and the limit of output tokens, and the reason of a refusal ends with the condition that refused it. No decision changes.

--- a/fireflyquay/dispatch/_scheduler.py
+++ b/fireflyquay/dispatch/_scheduler.py
@@ -6,6 +6,7 @@
 from collections import defaultdict
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
+from enum import StrEnum
 
 from fireflyquay.world import (
     BackendEntry,
@@ -59,6 +60,14 @@
     max_forecast_wait_share: float = 1.0
 
 
+class _RefusalCause(StrEnum):
+    """Name the condition on which a queued request is refused."""
+
+    NO_SLOT_EXPECTED = "no slot is expected within its objective"
+    LATE = "it is late and its rank is overloaded"
+    WAIT_EXPIRED = "its longest wait is over"
+
+
 class _ServiceState:
     """Hold the backend servers, queue and statistics of one service."""
 
@@ -143,7 +152,9 @@
         decisions = self._assign_slots(state, now)
         if not item.is_done and self._will_miss_objective(state, request, now):
             state.queue.remove(item.key)
-            decisions.append(self._refuse_queued(state, item, now))
+            decisions.append(
+                self._refuse_queued(state, item, _RefusalCause.NO_SLOT_EXPECTED, now)
+            )
         return decisions
 
     def cancel(self, key: SlotRequestKey, now: float) -> list[Decision]:
@@ -272,7 +283,9 @@
             if not load.can_grant(self._compute_max_runs(load), now):
                 available_loads.remove(load)
         for item in state.queue.pop_expired(now):
-            decisions.append(self._refuse_queued(state, item, now))
+            decisions.append(
+                self._refuse_queued(state, item, _RefusalCause.WAIT_EXPIRED, now)
+            )
         return decisions
 
     def _refuse_late(self, state: _ServiceState, now: float) -> list[Decision]:
@@ -287,7 +300,9 @@
                 continue
             for item in items:
                 state.queue.remove(item.key)
-                decisions.append(self._refuse_queued(state, item, now))
+                decisions.append(
+                    self._refuse_queued(state, item, _RefusalCause.LATE, now)
+                )
         return decisions
 
     def _compute_max_runs(self, load: BackendLoad) -> float:
@@ -356,7 +371,11 @@
         )
 
     def _refuse_queued(
-        self, state: _ServiceState, item: QueuedRequest, now: float
+        self,
+        state: _ServiceState,
+        item: QueuedRequest,
+        cause: _RefusalCause,
+        now: float,
     ) -> Refusal:
         request = item.request
         statistics = state.ranks[request.rank]
@@ -377,7 +396,7 @@
             statistics.is_overloaded(now),
         )
         waited = now - item.queued_at
-        reason = f"waited {waited:.2f} s among {len(state.queue)}"
+        reason = f"waited {waited:.2f} s among {len(state.queue)}: {cause}"
         return Refusal(request.owner, request.number, Code.OVERLOADED, seconds, reason)
 
     def _make_no_backend_refusal(self, request: SlotRequest) -> Refusal:
--- a/fireflyquay/dispatch/tests/test_coordinator.py
+++ b/fireflyquay/dispatch/tests/test_coordinator.py
@@ -79,6 +79,22 @@
     assert refusal.retry_after > 0
 
 
+def test_refusal_states_why_the_request_got_no_slot():
+    coordinator = make_coordinator()
+    coordinator.set_backends([make_backend_entry("s1", slots=1)])
+    coordinator.submit(make_request(0), 0.0)
+    decisions = coordinator.submit(make_request(1, seconds_to_give_up=0.1), 0.0)
+    for number in range(2, 9):
+        decisions += coordinator.submit(
+            make_request(number, seconds_to_objective=0.4), 0.0
+        )
+    decisions += coordinator.advance(0.1) + coordinator.advance(1.0)
+    reasons = [it.reason for it in decisions if isinstance(it, Refusal)]
+    assert len(reasons) == 8
+    for cause in ("longest wait is over", "no slot is expected", "it is late"):
+        assert any(cause in reason for reason in reasons)
+
+
 def test_request_without_backend_servers_is_refused_at_once():
     [refusal] = make_coordinator().submit(make_request(1), 0.0)
     assert refusal.code is Code.NO_BACKEND_SERVER
--- a/fireflyquay/gateway/_ingress.py
+++ b/fireflyquay/gateway/_ingress.py
@@ -363,6 +363,8 @@
                 "outcome": outcome,
                 "reason": reason,
                 "account": "" if call is None else _get_account_id(call.admission),
+                "prompt_tokens": exchange.metadata.prompt_tokens,
+                "max_output_tokens": exchange.metadata.max_output_tokens,
                 "taken": round(duration_seconds, 3),
                 "first_output": None if call is None else call.compute_output_delay(),
                 "longest_gap": 0.0 if call is None else round(call.longest_gap, 3),
