--- a/emulator/_site.py
+++ b/emulator/_site.py
@@ -117,6 +117,18 @@
     # defaults.
     promises: dict[str, float] = field(default_factory=dict)
 
-    def with_load(self, load: float) -> Site:
-        """Return the site with another load factor."""
-        return replace(self, load=load)
+    def shrink(self, divisor: int) -> Site:
+        """Return a site with as much traffic for each server, but fewer servers."""
+        return replace(
+            self,
+            kinds=tuple(replace(it, rate=it.rate / divisor) for it in self.kinds),
+            engines={
+                name: replace(model, count=max(1, model.count // divisor))
+                for name, model in self.engines.items()
+            },
+            services={
+                name: replace(model, count=max(1, model.count // divisor))
+                for name, model in self.services.items()
+            },
+            vms=max(2, self.vms // divisor),
+        )
