Judge lateness by the rank, not by the size of a request

Cause: a waiting request counted as late once its own prefill no longer fitted before its objective, and an overloaded rank refuses late requests at once. Requests of a rank are served by arrival, so under sustained load the oldest one is about as old as the most patient ones can get. A large request was late earlier and was refused before it came to the head.

Passing over backend servers that would be late favoured small requests in the same way, though only for 0.3 of the objective.

Change: the bound is the same for all requests of a rank: the objective less one and a half times the rank's average time from grant to first output, at least a fifth of the objective. Placement passes slots over for a share of that bound, so a request near the end of its time takes any slot.

--- a/fireflyquay/dispatch/_backend_load.py
+++ b/fireflyquay/dispatch/_backend_load.py
@@ -131,18 +131,18 @@
                 prefill_start + request.prompt_tokens * self.prefill.seconds_per_unit
             )
 
-    def record_first_output(self, key: SlotRequestKey, now: float) -> None:
-        """Record the first output of a run and update the prefill speed from it."""
+    def record_first_output(self, key: SlotRequestKey, now: float) -> Run | None:
+        """Update the prefill speed; return the run, or None if it isn't its first."""
         run = self.runs.get(key)
         if run is None or run.first_output_at is not None:
-            return
+            return None
         run.first_output_at = now
         started_at, self.last_first_output_at = (
             max(run.granted_at, self.last_first_output_at),
             now,
         )
         if not run.request.prompt_tokens:
-            return
+            return run
         prefill_seconds = max(
             0.0,
             now
@@ -151,6 +151,7 @@
         )
         self.prefill.record(prefill_seconds, run.request.prompt_tokens)
         self._update_prefill_backlog(now)
+        return run
 
     def record_end(
         self,
--- a/fireflyquay/dispatch/_rank_statistics.py
+++ b/fireflyquay/dispatch/_rank_statistics.py
@@ -17,6 +17,12 @@
 # A rank is overloaded if its arrivals exceed its grants by this factor and margin.
 OVERLOAD_FACTOR = 1.15
 OVERLOAD_MARGIN_REQUESTS = 3
+# Weight of one run in the moving average of first output delays.
+FIRST_OUTPUT_DELAY_WEIGHT = 0.025
+# Multiple of the average delay within which most first outputs arrive.
+FIRST_OUTPUT_RESERVE_FACTOR = 1.5
+# Least fraction of the objective within which a waiting request is on time.
+MIN_ON_TIME_WAIT_SHARE = 0.2
 
 
 class _SlidingWindowCounter:
@@ -53,6 +59,8 @@
         self._overload_arrivals = _SlidingWindowCounter(OVERLOAD_WINDOW_SECONDS)
         # Moving average of the share of requests that were granted a slot.
         self.granted_share = 1.0
+        # Moving average of the seconds from a grant to the first output.
+        self._first_output_delay = 0.0
 
     def record_arrival(self, now: float) -> None:
         """Record the arrival of a request."""
@@ -68,6 +76,24 @@
         """Record a refusal."""
         self.granted_share -= self.granted_share / GRANTED_SHARE_DECAY_REQUESTS
 
+    def record_first_output(self, delay: float) -> None:
+        """Record the seconds from a grant to its first output."""
+        self._first_output_delay += FIRST_OUTPUT_DELAY_WEIGHT * (
+            delay - self._first_output_delay
+        )
+
+    def compute_on_time_wait(self, seconds_to_objective: float) -> float:
+        """Return the seconds for which a request may wait and still be on time.
+
+        Guards against refusing large requests: a bound by the request's own size would
+        leave those that reach the head of a long queue to be the small ones.
+        """
+        return max(
+            seconds_to_objective
+            - FIRST_OUTPUT_RESERVE_FACTOR * self._first_output_delay,
+            MIN_ON_TIME_WAIT_SHARE * seconds_to_objective,
+        )
+
     def estimate_wait(self, waiting: int, now: float) -> float:
         """Return the forecast seconds until ``waiting`` requests have got slots."""
         if waiting < MIN_WAITING_FOR_FORECAST:
--- a/fireflyquay/dispatch/_scheduler.py
+++ b/fireflyquay/dispatch/_scheduler.py
@@ -43,7 +43,7 @@
     # Weight of the time that a run occupies its slot, relative to the time to its first
     # output.
     occupancy_weight: float = 0.2
-    # Fraction of the latency objective for which a request passes over free slots on
+    # Fraction of its time on time for which a waiting request passes over free slots on
     # backend servers that would miss its objectives.
     max_placement_wait_share: float = 0.3
     # Fractions of the time until the client gives up, and until the deadline, for which
@@ -141,14 +141,13 @@
             settings.max_give_up_wait_share * request.seconds_to_give_up,
             settings.max_deadline_wait_share * request.seconds_to_deadline,
         )
-        latest_start = (
-            now
-            + request.seconds_to_objective
-            - self._forecast_idle_start(state, request)
+        statistics = state.ranks[request.rank]
+        statistics.record_arrival(now)
+        latest_start = now + statistics.compute_on_time_wait(
+            request.seconds_to_objective
         )
         item = QueuedRequest(request, now, now + max_wait, latest_start, weight)
         state.queue.add(item)
-        state.ranks[request.rank].record_arrival(now)
         decisions = self._assign_slots(state, now)
         if not item.is_done and self._will_miss_objective(state, request, now):
             state.queue.remove(item.key)
@@ -171,8 +170,10 @@
     ):
         """Record that a run has produced its first output."""
         load = self._find_load(backend)
-        if load is not None:
-            load.record_first_output(key, now)
+        run = None if load is None else load.record_first_output(key, now)
+        if run is not None:
+            state = self._states[run.request.service]
+            state.ranks[run.request.rank].record_first_output(now - run.granted_at)
 
     def end_run(
         self, owner: Incarnation, ended: RunEnded, now: float
@@ -181,14 +182,13 @@
         load = self._find_load(ended.backend)
         if load is None:
             return []
-        load.record_end(
-            (owner, ended.number),
-            now,
-            ended.event_count,
-            ended.longest_gap,
-            ended.failed,
-        )
+        key = (owner, ended.number)
         state = self._states[self._services_by_backend[ended.backend]]
+        run = load.runs.get(key)
+        load.record_end(key, now, ended.event_count, ended.longest_gap, ended.failed)
+        if run is not None and run.first_output_at is None and not ended.failed:
+            # A plain response reports no first output.
+            state.ranks[run.request.rank].record_first_output(now - run.granted_at)
         if ended.failed and load.is_failing(state.compute_median_failure_rate()):
             load.pause(now + FAILING_BACKEND_PAUSE_SECONDS)
         return self._assign_slots(state, now)
@@ -331,13 +331,10 @@
             if best is None or score < best_score:
                 best, best_score = load, score
         is_late = best_score[0]
-        if (
-            is_late
-            and waited
-            < self._settings.max_placement_wait_share * request.seconds_to_objective
-        ):
-            return None
-        return best
+        max_wait = self._settings.max_placement_wait_share * (
+            item.latest_start - item.queued_at
+        )
+        return None if is_late and waited < max_wait else best
 
     def _make_grant(
         self, state: _ServiceState, load: BackendLoad, item: QueuedRequest, now: float
@@ -349,11 +346,6 @@
         waited = now - item.queued_at
         return Grant(request.owner, request.number, load.entry.id, waited, forecast)
 
-    def _forecast_idle_start(self, state: _ServiceState, request: SlotRequest) -> float:
-        """Return the seconds to prefill the prompt, or to run a request without one."""
-        load = next(iter(state.loads.values()))
-        return load.forecast_work(1, request.prompt_tokens, 0)
-
     def _will_miss_objective(
         self, state: _ServiceState, request: SlotRequest, now: float
     ) -> bool:
--- a/fireflyquay/dispatch/_slot_queue.py
+++ b/fireflyquay/dispatch/_slot_queue.py
@@ -30,7 +30,7 @@
     queued_at: float
     # Loop time at which the request is refused if it still waits.
     expires_at: float
-    # Loop time after which a grant can't meet the request's objective.
+    # Loop time after which a grant would usually miss the objective of its rank.
     latest_start: float
     # Weight of the client account within the rank; all accounts with None share one
     # flow of weight 1.
@@ -49,7 +49,7 @@
         return SHARED_FLOW if self.weight is None else self.request.account
 
     def is_late(self, now: float) -> bool:
-        """Return whether the request can no longer meet its objective."""
+        """Return whether a grant now would usually miss the objective."""
         return now > self.latest_start
 
 
