Reserve the quota's allowance for large requests

Callers saw: a client account that sends more than its quota got nearly all of its small requests served and few of the large ones: 1.0 and 0.25 at two and a half times the quota, in a replay on the limiter.

A token bucket that is used up holds a few units at any moment. Small requests take them, and the level never reaches the size of a large one.

Ruled out: letting the level go negative, which refuses no size either, but may exceed the quota by the largest request; a bound on the bucket's whole burst, which would refuse small requests within the quota of a contract without allowance (test_account_limits_cover_requests_tokens_and_in_flight failed then).

Change: while the allowance above the quota covers it, each request needs as many units as the largest recent one. What is charged is unchanged, so no window grants more than before, and an account within its quota is not refused earlier than its quota alone would refuse it.

Evidence: test_large_requests_are_not_refused_more_often_beyond_a_quota failed before with those shares.

--- a/fireflyquay/dispatch/_quota_limiter.py
+++ b/fireflyquay/dispatch/_quota_limiter.py
@@ -2,14 +2,23 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 from fireflyquay.world import ClientAccount, ClientAccountId, Quota, QuotaUnit
 
+# Decay constant of the largest recent request of a bucket.
+LARGEST_REQUEST_DECAY_SECONDS = 10.0
+
 
 @dataclass(slots=True)
 class _Bucket:
-    """Hold the state of one token bucket."""
+    """Hold the state of one token bucket.
+
+    Guards against refusing large requests beyond the quota: units of the allowance
+    are reserved for the largest recent request, since small ones would use up the
+    bucket before it ever covers a large one.
+    """
 
     # Units available; negative after a deduction of more.
     level: float
@@ -17,18 +26,25 @@
     # Units per second, and the capacity in units.
     rate: float
     burst: float
+    # Units of the burst that exceed the quota.
+    allowance: float
+    # Decaying maximum of the units that requests asked for.
+    largest_request: float = 0.0
 
-    def refill(self, rate: float, burst: float, now: float) -> None:
+    def refill(self, rate: float, burst: float, allowance: float, now: float) -> None:
         """Add the units accrued since the last refill."""
-        added = max(0.0, now - self.refilled_at) * rate
-        self.level = min(burst, self.level + added)
+        elapsed = max(0.0, now - self.refilled_at)
+        self.level = min(burst, self.level + elapsed * rate)
+        self.largest_request *= math.exp(-elapsed / LARGEST_REQUEST_DECAY_SECONDS)
         self.refilled_at = now
-        self.rate, self.burst = rate, burst
+        self.rate, self.burst, self.allowance = rate, burst, allowance
 
     def compute_wait(self, units: float) -> float:
         """Return the seconds until enough units are available."""
+        self.largest_request = max(self.largest_request, units)
+        reserved = min(self.largest_request, self.allowance)
         # A request larger than the bucket is admitted once the bucket is full.
-        shortage = min(units, self.burst) - self.level
+        shortage = min(max(units, reserved), self.burst) - self.level
         return shortage / self.rate if shortage > 0 else 0.0
 
 
@@ -108,12 +124,13 @@
         self, account: ClientAccountId, quota: Quota, share: float, now: float
     ) -> _Bucket:
         rate = quota.rate * (1 + self._rate_allowance) * share
-        burst = (quota.burst + self._burst_allowance) * share
+        allowance = self._burst_allowance * share
+        burst = quota.burst * share + allowance
         bucket = self._buckets.get((account, quota.unit))
         if bucket is None:
-            bucket = _Bucket(burst, now, rate, burst)
+            bucket = _Bucket(burst, now, rate, burst, allowance)
             self._buckets[account, quota.unit] = bucket
-        bucket.refill(rate, burst, now)
+        bucket.refill(rate, burst, allowance, now)
         return bucket
 
 
--- a/fireflyquay/dispatch/tests/test_fairness.py
+++ b/fireflyquay/dispatch/tests/test_fairness.py
@@ -4,9 +4,15 @@
 
 import random
 
-from fireflyquay.dispatch import Grant, RunEnded
+from fireflyquay.dispatch import Grant, QuotaLimiter, RunEnded
 
-from .builders import OWN_VM, make_backend_entry, make_coordinator, make_request
+from .builders import (
+    OWN_VM,
+    make_account,
+    make_backend_entry,
+    make_coordinator,
+    make_request,
+)
 
 SMALL_PROMPT, LARGE_PROMPT = 500, 8000
 OBJECTIVE_SECONDS = 0.4
@@ -62,3 +68,21 @@
     for load in (1.3, 2.0, 4.0):
         shares = simulate_mixed_sizes(load)
         assert shares[LARGE_PROMPT] > 0.8 * shares[SMALL_PROMPT], (load, shares)
+
+
+def test_large_requests_are_not_refused_more_often_beyond_a_quota():
+    rng = random.Random(1)
+    limiter = QuotaLimiter(burst_allowance=10_000)
+    account = make_account(rate=10_000, burst=20_000)
+    arrived, charged = {SMALL_PROMPT: 0, LARGE_PROMPT: 0}, {}
+    for step in range(4000):
+        # About 2.5 times the quota.
+        size = LARGE_PROMPT if rng.random() < 0.2 else SMALL_PROMPT
+        arrived[size] += 1
+        if limiter.charge(account, size, 1.0, step * 0.08) is None:
+            charged[size] = charged.get(size, 0) + 1
+    shares = {size: charged.get(size, 0) / arrived[size] for size in arrived}
+    assert 0.8 < shares[LARGE_PROMPT] / shares[SMALL_PROMPT] < 1.25, shares
+    # All of the quota is granted.
+    assert 0.95 < sum(size * n for size, n in charged.items()) / (3_200_000 + 30_000)
+    assert sum(size * n for size, n in charged.items()) <= 3_200_000 + 30_000
