Refuse waiting requests when the last backend server leaves

Seen: with a request waiting, the removal of the last backend server of its service raised IndexError from the next advance on the coordinator, so the task that advances all requests of the fleet failed.

Cause: the median failure rate of an empty list; the forecast of a refusal would have taken the first of no backend servers next.

Change: the requests that wait are refused with NO_BACKEND_SERVER at once, as those are that arrive afterwards.

Evidence: test_waiting_requests_are_refused_when_the_last_backend_server_leaves raised IndexError before; tests of dispatch and gateway pass.

--- a/fireflyquay/dispatch/_scheduler.py
+++ b/fireflyquay/dispatch/_scheduler.py
@@ -261,6 +261,11 @@
     def _assign_slots(self, state: _ServiceState, now: float) -> list[Decision]:
         if not state.queue:
             return []
+        if not state.loads:
+            return [
+                self._make_no_backend_refusal(item.request)
+                for item in state.queue.pop_all()
+            ]
         median_failure_rate = state.compute_median_failure_rate()
         available_loads = [
             load
--- a/fireflyquay/dispatch/_slot_queue.py
+++ b/fireflyquay/dispatch/_slot_queue.py
@@ -197,6 +197,13 @@
         for key in [key for key in self._by_key if key[0] == owner]:
             self.remove(key)
 
+    def pop_all(self) -> list[QueuedRequest]:
+        """Remove and return all requests in order of arrival."""
+        items = list(self._by_key.values())
+        for item in items:
+            self.remove(item.key)
+        return items
+
     def count_on_time(self, rank: tuple[int, int], now: float) -> int:
         """Return about how many requests of a rank can still meet their objective."""
         rank_queue = self._ranks.get(rank)
--- a/fireflyquay/dispatch/tests/test_coordinator.py
+++ b/fireflyquay/dispatch/tests/test_coordinator.py
@@ -100,6 +100,18 @@
     assert refusal.code is Code.NO_BACKEND_SERVER
 
 
+def test_waiting_requests_are_refused_when_the_last_backend_server_leaves():
+    coordinator = make_coordinator()
+    coordinator.set_backends([make_backend_entry("s1", slots=1)])
+    coordinator.submit(make_request(1), 0.0)
+    coordinator.submit(make_request(2, OTHER_VM), 0.0)
+    coordinator.set_backends([])
+    [refusal] = coordinator.advance(0.1)
+    assert (refusal.owner, refusal.number) == (OTHER_VM, 2)
+    assert refusal.code is Code.NO_BACKEND_SERVER
+    assert coordinator.advance(0.2) == []
+
+
 def test_account_quota_holds_across_vms():
     coordinator = make_coordinator(make_account(rate=1000, burst=3000))
     coordinator.set_backends([make_backend_entry("s1", slots=50)])
