Keep watching a settings file that can't be read

Seen: with the file missing after SIGHUP, a gateway logged errors without end and ran no other task; with the file missing at the first read, the task that watches it ended, and later changes were never loaded.

Cause: both reads took the file to be there. The loop went on with the event still set, so it never waited; the first read raised.

Change: an unreadable file is one logged state. The event is cleared before the read, and whatever becomes readable next is loaded, also for a SIGHUP that came before.

Evidence: test_settings_file_that_appears_late_is_loaded failed with FileNotFoundError before; test_missing_settings_file_after_sighup_does_not_block_other_tasks did not end within 10 s before. Both pass, with the other tests of the gateway.

--- a/fireflyquay/gateway/_daemon.py
+++ b/fireflyquay/gateway/_daemon.py
@@ -54,23 +54,33 @@
     gateway: Gateway, path: Path, load: LoadSettings, reload: asyncio.Event
 ) -> None:
     """Reload the settings on SIGHUP and whenever the file has changed."""
-    last_content = path.read_bytes()
+    last_content = _read_settings(path)
     while True:
         try:
             async with asyncio.timeout(SETTINGS_CHECK_INTERVAL_SECONDS):
                 await reload.wait()
         except TimeoutError:
             pass
-        try:
-            content = path.read_bytes()
-        except OSError as error:
-            LOG.error("settings unreadable", extra={"cause": str(error)})
+        is_requested = reload.is_set()
+        reload.clear()
+        content = _read_settings(path)
+        if content is None:
+            # The next readable file is loaded, also for a SIGHUP that came before it.
+            last_content = None
             continue
-        if content == last_content and not reload.is_set():
+        if content == last_content and not is_requested:
             continue
         last_content = content
-        reload.clear()
         try:
             gateway.reload(load(path))
         except FireflyquayError as error:
             LOG.error("settings kept", extra={"cause": error.sentence})
+
+
+def _read_settings(path: Path) -> bytes | None:
+    """Return the content of the settings file, or None if it can't be read."""
+    try:
+        return path.read_bytes()
+    except OSError as error:
+        LOG.error("settings unreadable", extra={"cause": str(error)})
+        return None
