Follow the store when it comes back from a copy

The platform's pages say that the store may return from a copy some seconds old: what was written since is lost, revisions are given out again, and Store-Era rises by one.

Seen: on the stand-in, after such a restore, a gateway ignored every list of workers until the store's revision passed the one that it had seen: a new worker was not used and a leaving one received requests. Workers that the copy did not hold yet would have been dropped, and leaving ones that it lists as ready used again.

Cause: a list of a lower revision counted as older.

A restore counts as an outage: missing workers are retained while they may register again, and a leaving worker stays leaving.

--- a/fireflyquay/dispatch/_backend_registry.py
+++ b/fireflyquay/dispatch/_backend_registry.py
@@ -35,11 +35,18 @@
         """Replace all entries and return a description of each change.
 
         After an outage of the store, missing entries are retained for as long as a
-        live backend server may need to register again.
+        live backend server may need to register again, and those of leaving backend
+        servers are not replaced by older ones.
         """
         if freshness.revision < self.freshness.revision:
             return []
         entries_by_id = {entry.id: entry for entry in entries}
+        if after_outage:
+            entries_by_id |= {
+                entry.id: entry
+                for entry in self._entries.values()
+                if self._is_reverted(entry, entries_by_id.get(entry.id))
+            }
         changes = self._retain_missing(entries_by_id, freshness, after_outage)
         changes += _describe_changes(self._entries, entries_by_id)
         self._entries = entries_by_id
@@ -74,6 +81,16 @@
         """Return all registered backend servers."""
         return list(self._entries.values())
 
+    @staticmethod
+    def _is_reverted(known: BackendEntry, listed: BackendEntry | None) -> bool:
+        """Return whether a listed entry is from before its backend server's leave."""
+        return (
+            listed is not None
+            and known.phase is BackendPhase.LEAVING
+            and listed.phase is BackendPhase.READY
+            and known.born_ms == listed.born_ms
+        )
+
     def _retain_missing(
         self,
         entries_by_id: dict[BackendServerId, BackendEntry],
--- a/fireflyquay/gateway/_dialect.py
+++ b/fireflyquay/gateway/_dialect.py
@@ -183,7 +183,7 @@
 
     # None if none is stored yet.
     config: FleetConfig | None
-    # Store revision at the time of the read.
+    # Store revision at the time of the read; never decreases, also after a restore.
     revision: int
 
 
@@ -192,9 +192,12 @@
     """Hold the registered backend servers as read from the store."""
 
     entries: tuple[BackendEntry, ...]
+    # Store revision at the time of the read; never decreases, also after a restore.
     revision: int
     # Names of registrations that can't be decoded.
     unreadable: tuple[BackendServerId, ...] = ()
+    # Number of times that the store was restored from a copy.
+    restore_count: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/fireflyquay/gateway/_state_replicas.py
+++ b/fireflyquay/gateway/_state_replicas.py
@@ -51,6 +51,8 @@
         self._config_requested = asyncio.Event()
         # Time on the age clock until which registrations may be missing after outages.
         self._recovering_until = float("-inf")
+        # Restores of the store as of the last read; None before the first.
+        self._restore_count: int | None = None
         # Names of unreadable registrations as last logged.
         self._unreadable: tuple[BackendServerId, ...] = ()
         # Called after any change.
@@ -141,7 +143,9 @@
         sent_at = self._clock.read()
         snapshot = await self._source.list_backends()
         was_down = sent_at - self.backends.freshness.confirmed_at > OUTAGE_SECONDS
-        if was_down and self.backends.freshness.revision:
+        if (was_down and self.backends.freshness.revision) or self._was_restored(
+            snapshot.restore_count
+        ):
             self._recovering_until = self._clock.read() + OUTAGE_SECONDS
         freshness = Freshness(snapshot.revision, sent_at)
         is_recovering = self._clock.read() < self._recovering_until
@@ -159,6 +163,14 @@
         )
         self.on_change()
 
+    def _was_restored(self, restore_count: int) -> bool:
+        """Return whether the store was restored from a copy since the last read."""
+        previous, self._restore_count = self._restore_count, restore_count
+        if previous is None or previous == restore_count:
+            return False
+        LOG.warning("store restored", extra={"restores": restore_count})
+        return True
+
     def _record_store_result(self, is_available: bool, sentence: str) -> None:
         if is_available == self._is_store_available:
             return
