--- a/measure/verdicts.py
+++ b/measure/verdicts.py
@@ -1,4 +1,4 @@
-"""Days that missed their gate: ``python -m measure.verdicts [--since TIME] [ENTRY...]``.
+"""List days that missed their gate: ``python -m measure.verdicts [ENTRY...]``.
 
 A hunt's summary counts broken rules only. Its journal entry also holds whether each day
 passes its gate, and by what it falls short.
