Show how often an emulation's largest requests are served

They now hold the served shares of each kind's largest tenth and of the fifth below it.

With it goes a division by zero in the summary of no requests (a known fault): test_summary_of_no_requests_has_no_costs raised ZeroDivisionError before.

--- a/emulator/_report.py
+++ b/emulator/_report.py
@@ -22,8 +22,12 @@
 
 
 def format_kinds(result: EmulationResult) -> str:
-    """Return a table of one emulation with a row for each kind of request."""
-    rows = [("kind", "asked", "on time", "late", "refused", "failed", "p50", "p99")]
+    """Return a table of one emulation with a row for each kind of request.
+
+    The last two columns are the served shares of its largest requests.
+    """
+    head = ("kind", "asked", "on time", "late", "refused", "failed", "p50", "p99")
+    rows = [(*head, "largest 1/10", "next 1/5")]
     for kind in result.summary.kinds:
         shares = (
             kind.on_time,
@@ -32,6 +36,8 @@
             kind.failed,
             kind.p50,
             kind.p99,
+            kind.largest_tenth_served,
+            kind.next_fifth_served,
         )
         rows.append((kind.kind, str(kind.asked), *(f"{value:.3f}" for value in shares)))
     return _align(rows)
--- a/emulator/_summary.py
+++ b/emulator/_summary.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import statistics
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 
 from ._history import ClientRequest, History
@@ -42,6 +42,9 @@
     # Quantiles of the seconds to the first output.
     p50: float
     p99: float
+    # Served shares of the largest tenth of the requests and of the fifth below it.
+    largest_tenth_served: float
+    next_fifth_served: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,16 +96,22 @@
         _compute_credit_share(kinds, requests),
         _compute_worst_windows(kinds, requests),
         min((kind_summary.credit_share for kind_summary in summaries), default=1.0),
-        sum(_compute_hold_cost(kinds[request.kind], request) for request in requests)
-        / total,
-        sum(_compute_retry_cost(kinds[request.kind], request) for request in requests)
-        / total,
+        _sum_costs(_compute_hold_cost, kinds, requests) / total if total else 0.0,
+        _sum_costs(_compute_retry_cost, kinds, requests) / total if total else 0.0,
         _compute_wasted_prefill(history),
         history.messages / seconds / site.vms,
         history.store_calls / seconds / site.vms,
     )
 
 
+def _sum_costs(
+    compute_cost: Callable[[Kind, ClientRequest], float],
+    kinds: dict[str, Kind],
+    requests: Iterable[ClientRequest],
+) -> float:
+    return sum(compute_cost(kinds[request.kind], request) for request in requests)
+
+
 def _summarize_kind(kind: Kind, requests: Sequence[ClientRequest]) -> KindSummary:
     count = len(requests)
     outputs = [
@@ -123,9 +132,23 @@
         _compute_credit_share({kind.name: kind}, requests),
         _compute_quantile(outputs, 0.5),
         _compute_quantile(outputs, 0.99),
+        *_compute_largest_served(requests),
     )
 
 
+def _compute_largest_served(requests: Sequence[ClientRequest]) -> tuple[float, float]:
+    ordered = sorted(requests, key=lambda request: request.prompt_tokens, reverse=True)
+    tenth = max(1, len(ordered) // 10)
+    largest, next_largest = ordered[:tenth], ordered[tenth : 3 * tenth]
+    return _compute_served_share(largest), _compute_served_share(next_largest)
+
+
+def _compute_served_share(requests: Sequence[ClientRequest]) -> float:
+    if not requests:
+        return 1.0
+    return sum(request.is_served for request in requests) / len(requests)
+
+
 def _was_rejected(request: ClientRequest) -> bool:
     return bool(request.attempts) and bool(request.attempts[-1].code)
 
--- a/emulator/tests/test_emulation.py
+++ b/emulator/tests/test_emulation.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from emulator import Emulation, VirtualLoop, emulate, run_virtual, summarize
+from emulator import Emulation, History, VirtualLoop, emulate, run_virtual, summarize
 from emulator._report import EmulationResult, format_kinds, format_ways
 from emulator._ways import WAYS
 from proofs import make_site
@@ -135,3 +135,20 @@
     assert changed != before
     assert any(is_served for _, _, is_served, _ in changed)
     assert list_outcomes(emulate(site, 3.0, seed=3, settle=6.0)) == before
+
+
+def test_summary_of_no_requests_has_no_costs():
+    summary = summarize(make_site(), History())
+    assert (summary.whole, summary.held, summary.refused_again) == (1.0, 0.0, 0.0)
+
+
+def test_summary_states_how_often_the_largest_requests_are_served():
+    history = emulate(make_site(), 3.0, seed=4, settle=6.0)
+    streams = [it for it in history.requests if it.prompt_tokens]
+    largest = max(streams, key=lambda it: it.prompt_tokens)
+    largest.is_served = False
+    kind = next(
+        it for it in summarize(make_site(), history).kinds if it.kind == largest.kind
+    )
+    assert kind.largest_tenth_served < 1.0
+    assert kind.next_fifth_served == 1.0
