--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -21,9 +21,12 @@
 # A gateway must end within this time after SIGTERM: its grace period of 3 s, a margin
 # of 1 s, and the longest time for which another fault may suspend it.
 MAX_STOP_SECONDS = 4.0 + MAX_FAULT_SECONDS
+ENDLESS_BEHAVIORS = [it for it in Behavior if it.name.startswith("ENDLESS")]
 # Worker behaviors that a gateway must tolerate; crash_worker covers crashes.
 FAULTY_BEHAVIORS = [
-    it for it in Behavior if it not in (Behavior.NORMAL, Behavior.CRASH)
+    it
+    for it in Behavior
+    if it not in (Behavior.NORMAL, Behavior.CRASH, *ENDLESS_BEHAVIORS)
 ]
 DISRUPTIVE_MODES = [Mode.RESET, Mode.SILENT, Mode.ONE_WAY]
 
@@ -31,7 +34,13 @@
 class FaultInjector:
     """Inject random faults into a fleet."""
 
-    def __init__(self, fleet: Fleet, history: SoakHistory, rng: random.Random) -> None:
+    def __init__(
+        self,
+        fleet: Fleet,
+        history: SoakHistory,
+        rng: random.Random,
+        draws_later_faults: bool = True,
+    ) -> None:
         self._fleet = fleet
         self._history = history
         self._rng = rng
@@ -50,6 +59,9 @@
             self.replace_worker,
             self.rotate_key,
         ]
+        if draws_later_faults:
+            # Apart, so that earlier seeds can draw the faults that they drew then.
+            self._faults += [self.restore_store, self.inject_endless_responses]
 
     async def run(self, seconds: float) -> None:
         """Start faults for some seconds, then wait until all have ended."""
@@ -133,6 +145,35 @@
         count = self._rng.randint(1, 4)
         worker.behaviors += [self._rng.choice(FAULTY_BEHAVIORS) for _ in range(count)]
 
+    async def inject_endless_responses(self) -> None:
+        """Make a worker's next response endless."""
+        worker = self._rng.choice(self._fleet.workers)
+        worker.behaviors.append(self._rng.choice(ENDLESS_BEHAVIORS))
+
+    async def restore_store(self) -> None:
+        """Take the store away, and bring it back from a copy some seconds old."""
+        store = self._fleet.store
+        state = store.copy_state()
+        await asyncio.sleep(self._draw_duration())
+        with self._history.record_fault_interval():
+            store.switches.trouble = StoreFault.RESET
+            await asyncio.sleep(self._draw_duration() / 4)
+            registrations = {
+                name: item["spec"]
+                for (kind, name), item in store.objects.items()
+                if kind == "servers"
+            }
+            store.restore(state)
+            # The operator and the workers write again what was lost.
+            self._fleet.put_config()
+            store.switches.trouble = StoreFault.NONE
+            await asyncio.sleep(self._rng.uniform(0.0, 1.0))
+            for name, spec in registrations.items():
+                store.put("servers", name, spec)
+            for kind, name in list(store.objects):
+                if kind == "servers" and name not in registrations:
+                    store.remove(kind, name)
+
     async def crash_worker(self) -> None:
         """Crash a worker and restart it at its address after a random time."""
         worker = self._rng.choice(self._fleet.workers)
--- a/soak/_soak_run.py
+++ b/soak/_soak_run.py
@@ -42,9 +42,16 @@
 
 
 async def run_soak(
-    seed: int, seconds: float, gateway_count: int, mutant: str = ""
+    seed: int,
+    seconds: float,
+    gateway_count: int,
+    mutant: str = "",
+    draws_later_faults: bool = True,
 ) -> SoakResult:
-    """Run a fleet under faults drawn from a seed and return the result."""
+    """Run a fleet under faults drawn from a seed and return the result.
+
+    Seeds from before some faults were added draw as they did without them.
+    """
     rng = random.Random(seed)
     fleet, history = Fleet(gateway_count, mutant), SoakHistory()
     try:
@@ -52,7 +59,10 @@
         traffic = TrafficGenerator(fleet, history, rng)
         traffic_task = asyncio.ensure_future(traffic.run())
         # The faults have their own generator, so that traffic does not change them.
-        await FaultInjector(fleet, history, random.Random(seed + 1)).run(seconds)
+        injector = FaultInjector(
+            fleet, history, random.Random(seed + 1), draws_later_faults
+        )
+        await injector.run(seconds)
         fault_free_since = asyncio.get_running_loop().time() + RECOVERY_SECONDS
         await asyncio.sleep(RECOVERY_SECONDS + FAULT_FREE_SECONDS)
         traffic_task.cancel()
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -11,7 +11,7 @@
 from soak._history import SoakHistory
 from soak._soak_run import run_soak
 
-SEED = 1
+SEED, LATER_SEED = 1, 2
 # In real time, since the gateways are processes.
 FAULT_SECONDS = 4.0
 GATEWAY_COUNT = 3
@@ -22,9 +22,17 @@
 }
 
 
-@pytest.mark.parametrize("seed", [SEED, *REGRESSION_SEEDS])
+@pytest.mark.parametrize("seed", [SEED, LATER_SEED, *REGRESSION_SEEDS])
 def test_seed_violates_no_guarantee(seed):
-    result = asyncio.run(run_soak(seed, FAULT_SECONDS, GATEWAY_COUNT))
+    draws_later_faults = seed == LATER_SEED
+    result = asyncio.run(
+        run_soak(
+            seed,
+            FAULT_SECONDS,
+            GATEWAY_COUNT,
+            draws_later_faults=draws_later_faults,
+        )
+    )
     assert result.request_count > 50
     assert not result.violations, result.violations
 
