Give all kinds of a rank the bound of its shortest objective

Requests of a rank are served by arrival, so under sustained load only those of the longest bound reach the head of the queue in time, and the forecast on arrival refuses by the same objective.

Ruled out: ordering by latest start, which serves both kinds at the brink (docs/design/emulator.md, earliest objective first).

Change: requests state the objective of their route, and a rank uses the shortest one of the last five to ten seconds for lateness and for the forecast. A rank with one objective behaves as before.

--- a/fireflyquay/dispatch/_rank_statistics.py
+++ b/fireflyquay/dispatch/_rank_statistics.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 
 # Window of the grant rate from which waits are forecast: longer than the interval
@@ -21,6 +22,9 @@
 FIRST_OUTPUT_DELAY_WEIGHT = 0.025
 # Multiple of the average delay within which most first outputs arrive.
 FIRST_OUTPUT_RESERVE_FACTOR = 1.5
+# Window over which the shortest objective of a rank is taken: longer than the wait of
+# any request, so that those that wait together have the same bound.
+OBJECTIVE_WINDOW_SECONDS = 5.0
 # Least fraction of the objective within which a waiting request is on time.
 MIN_ON_TIME_WAIT_SHARE = 0.2
 
@@ -61,10 +65,21 @@
         self.granted_share = 1.0
         # Moving average of the seconds from a grant to the first output.
         self._first_output_delay = 0.0
+        # Shortest latency objective of the requests of each of two successive windows,
+        # and the loop time at which the current one began.
+        self._shortest_objectives = (math.inf, math.inf)
+        self._objectives_since = -math.inf
 
-    def record_arrival(self, now: float) -> None:
-        """Record the arrival of a request."""
+    def record_arrival(self, now: float, latency_objective: float = 0.0) -> None:
+        """Record the arrival of a request, and its objective unless it is 0."""
         self._overload_arrivals.record(now)
+        previous, current = self._shortest_objectives
+        if now - self._objectives_since > OBJECTIVE_WINDOW_SECONDS:
+            previous, current = current, math.inf
+            self._objectives_since = now
+        if latency_objective > 0:
+            current = min(current, latency_objective)
+        self._shortest_objectives = (previous, current)
 
     def record_grant(self, now: float) -> None:
         """Record a grant."""
@@ -85,15 +100,20 @@
     def compute_on_time_wait(self, seconds_to_objective: float) -> float:
         """Return the seconds for which a request may wait and still be on time.
 
-        Guards against refusing large requests: a bound by the request's own size would
-        leave those that reach the head of a long queue to be the small ones.
+        Guards against refusing requests by kind or size: under sustained overload only
+        those of the longest bound reach the head of a queue, so all requests of a rank
+        get the bound of its shortest objective and of its average run.
         """
+        seconds = self.limit_to_shortest_objective(seconds_to_objective)
         return max(
-            seconds_to_objective
-            - FIRST_OUTPUT_RESERVE_FACTOR * self._first_output_delay,
-            MIN_ON_TIME_WAIT_SHARE * seconds_to_objective,
+            seconds - FIRST_OUTPUT_RESERVE_FACTOR * self._first_output_delay,
+            MIN_ON_TIME_WAIT_SHARE * seconds,
         )
 
+    def limit_to_shortest_objective(self, seconds_to_objective: float) -> float:
+        """Return the seconds, at most the shortest recent objective of the rank."""
+        return min(seconds_to_objective, *self._shortest_objectives)
+
     def estimate_wait(self, waiting: int, now: float) -> float:
         """Return the forecast seconds until ``waiting`` requests have got slots."""
         if waiting < MIN_WAITING_FOR_FORECAST:
--- a/fireflyquay/dispatch/_scheduler.py
+++ b/fireflyquay/dispatch/_scheduler.py
@@ -142,7 +142,7 @@
             settings.max_deadline_wait_share * request.seconds_to_deadline,
         )
         statistics = state.ranks[request.rank]
-        statistics.record_arrival(now)
+        statistics.record_arrival(now, request.latency_objective)
         latest_start = now + statistics.compute_on_time_wait(
             request.seconds_to_objective
         )
@@ -362,10 +362,10 @@
         if state.retry_schedule.was_refused_recently(request.fingerprint, now):
             return False
         waiting = state.queue.count_on_time(request.rank, now)
-        wait = state.ranks[request.rank].estimate_wait(waiting, now)
-        return wait > self._settings.max_forecast_wait_share * max(
-            0.0, request.seconds_to_objective
-        )
+        statistics = state.ranks[request.rank]
+        wait = statistics.estimate_wait(waiting, now)
+        seconds = statistics.limit_to_shortest_objective(request.seconds_to_objective)
+        return wait > self._settings.max_forecast_wait_share * max(0.0, seconds)
 
     def _refuse_queued(
         self,
--- a/fireflyquay/dispatch/_slot_messages.py
+++ b/fireflyquay/dispatch/_slot_messages.py
@@ -49,6 +49,9 @@
     is_retry: bool = False
     # Backend servers that must not be chosen.
     excluded: tuple[BackendServerId, ...] = ()
+    # Latency objective of the route in seconds, counted from the arrival; 0 from a VM
+    # that does not state it.
+    latency_objective: float = 0.0
 
 
 class Grant(Message):
--- a/fireflyquay/dispatch/tests/test_fairness.py
+++ b/fireflyquay/dispatch/tests/test_fairness.py
@@ -1,4 +1,4 @@
-"""Tests that the size of a request does not decide whether it is turned away."""
+"""Tests that neither size nor kind of a request decides whether it is turned away."""
 
 from __future__ import annotations
 
@@ -21,16 +21,18 @@
 STEP_SECONDS = 0.005
 
 
-def simulate_mixed_sizes(load, seconds=60.0, large_share=0.2):
-    """Offer a multiple of the capacity; return the granted share of each size.
+def simulate_overload(load, kinds, seconds=60.0):
+    """Offer a multiple of the capacity; return the granted share of each kind.
 
-    All runs take equally long, so only the scheduler can prefer a size.
+    ``kinds`` holds the weight, prompt tokens and objective of each. All runs take
+    equally long, so only the scheduler can prefer a kind.
     """
     rng = random.Random(1)
     coordinator = make_coordinator()
     coordinator.set_backends([make_backend_entry("s1", slots=SLOTS)])
     rate = load * SLOTS / RUN_SECONDS
-    sizes: dict[int, int] = {}
+    weights = [weight for weight, _, _ in kinds]
+    kind_of: dict[int, int] = {}
     granted: set[int] = set()
     running: dict[int, float] = {}
     for step in range(round(seconds / STEP_SECONDS)):
@@ -41,33 +43,46 @@
             ended = RunEnded(number, "s1", 5, 0.0, False)
             decisions += coordinator.handle_message(OWN_VM, ended, now)
         while rng.random() < rate * STEP_SECONDS / (1 + rate * STEP_SECONDS):
-            number = len(sizes)
-            is_large = rng.random() < large_share
-            sizes[number] = LARGE_PROMPT if is_large else SMALL_PROMPT
+            number = len(kind_of)
+            kind_of[number] = rng.choices(range(len(kinds)), weights)[0]
+            _, prompt_tokens, objective = kinds[kind_of[number]]
             request = make_request(
                 number,
-                prompt_tokens=sizes[number],
-                seconds_to_objective=OBJECTIVE_SECONDS,
+                prompt_tokens=prompt_tokens,
+                seconds_to_objective=objective,
                 seconds_to_give_up=2.5,
                 seconds_to_deadline=2.5,
                 max_gap=0.0,
+                latency_objective=objective,
             )
             decisions += coordinator.submit(request, now)
         for decision in decisions:
             if isinstance(decision, Grant):
                 granted.add(decision.number)
                 running[decision.number] = now + RUN_SECONDS
-    return {
-        size: sum(number in granted for number in sizes if sizes[number] == size)
-        / sum(it == size for it in sizes.values())
-        for size in (SMALL_PROMPT, LARGE_PROMPT)
-    }
+    return [
+        sum(number in granted for number in kind_of if kind_of[number] == kind)
+        / sum(it == kind for it in kind_of.values())
+        for kind in range(len(kinds))
+    ]
 
 
 def test_large_requests_are_not_refused_more_often_under_overload():
+    kinds = [
+        (0.8, SMALL_PROMPT, OBJECTIVE_SECONDS),
+        (0.2, LARGE_PROMPT, OBJECTIVE_SECONDS),
+    ]
     for load in (1.3, 2.0, 4.0):
-        shares = simulate_mixed_sizes(load)
-        assert shares[LARGE_PROMPT] > 0.8 * shares[SMALL_PROMPT], (load, shares)
+        small, large = simulate_overload(load, kinds)
+        assert large > 0.8 * small, (load, small, large)
+
+
+def test_kind_with_a_short_objective_is_not_refused_more_often_than_its_rank():
+    for short, long in ((0.2, 1.0), (0.3, 0.4)):
+        kinds = [(0.5, SMALL_PROMPT, short), (0.5, SMALL_PROMPT, long)]
+        for load in (1.3, 2.0, 4.0):
+            of_short, of_long = simulate_overload(load, kinds)
+            assert of_short > 0.8 * of_long, (load, of_short, of_long)
 
 
 def test_large_requests_are_not_refused_more_often_beyond_a_quota():
--- a/fireflyquay/gateway/_ingress.py
+++ b/fireflyquay/gateway/_ingress.py
@@ -294,6 +294,7 @@
             fingerprint_request(call),
             bool(call.tried_backends),
             tuple(call.tried_backends),
+            route.target_latency,
         )
 
     def _may_retry(self, call: Call, outcome: Outcome) -> bool:
