Log responses that end with their connection

The log said 'served' of whole streams and of torn ones alike, so it could not tell the hypotheses of the incident apart. The new line tells that a response had neither a length nor chunks, and how many bytes followed its last whole event. No behavior changes.

--- a/fireflyquay/gateway/_forwarder.py
+++ b/fireflyquay/gateway/_forwarder.py
@@ -287,9 +287,23 @@
             if complete:
                 await self._write(stream, complete)
                 self._call.last_event_id = reader.last_event_id
-        await self._write(stream, reader.finish())
+        last_bytes = reader.finish()
+        if stream.ends_with_connection:
+            self._log_connection_end(len(last_bytes))
+        await self._write(stream, last_bytes)
         await self._call.responder.finish()
 
+    def _log_connection_end(self, bytes_after_events: int) -> None:
+        LOG.info(
+            "response ended with its connection",
+            extra={
+                "id": self._call.metadata.attempt_id,
+                "backend": self._backend.id,
+                "events": self._reader.event_count if self._reader else 0,
+                "bytes_after_events": bytes_after_events,
+            },
+        )
+
     async def _write(self, stream: HttpStream, data: bytes) -> None:
         responder = self._call.responder
         if not responder.started:
--- a/fireflyquay/links/_http_client.py
+++ b/fireflyquay/links/_http_client.py
@@ -22,6 +22,9 @@
 )
 from ._http_pool import Address, ClientConnection, ConnectionPool, open_connection
 
+# Statuses of responses that never have a body.
+BODILESS_STATUSES = (204, 304)
+
 
 @dataclass(frozen=True, slots=True)
 class ExchangeOptions:
@@ -44,6 +47,15 @@
     return None
 
 
+def _ends_with_connection(
+    method: bytes, status: int, headers: Mapping[str, str]
+) -> bool:
+    """Return whether only the end of the connection ends a response's body."""
+    if method == b"HEAD" or status in BODILESS_STATUSES:
+        return False
+    return "content-length" not in headers and "transfer-encoding" not in headers
+
+
 class HttpExchange:
     """Send a request and yield its response, as an async context manager.
 
@@ -85,7 +97,11 @@
             headers.get("keep-alive", "")
         )
         return HttpStream(
-            response.status_code, headers, self, response.headers.raw_items()
+            response.status_code,
+            headers,
+            self,
+            response.headers.raw_items(),
+            _ends_with_connection(self._head.method, response.status_code, headers),
         )
 
     async def __aexit__(
--- a/fireflyquay/links/_http_message.py
+++ b/fireflyquay/links/_http_message.py
@@ -63,10 +63,14 @@
 
     status: int
     headers: dict[str, str]
-    # Raises HttpFailure if the response ends before its body is complete.
+    # Raises HttpFailure if the response ends before its body is complete, as far as its
+    # framing tells.
     chunks: AsyncIterator[bytes]
     # Names and values as received, in their order.
     raw_headers: RawHeaders = ()
+    # Whether the body has neither a length nor chunks, so that only the end of the
+    # connection ends it.
+    ends_with_connection: bool = False
 
     def __aiter__(self) -> AsyncIterator[bytes]:
         return self.chunks
