Treat a stream that ends inside an event as broken off

Cause: without a length or chunks the HTTP parser reports a whole message wherever the connection is closed. EventSplitter.finish returned the torn event as the last bytes of the stream, and the forwarder ended its own chunks behind it. The same held for chunked streams and streams with a length whose last event is not whole.

An event that is passed on before its end keeps the stream open, and such a stream is not continued elsewhere, since the rest would be joined to the torn event. A stream without framing that holds no event at all was broken off. The engine reader of the project's own interface refuses an incomplete event after the finished one.

Ruled out: a reset taken for an end (the connection error is raised, the 'reset' case passed before), and resumed streams with nothing to add (none of the seven torn answers in the record was resumed).

--- a/fireflyquay/gateway/_call.py
+++ b/fireflyquay/gateway/_call.py
@@ -63,6 +63,8 @@
     longest_gap: float = 0.0
     # Id of the last event that the client received.
     last_event_id: str = ""
+    # Whether the client received a part of an event without its end.
+    is_inside_event: bool = False
 
     @property
     def rank(self) -> int:
--- a/fireflyquay/gateway/_dialect.py
+++ b/fireflyquay/gateway/_dialect.py
@@ -98,6 +98,8 @@
         # Number of complete events with an id so far, and the last id.
         self.event_count = 0
         self.last_event_id = ""
+        # Whether a part of an event was returned before the rest of it arrived.
+        self.is_inside_event = False
 
     @abstractmethod
     def feed(self, data: bytes) -> bytes:
--- a/fireflyquay/gateway/_forwarder.py
+++ b/fireflyquay/gateway/_forwarder.py
@@ -287,13 +287,20 @@
             if complete:
                 await self._write(stream, complete)
                 self._call.last_event_id = reader.last_event_id
+                self._call.is_inside_event = reader.is_inside_event
         last_bytes = reader.finish()
         if stream.ends_with_connection:
-            self._log_connection_end(len(last_bytes))
+            self._check_unframed_stream(len(last_bytes))
         await self._write(stream, last_bytes)
         await self._call.responder.finish()
 
-    def _log_connection_end(self, bytes_after_events: int) -> None:
+    def _check_unframed_stream(self, bytes_after_events: int) -> None:
+        """Log a stream that its connection ended; raise BrokenResponseError if empty.
+
+        A stream that continues after the last event may have nothing to add.
+        """
+        if self._last_output_at is None and not self._call.last_event_id:
+            raise BrokenResponseError("The stream ended without an event.")
         LOG.info(
             "response ended with its connection",
             extra={
--- a/fireflyquay/gateway/_ingress.py
+++ b/fireflyquay/gateway/_ingress.py
@@ -301,7 +301,9 @@
         rule = call.admission.route.repeat_rule
         if outcome is Outcome.UNSENDABLE:
             return False
-        if outcome is Outcome.CUT and rule is not RepeatRule.RESUMABLE:
+        if outcome is Outcome.CUT and (
+            rule is not RepeatRule.RESUMABLE or call.is_inside_event
+        ):
             return False
         if outcome is Outcome.LOST and rule is RepeatRule.AT_MOST_ONCE:
             return False
--- a/fireflyquay/interface/_engine_reader.py
+++ b/fireflyquay/interface/_engine_reader.py
@@ -86,6 +86,8 @@
         finished_event = self._finished_event
         if finished_event is None:
             raise BrokenResponseError("The stream ended without a finished event.")
+        if self._parser.is_inside_event:
+            raise BrokenResponseError("The stream ended inside an event.")
         if self._wants_events:
             done = DoneEvent(self._key, Verdict.RAN, finished_event.output_tokens)
             return encode_sse("done", msgspec.json.encode(done))
--- a/fireflyquay/links/_sse.py
+++ b/fireflyquay/links/_sse.py
@@ -29,6 +29,11 @@
         self._data: list[bytes] = []
         self._event_bytes = 0
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Return whether an event has begun whose end has not arrived."""
+        return bool(self._buffer or self._name or self._data)
+
     def feed(self, chunk: bytes) -> list[SseEvent]:
         """Return the events that the chunk completes.
 
