Frame a response as the backend server framed it

What callers saw: a response with neither a length nor chunks, of which only the end of the connection says where it ends, reached them with a length or with chunks. If it had broken off between two events or within a plain body, that framing said of a part that it was the whole.

Cause: the gateway frames each response itself. It can tell a torn stream by its last event, but nothing tells whether a plain body without framing is whole.

Such a response now ends with the client's connection too, with Connection: close, also when it is a failure that is kept for the end of all attempts. The client learns what the backend server said, no more, and a reset stays a reset. Responses with a length, chunks or no body are framed as before.

Ruled out: refusing them (whole ones without framing must arrive).

--- a/emulator/_responder.py
+++ b/emulator/_responder.py
@@ -31,13 +31,21 @@
         self.updated = asyncio.Event()
         self._last_arrival = 0.0
 
-    async def send(self, status: int, headers: object, body: bytes) -> None:
+    async def send(
+        self,
+        status: int,
+        headers: object,
+        body: bytes,
+        ends_with_connection: bool = False,
+    ) -> None:
         """Send a complete response."""
-        await self.start(status, headers)
+        await self.start(status, headers, ends_with_connection)
         await self.write(body)
         await self.finish()
 
-    async def start(self, status: int, headers: object) -> None:
+    async def start(
+        self, status: int, headers: object, ends_with_connection: bool = False
+    ) -> None:
         """Start a response with a status."""
         self._check_open()
         self.started, self.status = True, status
--- a/fireflyquay/gateway/_call.py
+++ b/fireflyquay/gateway/_call.py
@@ -93,6 +93,15 @@
         )
         return min(total, stream_timeout)
 
+    async def send(self, response: Response) -> None:
+        """Send a whole response to the client."""
+        await self.responder.send(
+            response.status,
+            response.headers,
+            response.body,
+            response.ends_with_connection,
+        )
+
     def compute_output_delay(self) -> float | None:
         """Return the seconds from arrival to the first output; None without output."""
         if self.first_output_at is None:
--- a/fireflyquay/gateway/_dialect.py
+++ b/fireflyquay/gateway/_dialect.py
@@ -73,6 +73,9 @@
     status: int
     headers: HeaderPairs
     body: bytes
+    # Whether only the end of the connection ends the body, as the backend server sent
+    # it; a length would claim that it is whole.
+    ends_with_connection: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/fireflyquay/gateway/_forwarder.py
+++ b/fireflyquay/gateway/_forwarder.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 
 import logbook
 
@@ -242,15 +243,17 @@
         if status in NOT_RUN_STATUSES:
             # The status alone doesn't prove that the request has not run.
             status, keeps_seal = BAD_GATEWAY, False
-        response = self._exchange.translate_response(
-            status, stream.raw_headers, bytes(body), keeps_seal
+        response = replace(
+            self._exchange.translate_response(
+                status, stream.raw_headers, bytes(body), keeps_seal
+            ),
+            ends_with_connection=stream.ends_with_connection,
         )
         rule = self._call.admission.route.repeat_rule
         if status >= 500 and rule is RepeatRule.IDEMPOTENT:
             self._call.failure_response = response
             return Outcome.FAILED
-        responder = self._call.responder
-        await responder.send(response.status, response.headers, response.body)
+        await self._call.send(response)
         return Outcome.DELIVERED
 
     def _record_output(self) -> None:
@@ -269,9 +272,8 @@
     async def _forward_unbuffered(
         self, stream: HttpStream, buffered: bytearray
     ) -> None:
-        headers = self._exchange.translate_headers(stream.raw_headers)
         responder = self._call.responder
-        await responder.start(stream.status, headers)
+        await self._start_response(stream)
         await responder.write(bytes(buffered))
         async for chunk in stream:
             await responder.write(chunk)
@@ -314,7 +316,12 @@
     async def _write(self, stream: HttpStream, data: bytes) -> None:
         responder = self._call.responder
         if not responder.started:
-            headers = self._exchange.translate_headers(stream.raw_headers)
-            await responder.start(stream.status, headers)
+            await self._start_response(stream)
         if data:
             await responder.write(data)
+
+    async def _start_response(self, stream: HttpStream) -> None:
+        headers = self._exchange.translate_headers(stream.raw_headers)
+        await self._call.responder.start(
+            stream.status, headers, stream.ends_with_connection
+        )
--- a/fireflyquay/gateway/_ingress.py
+++ b/fireflyquay/gateway/_ingress.py
@@ -149,8 +149,8 @@
             assert self._claims is not None
             await self._claims.release(call)
         response = None if call is None else call.failure_response
-        if response is not None and not responder.started:
-            await responder.send(response.status, response.headers, response.body)
+        if call is not None and response is not None and not responder.started:
+            await call.send(response)
         else:
             failure = Failure(
                 rejection.code, rejection.sentence, rejection.retry_after, may_have_run
--- a/fireflyquay/links/_http_responder.py
+++ b/fireflyquay/links/_http_responder.py
@@ -33,7 +33,7 @@
 
 
 class HttpResponder:
-    """Send one response, whole or in chunks.
+    """Send one response, whole or in parts.
 
     Sending raises CallerDisconnectedError if the connection is closed, or if the
     write buffer is not drained within the idle timeout.
@@ -60,25 +60,38 @@
         # Whether the response is complete or aborted.
         self.finished = False
 
-    async def send(self, status: int, headers: Headers, body: bytes) -> None:
+    async def send(
+        self,
+        status: int,
+        headers: Headers,
+        body: bytes,
+        ends_with_connection: bool = False,
+    ) -> None:
         """Send a whole response, without the body if the request's method is HEAD."""
-        length = ("content-length", str(len(body)))
-        head = self._make_head(status, [*make_header_pairs(headers), length])
-        data = (
-            self._begin_response(head) + self._encode_chunk(body) + self._end_response()
-        )
+        pairs = make_header_pairs(headers)
+        if not ends_with_connection:
+            pairs.append(("content-length", str(len(body))))
+        head = self._make_head(status, pairs)
+        data = self._begin_response(head, ends_with_connection)
+        data += self._encode_chunk(body) + self._end_response()
         await self._write_bytes(data)
 
-    async def start(self, status: int, headers: Headers) -> None:
-        """Send the status and headers of a response whose body follows in chunks."""
-        await self._write_bytes(self._begin_response(self._make_head(status, headers)))
+    async def start(
+        self, status: int, headers: Headers, ends_with_connection: bool = False
+    ) -> None:
+        """Send the status and headers of a response whose body follows in parts.
+
+        They are framed as chunks, unless the end of the connection is to end them.
+        """
+        head = self._make_head(status, headers)
+        await self._write_bytes(self._begin_response(head, ends_with_connection))
 
     async def write(self, chunk: bytes) -> None:
-        """Send a chunk; wait while the write buffer is full."""
+        """Send a part of the body; wait while the write buffer is full."""
         await self._write_bytes(self._encode_chunk(chunk))
 
     async def finish(self) -> None:
-        """End a response that is sent in chunks."""
+        """End a response that is sent in parts."""
         await self._write_bytes(self._end_response())
 
     def abort(self) -> None:
@@ -92,8 +105,11 @@
             pairs.append(("connection", "close"))
         return h11.Response(status_code=status, headers=pairs)
 
-    def _begin_response(self, head: h11.Response) -> bytes:
+    def _begin_response(self, head: h11.Response, ends_with_connection: bool) -> bytes:
         self.started = True
+        if ends_with_connection:
+            # h11 uses chunks unless the peer's version lacks them.
+            self._http.their_http_version = b"1.0"
         return self._http.send(head)
 
     def _encode_chunk(self, chunk: bytes) -> bytes:
