Refuse JSON of a plain service that broke off

What callers saw: on the project's own interface, JSON of a plain service that had neither a length nor chunks and broke off was returned as text, inside whole JSON with the verdict RAN.

Cause: output that isn't JSON counts as text, also if its headers call it JSON and nothing else shows where it ends.

Such a body is now a broken response: 502 with MAY_HAVE_RUN, or a retry where the kind allows it. Text without a length is still returned, framed by the end of the connection.

--- a/fireflyquay/gateway/_dialect.py
+++ b/fireflyquay/gateway/_dialect.py
@@ -161,6 +161,13 @@
         """Return log fields of the request besides its id."""
         return {}
 
+    def check_unframed_body(self, headers: dict[str, str], body: bytes) -> None:
+        """Raise BrokenResponseError if a body that its connection ended is a part.
+
+        Without a length or chunks, only the body itself can tell.
+        """
+        return None
+
     def states_not_run(self, status: int, body: bytes) -> bool:
         """Return whether a complete response states that the request did not run."""
         return False
--- a/fireflyquay/gateway/_forwarder.py
+++ b/fireflyquay/gateway/_forwarder.py
@@ -238,6 +238,8 @@
                 return Outcome.DELIVERED
         if self._exchange.states_not_run(stream.status, bytes(body)):
             return self._handle_declined(stream.status)
+        if stream.ends_with_connection and 200 <= stream.status < 300:
+            self._exchange.check_unframed_body(stream.headers, bytes(body))
         self._record_output()
         status, keeps_seal = stream.status, True
         if status in NOT_RUN_STATUSES:
--- a/fireflyquay/interface/_dialect.py
+++ b/fireflyquay/interface/_dialect.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from fireflyquay.gateway import (
+    BrokenResponseError,
     Dialect,
     EventReader,
     Exchange,
@@ -37,7 +38,8 @@
 
 ATTEMPT_ID_BYTES = 8
 STATUS_UNAVAILABLE = 503
-JSON_HEADERS: HeaderPairs = [("content-type", "application/json")]
+JSON_MEDIA_TYPE = "application/json"
+JSON_HEADERS: HeaderPairs = [("content-type", JSON_MEDIA_TYPE)]
 EVENT_HEADERS: HeaderPairs = [
     ("content-type", "text/event-stream"),
     ("cache-control", "no-store"),
@@ -167,6 +169,18 @@
         answer = AnswerBody(self.metadata.effective_key, Verdict.RAN, output, 0)
         return Response(200, JSON_HEADERS, msgspec.json.encode(answer))
 
+    def check_unframed_body(self, headers: dict[str, str], body: bytes) -> None:
+        """Raise BrokenResponseError if the JSON of a service's body is incomplete."""
+        media_type = headers.get("content-type", "").partition(";")[0].strip().lower()
+        if media_type != JSON_MEDIA_TYPE:
+            return
+        try:
+            msgspec.json.decode(body)
+        except DECODE_ERRORS as error:
+            raise BrokenResponseError(
+                f"The JSON without a length is incomplete: {error}."
+            ) from None
+
     def states_not_run(self, status: int, body: bytes) -> bool:
         """Return whether a response states that the request did not run."""
         # Only a 503 response may state NOT_RUN.
