Deliver responses on a stream's route that are no event streams

A backend server may answer a request for a stream with a body of another type. Since a stream that ends inside an event counts as broken off, such a body was cut off as a torn event. It is now forwarded like any other body if its headers state another type.

The test failed before: the client's connection was reset.

--- a/fireflyquay/gateway/_forwarder.py
+++ b/fireflyquay/gateway/_forwarder.py
@@ -36,6 +36,7 @@
 # Statuses that tell the client that the request has not run.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 BAD_GATEWAY = 502
+EVENT_STREAM = "text/event-stream"
 MISDIRECTED = 421
 # Outcomes that don't count as a failure of the backend server, unless the status of its
 # response is 500 or above.
@@ -210,7 +211,9 @@
                 "The response lacks the seal of a backend server."
             )
         if is_success:
-            is_stream = self._call.admission.route.is_stream
+            is_stream = self._call.admission.route.is_stream and _may_hold_events(
+                stream.headers
+            )
             self._reader = self._exchange.open_reader(self._backend, is_stream)
         if self._reader is not None:
             await self._forward_events(stream, self._reader)
@@ -327,3 +330,9 @@
         await self._call.responder.start(
             stream.status, headers, stream.ends_with_connection
         )
+
+
+def _may_hold_events(headers: dict[str, str]) -> bool:
+    """Return whether a body is an event stream or of no stated type."""
+    media_type = headers.get("content-type", EVENT_STREAM).partition(";")[0]
+    return media_type.strip().lower() == EVENT_STREAM
