Log the parts of a prompt that requests share

A crash ends all runs of its worker; which part the crashed requests had in common could not be read from any log line. The parts are decoded, without the last, which is the request's own, and stand in 'ended' and 'backend server crashed'. No behavior changes.

--- a/emulator/_clients.py
+++ b/emulator/_clients.py
@@ -196,6 +196,7 @@
             "output": str(request.events * self._get_tokens_per_event(kind)),
             "prefix": f"{kind.name}-{request.number % PREFIX_COUNT}",
             "shared": str(kind.shared_tokens),
+            "parts": ",".join((*request.shared_parts, str(request.number))),
             "work": str(kind.work),
             "crashes": "1" if request.poison else "0",
         }
--- a/emulator/_dialect.py
+++ b/emulator/_dialect.py
@@ -19,7 +19,14 @@
     UpstreamRequest,
 )
 from fireflyquay.links import HttpRequest, RawHeaders
-from fireflyquay.world import AttemptId, BackendEntry, ClientAccountId, Code, ModelName
+from fireflyquay.world import (
+    AttemptId,
+    BackendEntry,
+    ClientAccountId,
+    Code,
+    ModelName,
+    PromptPartId,
+)
 
 SITE_HOST = "site.example"
 
@@ -49,6 +56,7 @@
             int(headers["output"]),
             True,
             headers.get("last", ""),
+            tuple(PromptPartId(it) for it in headers["parts"].split(",")[:-1]),
         )
 
     def make_upstream_request(
--- a/emulator/_history.py
+++ b/emulator/_history.py
@@ -71,6 +71,8 @@
     # Body that makes each backend server that runs the request crash; empty for normal
     # requests. Repetitions of the request have the same body.
     poison: str = ""
+    # Parts of the prompt that other requests may share.
+    shared_parts: tuple[str, ...] = ()
     attempts: list[Attempt] = field(default_factory=list)
     # When the client disconnected before its timeout; None if it didn't.
     gave_up_at: float | None = None
--- a/fireflyquay/gateway/_dialect.py
+++ b/fireflyquay/gateway/_dialect.py
@@ -15,6 +15,7 @@
     Code,
     FleetConfig,
     ModelName,
+    PromptPartId,
     VmListing,
 )
 
@@ -42,6 +43,8 @@
     # Id of the last event that the client received of an interrupted stream; empty if
     # there is none.
     last_event_id: str
+    # Parts of the prompt that other requests may share, in order.
+    shared_parts: tuple[PromptPartId, ...]
 
 
 @dataclass(frozen=True, slots=True)
--- a/fireflyquay/gateway/_forwarder.py
+++ b/fireflyquay/gateway/_forwarder.py
@@ -161,6 +161,7 @@
                 "id": self._call.metadata.attempt_id,
                 "backend": self._backend.id,
                 "fingerprint": fingerprint,
+                "shared_parts": self._call.metadata.shared_parts,
             },
         )
         self._slot_client.report_crash(fingerprint)
--- a/fireflyquay/gateway/_ingress.py
+++ b/fireflyquay/gateway/_ingress.py
@@ -368,6 +368,7 @@
                 "account": "" if call is None else _get_account_id(call.admission),
                 "prompt_tokens": exchange.metadata.prompt_tokens,
                 "max_output_tokens": exchange.metadata.max_output_tokens,
+                "shared_parts": exchange.metadata.shared_parts,
                 "taken": round(duration_seconds, 3),
                 "first_output": None if call is None else call.compute_output_delay(),
                 "longest_gap": 0.0 if call is None else round(call.longest_gap, 3),
--- a/fireflyquay/interface/_parser.py
+++ b/fireflyquay/interface/_parser.py
@@ -16,6 +16,7 @@
     Code,
     FireflyquayError,
     ModelName,
+    PromptPartId,
     RequestKey,
     is_valid_request_key,
 )
@@ -92,6 +93,7 @@
     prefix = (
         body.prefix if body.prefix is not None else body.prompt[:DEFAULT_PREFIX_CHARS]
     )
+    prefix_hash = xxhash.xxh3_64_hexdigest(prefix.encode("utf-8", "replace"))
     kind = _parse_kind(request)
     has_prompt = bool(body.prompt) or body.prompt_tokens is not None
     return ContractRequestMetadata(
@@ -105,9 +107,10 @@
         max_output_tokens=_validate_token_count(body.max_tokens) if has_prompt else 0,
         has_token_counts=True,
         last_event_id="",
+        shared_parts=(PromptPartId(prefix_hash),) if prefix else (),
         kind=kind,
         key=key,
-        prefix_hash=xxhash.xxh3_64_hexdigest(prefix.encode("utf-8", "replace")),
+        prefix_hash=prefix_hash,
         wants_events="text/event-stream" in request.headers.get("accept", ""),
     )
 
--- a/fireflyquay/world/_ids.py
+++ b/fireflyquay/world/_ids.py
@@ -19,6 +19,8 @@
 Fingerprint = NewType("Fingerprint", str)
 ServiceId = NewType("ServiceId", str)
 ClientAccountId = NewType("ClientAccountId", str)
+# Names a part of a prompt that other requests may have too.
+PromptPartId = NewType("PromptPartId", str)
 ModelName = NewType("ModelName", str)
 # Identifier that the client generates for each attempt.
 AttemptId = NewType("AttemptId", str)
