--- a/emulator/_backend_client.py
+++ b/emulator/_backend_client.py
@@ -150,4 +150,5 @@
         run.resumed_after,
         float(headers.get("work", "0")),
         headers.get("crashes") == "1",
+        frozenset(headers["parts"].split(",")[:-1]),
     )
--- a/emulator/_clients.py
+++ b/emulator/_clients.py
@@ -95,7 +95,9 @@
             for _ in range(count):
                 self.send(kind)
 
-    def send(self, kind: Kind, poison: str = "") -> ClientRequest:
+    def send(
+        self, kind: Kind, poison: str = "", shared_parts: tuple[str, ...] = ()
+    ) -> ClientRequest:
         """Send a request; with a poison body, it crashes each server that runs it."""
         accounts = list(self.keys)
         weights = [
@@ -107,7 +109,7 @@
             # Repetitions need the same fingerprint, which includes the account.
             account = accounts[0]
         request = self._draw_request(kind, account)
-        request.poison = poison
+        request.poison, request.shared_parts = poison, shared_parts
         self._history.requests.append(request)
         loop = asyncio.get_running_loop()
         task = loop.create_task(self._run_request(kind, request))
--- a/emulator/_emulation.py
+++ b/emulator/_emulation.py
@@ -19,7 +19,7 @@
 from ._history import Fault, History, PlannedChange
 from ._loop import VirtualLoop, run_virtual
 from ._network import EmulatedLink, Network
-from ._servers import EmulatedServer, make_servers
+from ._servers import CrashingParts, EmulatedEngine, EmulatedServer, make_servers
 from ._site import Kind, Site
 from ._store import EmulatedSource, EmulatedStore
 
@@ -47,6 +47,7 @@
         )
         self.store = EmulatedStore(self._derive_rng())
         self.servers: dict[str, EmulatedServer] = {}
+        self.crashing_parts = CrashingParts()
         # Running gateways by host, without those that were killed or stopped.
         self.gateways: dict[str, Gateway] = {}
         self.frozen: set[str] = set()
@@ -246,6 +247,8 @@
     def _add_servers(self, servers: Sequence[EmulatedServer]) -> None:
         for server in servers:
             self.servers[server.entry.id] = server
+            if isinstance(server, EmulatedEngine):
+                server.crashing_parts = self.crashing_parts
             self.store.backends[server.entry.id] = server.entry
             self.network.zones[server.entry.host] = server.entry.zone
         self.store.increment_revision()
--- a/emulator/_servers.py
+++ b/emulator/_servers.py
@@ -38,6 +38,7 @@
     # Run time of a plain request in seconds, before the server's factors.
     work: float
     crashes: bool = False
+    shared_parts: frozenset[str] = frozenset()
     # Unread output, and the event that signals a change to its reader.
     chunks: deque[bytes] = field(default_factory=deque)
     updated: asyncio.Event = field(default_factory=asyncio.Event)
@@ -53,6 +54,19 @@
         self.updated.set()
 
 
+@dataclass
+class CrashingParts:
+    """Hold the parts of prompts on which engines crash."""
+
+    names: set[str] = field(default_factory=set)
+    # Whether an engine sends the first event of the response before it crashes.
+    sends_first_event: bool = False
+    # Time for which a crashed engine refuses connections, in seconds.
+    downtime: float = 3.0
+    # Loop time of each crash, by part.
+    crashed_at: dict[str, list[float]] = field(default_factory=dict)
+
+
 class EmulatedServer(ABC):
     """Run requests in a limited number of slots, with a short queue."""
 
@@ -185,6 +199,7 @@
         self._time_factor = time_factor
         self._rng = rng
         self._has_scheduled_step = False
+        self.crashing_parts = CrashingParts()
         # Tokens of each cached prompt prefix, least recently used first.
         self._prefix_cache: OrderedDict[str, int] = OrderedDict()
 
@@ -233,10 +248,25 @@
             if prefilling.prompt_tokens_left <= 0:
                 self._cache_prefix(prefilling)
         for job in decoding:
-            if not job.is_finished:
-                self._generate_token(job)
+            if job.is_finished:
+                continue
+            parts = job.shared_parts & self.crashing_parts.names
+            if parts:
+                self._crash_on_parts(job, parts)
+                return
+            self._generate_token(job)
         self._schedule_step()
 
+    def _crash_on_parts(self, job: Job, parts: frozenset[str]) -> None:
+        loop, crashing = asyncio.get_running_loop(), self.crashing_parts
+        for part in parts:
+            crashing.crashed_at.setdefault(part, []).append(loop.time())
+        if crashing.sends_first_event:
+            job.send_output(b"id: %d\ndata: x\n\n" % (job.resumed_after + 1))
+        self.crash()
+        self._has_scheduled_step = False
+        loop.call_later(crashing.downtime, self.restart)
+
     def _generate_token(self, job: Job) -> None:
         job.generated_tokens += 1
         is_last = job.generated_tokens >= job.output_tokens
