Quarantine parts of prompts that crash backend servers

Cause, three faults of one class, evidence that is not what it is taken for: crashes were counted by target, account and body, so requests with one part in common were each new; a crash was looked for only before the first byte; and counts lived at the coordinator and reached a successor only as far as each VM had reported them itself.

Now each run that breaks off is checked for a crash, and all that had just begun there is suspected: the request, and each part of its prompt but the last. A sound run that began later clears; a suspect with sound runs needs six crashes in place of three; crashes that a quarantined suspect explains count against no other. All VMs get the evidence at once, and again from one VM a second, so no VM's loss loses it, and a VM that joins gets all. A quarantine ends by a trial, one at a time, or is forgotten.

QUARANTINED is 503 on the wire in place of 422: it is a promise for a time, and the request has not run.

The tests of CrashTracker are replaced by those of the evidence; the coordinator's test of a quarantine moved there with it.

--- a/fireflyquay/dispatch/__init__.py
+++ b/fireflyquay/dispatch/__init__.py
@@ -8,7 +8,7 @@
     BackendPause,
     Cancellation,
     ControlMessage,
-    CrashReport,
+    CrashNews,
     Detach,
     FirstOutput,
     Handover,
@@ -20,7 +20,12 @@
     RunEnded,
 )
 from ._coordinator import HANDOVER_USAGE_WINDOW_SECONDS, Coordinator
-from ._crash_tracker import CrashTracker
+from ._crash_tracker import (
+    BEGINNING_SECONDS,
+    CrashTracker,
+    SuspicionChange,
+    list_suspects,
+)
 from ._freshness import Freshness
 from ._quota_limiter import QuotaLimiter
 from ._replica_sync import ReplicaSync
@@ -38,8 +43,11 @@
     "ConfigReplica",
     "ControlMessage",
     "Coordinator",
-    "CrashReport",
+    "BEGINNING_SECONDS",
+    "CrashNews",
     "CrashTracker",
+    "SuspicionChange",
+    "list_suspects",
     "Decision",
     "Detach",
     "FirstOutput",
--- a/fireflyquay/dispatch/_control_message.py
+++ b/fireflyquay/dispatch/_control_message.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import msgspec
+
 from fireflyquay.membership import (
     MembershipMessage,
     Message,
@@ -13,6 +15,7 @@
     EntryVm,
     FleetConfig,
     Incarnation,
+    SuspectId,
 )
 
 from ._slot_messages import Grant, Refusal, SlotRequest
@@ -56,10 +59,33 @@
     seconds: float
 
 
-class CrashReport(Message, tag="Crashed"):
-    """Report that a request crashed the backend server that ran it."""
+class CrashRecord(msgspec.Struct, frozen=True, array_like=True):
+    """Describe the crash of a backend server."""
+
+    backend: BackendServerId
+    # Start of the crashed process, in milliseconds since the epoch; 0 if unknown.
+    born_ms: int
+    age_seconds: float
+    # What the runs that had just begun hold that may have caused the crash.
+    suspects: tuple[SuspectId, ...]
+
+
+class QuarantineRecord(msgspec.Struct, frozen=True, array_like=True):
+    """Describe a suspect that must not run."""
+
+    suspect: SuspectId
+    crash_count: int
+    # Seconds since its last crash.
+    age_seconds: float
+
+
+class CrashNews(Message):
+    """Share evidence of what crashes backend servers with another VM."""
 
-    fingerprint: str
+    crashes: tuple[CrashRecord, ...]
+    # Seconds since the last sound run with each of these began.
+    sound: tuple[tuple[SuspectId, float], ...]
+    quarantined: tuple[QuarantineRecord, ...]
 
 
 class ActiveRun(Message, tag="HeldRun"):
@@ -72,15 +98,13 @@
 
 
 class Handover(Message):
-    """Report the sender's runs, recent usage and crash counts to a new coordinator."""
+    """Report the sender's runs and recent usage to a new coordinator."""
 
     # The sender, whose membership record may not have reached the receiver yet.
     vm: EntryVm
     runs: tuple[ActiveRun, ...]
     # Requests and quota tokens granted recently, by client account.
     usage: tuple[tuple[ClientAccountId, int, float], ...]
-    # Crash counts by request fingerprint.
-    crashes: tuple[tuple[str, int], ...]
 
 
 class ActiveRunsReport(Message, tag="Holding"):
@@ -161,12 +185,15 @@
     | FirstOutput
     | RunEnded
     | BackendPause
-    | CrashReport
     | Handover
     | ActiveRunsReport
     | Detach
 )
 MessageToFollower = Grant | Refusal | Queued
 ControlMessage = (
-    MembershipMessage | ReplicaSyncMessage | MessageToCoordinator | MessageToFollower
+    MembershipMessage
+    | ReplicaSyncMessage
+    | MessageToCoordinator
+    | MessageToFollower
+    | CrashNews
 )
--- a/fireflyquay/dispatch/_coordinator.py
+++ b/fireflyquay/dispatch/_coordinator.py
@@ -20,21 +20,17 @@
     ActiveRunsReport,
     BackendPause,
     Cancellation,
-    CrashReport,
     Detach,
     FirstOutput,
     Handover,
     MessageToCoordinator,
     RunEnded,
 )
-from ._crash_tracker import CrashTracker
 from ._quota_limiter import QuotaLimiter, QuotaShortage
 from ._retry_budget import RetryBudget
 from ._scheduler import SlotScheduler
 from ._slot_messages import Decision, Refusal, SlotRequest
 
-# Retry-After of a quarantined request.
-QUARANTINE_RETRY_AFTER_SECONDS = 60.0
 # Bounds of the Retry-After of a client account that exceeds its quota.
 MIN_QUOTA_RETRY_AFTER_SECONDS = 0.2
 MAX_QUOTA_RETRY_AFTER_SECONDS = 4.0
@@ -65,7 +61,6 @@
         self._scheduler = scheduler
         self._retry_budget = retry_budget
         self.quotas = quotas
-        self.crashes = CrashTracker()
         # Number of running VMs, including this one.
         self.fleet_size = 1
         # VMs that follow this coordinator, excluding its own.
@@ -82,13 +77,6 @@
 
     def submit(self, request: SlotRequest, now: float) -> list[Decision]:
         """Enqueue a request unless a limit refuses it; return all new decisions."""
-        if self.crashes.is_quarantined(request.fingerprint):
-            reason = "it crashed several backend servers"
-            return [
-                self._make_refusal(
-                    request, Code.QUARANTINED, QUARANTINE_RETRY_AFTER_SECONDS, reason
-                )
-            ]
         if not request.is_retry:
             self._retry_budget.record_request(request.service, now)
             return self._charge_or_refuse(request, now) or self._enqueue(request, now)
@@ -119,8 +107,6 @@
                 return self._settle_charges(scheduler.end_run(sender, message, now))
             case BackendPause(backend, seconds):
                 scheduler.pause(backend, now + seconds)
-            case CrashReport(fingerprint):
-                self.crashes.record_crash(fingerprint)
             case Handover():
                 return self._apply_handover(sender, message, now)
             case ActiveRunsReport(runs):
@@ -219,8 +205,6 @@
             account = self._config.get_account(account_id)
             if account is not None:
                 self.quotas.deduct(account, requests, tokens, refilled_seconds, now)
-        for fingerprint, count in handover.crashes:
-            self.crashes.merge_count(fingerprint, count)
         return self._settle_charges(decisions)
 
     def _reconcile_runs(
--- a/fireflyquay/dispatch/tests/test_coordinator.py
+++ b/fireflyquay/dispatch/tests/test_coordinator.py
@@ -8,7 +8,6 @@
     ActiveRun,
     ActiveRunsReport,
     Cancellation,
-    CrashReport,
     Detach,
     FirstOutput,
     Grant,
@@ -18,7 +17,6 @@
     RunEnded,
     SlotSchedulerSettings,
 )
-from fireflyquay.dispatch._crash_tracker import CRASH_LIMIT
 from fireflyquay.world import Code, Quota, QuotaUnit
 
 from .builders import (
@@ -241,23 +239,11 @@
     assert retries[-1].code is Code.OVERLOADED
 
 
-def test_request_that_crashes_backends_is_quarantined():
-    coordinator = make_coordinator()
-    coordinator.set_backends([make_backend_entry("s1", slots=50)])
-    request = make_request(1)
-    for _ in range(CRASH_LIMIT):
-        coordinator.handle_message(OTHER_VM, CrashReport(request.fingerprint), 0.0)
-    [refusal] = coordinator.submit(request, 1.0)
-    assert refusal.code is Code.QUARANTINED
-    assert list_granted_keys(coordinator.submit(make_request(2), 1.0)) == [(OWN_VM, 2)]
-
-
 def test_new_coordinator_counts_runs_from_handover():
     coordinator = make_coordinator()
     coordinator.set_backends([make_backend_entry("s1", slots=1)])
     run = ActiveRun(make_request(7, OTHER_VM), "s1", 0.4)
-    usage, crashes = ((ACCOUNT, 1, 10.0),), (("f", 2),)
-    handover = Handover(make_vm(OTHER_VM), (run,), usage, crashes)
+    handover = Handover(make_vm(OTHER_VM), (run,), ((ACCOUNT, 1, 10.0),))
     coordinator.handle_message(OTHER_VM, handover, 1.0)
     assert coordinator.submit(make_request(1), 1.0) == []
     decisions = coordinator.handle_message(
--- a/fireflyquay/gateway/_call.py
+++ b/fireflyquay/gateway/_call.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import dataclass, field
 from enum import Enum
 
 from xxhash import xxh64
 
 from fireflyquay.links import HttpRequest, HttpResponder
-from fireflyquay.world import BackendServerId, Fingerprint, ServiceId
+from fireflyquay.world import BackendServerId, Fingerprint, ServiceId, SuspectId
 
 from ._admission import Admission
 from ._dialect import Exchange, RequestMetadata, Response
@@ -65,6 +66,10 @@
     last_event_id: str = ""
     # Whether the client received a part of an event without its end.
     is_inside_event: bool = False
+    # What could make this request crash backend servers.
+    suspects: tuple[SuspectId, ...] = ()
+    # Checks whether the last attempt ended with a crash of its backend server.
+    crash_check: asyncio.Task[None] | None = None
 
     @property
     def rank(self) -> int:
--- a/fireflyquay/gateway/_fleet.py
+++ b/fireflyquay/gateway/_fleet.py
@@ -11,6 +11,7 @@
 from fireflyquay.dispatch import (
     ControlMessage,
     Coordinator,
+    CrashNews,
     Handover,
     MessageToCoordinator,
     MessageToFollower,
@@ -38,6 +39,7 @@
 
 from ._clock import AgeClock
 from ._discovery import MembershipView
+from ._quarantine import Quarantine
 from ._slot_client import Peers, SlotClient
 
 LOG = logbook.Logger("fleet")
@@ -68,6 +70,7 @@
         coordinator: Coordinator,
         slot_client: SlotClient,
         replica_sync: ReplicaSync,
+        quarantine: Quarantine,
         clock: AgeClock,
         is_ready: Callable[[], bool],
         compute_config_age: Callable[[], float],
@@ -80,6 +83,7 @@
         self._coordinator = coordinator
         self._slot_client = slot_client
         self._replica_sync = replica_sync
+        self._quarantine = quarantine
         self._clock = clock
         self._is_ready = is_ready
         self._compute_config_age = compute_config_age
@@ -169,6 +173,11 @@
         if vm is not None:
             self._link.send(vm, message)
 
+    def list_others(self) -> Sequence[Incarnation]:
+        """Return the other live VMs."""
+        own = self._own.incarnation
+        return [it for it in self._membership.live_incarnations() if it != own]
+
     def mark_unresponsive(self, target: Incarnation) -> None:
         """Exclude an unresponsive VM from the choice of coordinator for a while."""
         now = asyncio.get_running_loop().time()
@@ -236,6 +245,8 @@
                 self.send(sender, response)
             if is_changed:
                 self._on_replicas_change()
+        elif isinstance(message, CrashNews):
+            self._quarantine.handle_news(message)
         else:
             self._send_actions(self._membership.receive(now, sender, message))
 
@@ -262,6 +273,8 @@
                     "zone": record.vm.zone,
                 },
             )
+            if kind is ChangeKind.JOINED:
+                self._quarantine.send_evidence(incarnation)
             if kind is ChangeKind.LOST:
                 self._replica_sync.remove_vm(incarnation)
                 self._last_heard_at.pop(incarnation, None)
--- a/fireflyquay/gateway/_forwarder.py
+++ b/fireflyquay/gateway/_forwarder.py
@@ -7,7 +7,7 @@
 
 import logbook
 
-from fireflyquay.dispatch import SlotRequest
+from fireflyquay.dispatch import BEGINNING_SECONDS, SlotRequest
 from fireflyquay.links import (
     BackendClient,
     ExchangeOptions,
@@ -19,6 +19,7 @@
 from ._call import Call, Outcome, fingerprint_request
 from ._dialect import BrokenResponseError, EventReader
 from ._gateway_metrics import GatewayMetrics
+from ._quarantine import Quarantine
 from ._slot_client import SlotClient
 
 LOG = logbook.Logger("forwarder")
@@ -54,16 +55,20 @@
         self,
         client: BackendClient,
         slot_client: SlotClient,
+        quarantine: Quarantine,
         metrics: GatewayMetrics,
     ) -> None:
         self.client = client
         self.slot_client = slot_client
+        self.quarantine = quarantine
+        self._crash_checks: set[asyncio.Task[None]] = set()
         self.metrics = metrics
 
     async def attempt(
         self, call: Call, slot_request: SlotRequest, backend: BackendEntry
     ) -> Outcome:
         """Send a call to a backend server and release its slot at the end."""
+        call.crash_check = None
         attempt = _Attempt(self, call, slot_request, backend)
         failed, is_wasted = True, True
         try:
@@ -72,6 +77,8 @@
             failed = outcome not in HEALTHY_OUTCOMES
             is_wasted = failed and outcome is not Outcome.NOT_SENT
             failed = failed or attempt.status >= 500
+            if attempt.was_broken_off:
+                call.crash_check = self._start_crash_check(attempt)
             return outcome
         except asyncio.CancelledError:
             failed = False
@@ -89,6 +96,12 @@
                 failed,
             )
 
+    def _start_crash_check(self, attempt: _Attempt) -> asyncio.Task[None]:
+        task = asyncio.get_running_loop().create_task(attempt.check_crash())
+        self._crash_checks.add(task)
+        task.add_done_callback(self._crash_checks.discard)
+        return task
+
 
 class _Attempt:
     """Make one attempt at a backend server."""
@@ -102,6 +115,7 @@
     ) -> None:
         self._client = forwarder.client
         self._slot_client = forwarder.slot_client
+        self._quarantine = forwarder.quarantine
         self._metrics = forwarder.metrics
         self._call = call
         self._slot_request = slot_request
@@ -111,7 +125,14 @@
         self.status = 0
         # Number of stream events so far.
         self.event_count = 0
+        # Loop times of the first and the last output of this attempt.
+        self._first_output_at: float | None = None
         self._last_output_at: float | None = None
+        self._was_sound = False
+        # Whether the connection ended before the response did, and after how many
+        # seconds from the first output; None without output.
+        self.was_broken_off = False
+        self._seconds_of_output: float | None = None
         # In seconds, within this attempt only.
         self.longest_gap = 0.0
 
@@ -141,30 +162,47 @@
         except HttpFailure as failure:
             if failure.code is Code.BAD_REQUEST:
                 return self._log_failure(Outcome.UNSENDABLE, failure.sentence)
-            is_reset = failure.sent and failure.code is Code.STREAM_LOST
-            if is_reset and not self._call.responder.started:
-                await self._detect_crash()
+            if failure.sent and failure.code is Code.STREAM_LOST:
+                self._record_break()
             return self._handle_failure(failure.sentence, failure.sent)
         except BrokenResponseError as broken:
+            self._record_break()
             return self._handle_failure(str(broken), True)
 
-    async def _detect_crash(self) -> None:
-        """Report a crash if the backend server no longer accepts connections."""
+    def _record_break(self) -> None:
+        self.was_broken_off = True
+        self._seconds_of_output = self._compute_seconds_of_output()
+
+    def _compute_seconds_of_output(self) -> float | None:
+        if self._first_output_at is None:
+            return None
+        return asyncio.get_running_loop().time() - self._first_output_at
+
+    async def check_crash(self) -> None:
+        """Report a crash if the backend server no longer accepts connections.
+
+        A run that had been sending output for a while did not cause it.
+        """
         if await self._client.can_connect(
             self._backend.address, CONNECT_TIMEOUT_SECONDS
         ):
             return
-        fingerprint = fingerprint_request(self._call)
+        call, seconds = self._call, self._seconds_of_output
+        has_just_begun = seconds is None or seconds < BEGINNING_SECONDS
+        suspects = call.suspects if has_just_begun else ()
         LOG.warning(
             "backend server crashed",
             extra={
-                "id": self._call.metadata.attempt_id,
+                "id": call.metadata.attempt_id,
                 "backend": self._backend.id,
-                "fingerprint": fingerprint,
-                "shared_parts": self._call.metadata.shared_parts,
+                "fingerprint": fingerprint_request(call),
+                "shared_parts": call.metadata.shared_parts,
+                "output_seconds": None if seconds is None else round(seconds, 3),
+                "suspects": suspects,
             },
         )
-        self._slot_client.report_crash(fingerprint)
+        if suspects:
+            self._quarantine.record_crash(self._backend, suspects)
 
     def _make_exchange_options(self) -> ExchangeOptions:
         rule = self._call.admission.route.repeat_rule
@@ -218,8 +256,19 @@
             self._reader = self._exchange.open_reader(self._backend, is_stream)
         if self._reader is not None:
             await self._forward_events(stream, self._reader)
-            return Outcome.DELIVERED
-        return await self._forward_buffered(stream)
+            outcome = Outcome.DELIVERED
+        else:
+            outcome = await self._forward_buffered(stream)
+        # A response that ends with its connection may have ended with a crash.
+        if is_success and not stream.ends_with_connection:
+            self._record_sound_run()
+        return outcome
+
+    def _record_sound_run(self) -> None:
+        if not self._was_sound:
+            self._was_sound = True
+            seconds = self._compute_seconds_of_output() or 0.0
+            self._quarantine.record_sound(self._call, seconds)
 
     def _handle_declined(self, status: int) -> Outcome:
         self._slot_client.pause(self._backend.id, DECLINED_PAUSE_SECONDS)
@@ -268,7 +317,11 @@
         if previous is not None:
             self.longest_gap = max(self.longest_gap, now - previous)
             call.longest_gap = max(call.longest_gap, now - previous)
+            assert self._first_output_at is not None
+            if now - self._first_output_at >= BEGINNING_SECONDS:
+                self._record_sound_run()
             return
+        self._first_output_at = now
         self._slot_client.record_first_output(self._slot_request, self._backend.id)
         if call.first_output_at is None:
             call.first_output_at = now
--- a/fireflyquay/gateway/_gateway.py
+++ b/fireflyquay/gateway/_gateway.py
@@ -36,6 +36,7 @@
 from ._forwarder import Forwarder
 from ._gateway_metrics import GatewayMetrics
 from ._ingress import Ingress
+from ._quarantine import Quarantine
 from ._settings import GatewaySettings, split_address
 from ._slot_client import SlotClient
 from ._state_replicas import StateReplicas
@@ -105,8 +106,10 @@
             promises, self.replicas.config, scheduler_settings, rng
         )
         self._slot_client = SlotClient(self.incarnation, self._coordinator)
+        self._quarantine = Quarantine(self._clock, rng)
         self.fleet = self._make_fleet(rng)
         self._slot_client.connect(self.fleet)
+        self._quarantine.connect(self.fleet)
         own = self.fleet.get_own_vm()
         listing = VmListing(own.host, own.peer_port, own.zone, own.region)
         self._discovery = Discovery(source, listing, self.fleet)
@@ -117,7 +120,8 @@
             self.replicas,
             self._clock,
             self._slot_client,
-            Forwarder(client, self._slot_client, self.metrics),
+            Forwarder(client, self._slot_client, self._quarantine, self.metrics),
+            self._quarantine,
             claims,
             self.metrics,
             promises.revoke,
@@ -168,6 +172,7 @@
                 self.replicas.backends,
                 self.replicas.request_config_read,
             ),
+            self._quarantine,
             self._clock,
             self.is_ready,
             self.replicas.compute_config_age,
@@ -291,6 +296,7 @@
             self._discovery.discover_vms,
             self._slot_client.advance_requests,
             self._slot_client.report_active_runs,
+            self._quarantine.spread_evidence,
         ):
             self._spawn(run)
 
--- a/fireflyquay/gateway/_ingress.py
+++ b/fireflyquay/gateway/_ingress.py
@@ -9,7 +9,7 @@
 
 import logbook
 
-from fireflyquay.dispatch import Grant, Refusal, SlotRequest
+from fireflyquay.dispatch import Grant, Refusal, SlotRequest, list_suspects
 from fireflyquay.links import (
     CallerDisconnectedError,
     HttpRequest,
@@ -34,6 +34,7 @@
 from ._dialect import Dialect, Exchange, Failure, RequestMetadata
 from ._forwarder import NOT_RUN_STATUSES, Forwarder
 from ._gateway_metrics import GatewayMetrics
+from ._quarantine import Quarantine
 from ._slot_client import SlotClient
 from ._state_replicas import StateReplicas
 
@@ -63,6 +64,7 @@
         clock: AgeClock,
         slot_client: SlotClient,
         forwarder: Forwarder,
+        quarantine: Quarantine,
         claims: KeyClaims | None,
         metrics: GatewayMetrics,
         revocation_bound_seconds: float,
@@ -75,6 +77,7 @@
         self._clock = clock
         self._slot_client = slot_client
         self._forwarder = forwarder
+        self._quarantine = quarantine
         self._claims = claims
         self._metrics = metrics
         self.set_revocation_bound(revocation_bound_seconds)
@@ -187,7 +190,7 @@
         route = admission.route
         timeout = min(metadata.client_timeout or DEFAULT_TIMEOUT_SECONDS, route.timeout)
         service = self._choose_share(route.shares).service
-        return Call(
+        call = Call(
             request,
             exchange,
             responder,
@@ -197,6 +200,8 @@
             arrived_at + timeout,
             last_event_id=metadata.last_event_id,
         )
+        call.suspects = list_suspects(fingerprint_request(call), metadata.shared_parts)
+        return call
 
     def _admit(self, metadata: RequestMetadata) -> Admission:
         now = self._clock.read()
@@ -216,6 +221,7 @@
     async def _run_attempts(self, call: Call) -> None:
         """Make attempts until one succeeds; raise RejectionError if none may follow."""
         while True:
+            self._quarantine.check(call)
             grant, slot_request = await self._acquire_slot(call)
             backend = self._replicas.backends.get(grant.backend)
             if backend is None or not self._replicas.backends.accepts_requests(
@@ -235,16 +241,20 @@
                 call.tried_backends.pop()
             if not self._may_retry(call, outcome):
                 self._raise_failure(call, outcome)
+            if call.crash_check is not None:
+                await call.crash_check
 
     async def _recheck_and_claim(
         self, call: Call, slot_request: SlotRequest, grant: Grant
     ) -> None:
         """Check the call against the current configuration, then claim its key.
 
-        The configuration may have changed while the call waited for a slot.
+        The configuration and the quarantine may have changed while the call waited
+        for a slot.
         """
         try:
             call.admission = self._admit(call.metadata)
+            self._quarantine.begin_run(call)
             if self._claims is not None and not call.is_claimed:
                 call.is_claimed = await self._claims.claim(call)
         except BaseException:
--- a/fireflyquay/gateway/_slot_client.py
+++ b/fireflyquay/gateway/_slot_client.py
@@ -5,6 +5,7 @@
 import asyncio
 from abc import ABC, abstractmethod
 from collections import deque
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 import logbook
@@ -17,7 +18,6 @@
     BackendPause,
     Cancellation,
     Coordinator,
-    CrashReport,
     Decision,
     Detach,
     FirstOutput,
@@ -34,7 +34,6 @@
     BackendServerId,
     ClientAccountId,
     EntryVm,
-    Fingerprint,
     Incarnation,
 )
 
@@ -65,6 +64,10 @@
     def send(self, target: Incarnation, message: Message) -> None:
         """Send a message to another VM."""
 
+    @abstractmethod
+    def list_others(self) -> Sequence[Incarnation]:
+        """Return the other live VMs."""
+
     @abstractmethod
     def mark_unresponsive(self, target: Incarnation) -> None:
         """Exclude an unresponsive VM from the choice of coordinator for a while."""
@@ -160,10 +163,6 @@
         """Suspend grants on a backend server for the given number of seconds."""
         self._notify(BackendPause(backend, seconds))
 
-    def report_crash(self, fingerprint: Fingerprint) -> None:
-        """Report that a request crashed a backend server."""
-        self._notify(CrashReport(fingerprint))
-
     def handle_message_to_follower(
         self, sender: Incarnation, message: MessageToFollower
     ) -> None:
@@ -309,14 +308,12 @@
         for _, account, tokens in self._usage:
             requests, total_tokens = usage.get(account, (0, 0.0))
             usage[account] = (requests + 1, total_tokens + tokens)
-        crashes = tuple(self._local_coordinator.crashes.get_counts().items())
         assert self._peers is not None
         own = self._peers.get_own_vm()
         return Handover(
             own,
             self._list_runs(now),
             tuple((account, *used) for account, used in usage.items()),
-            crashes,
         )
 
     def _list_runs(self, now: float) -> tuple[ActiveRun, ...]:
--- a/fireflyquay/world/__init__.py
+++ b/fireflyquay/world/__init__.py
@@ -39,6 +39,7 @@
     RegionId,
     RequestKey,
     ServiceId,
+    SuspectId,
     ZoneId,
 )
 from ._key import is_valid_request_key
@@ -94,4 +95,5 @@
     "VmListingState",
     "ZoneId",
     "is_valid_request_key",
+    "SuspectId",
 ]
--- a/fireflyquay/world/_ids.py
+++ b/fireflyquay/world/_ids.py
@@ -19,6 +19,8 @@
 Fingerprint = NewType("Fingerprint", str)
 ServiceId = NewType("ServiceId", str)
 ClientAccountId = NewType("ClientAccountId", str)
+# Names what may make a request crash backend servers.
+SuspectId = NewType("SuspectId", str)
 # Names a part of a prompt that other requests may have too.
 PromptPartId = NewType("PromptPartId", str)
 ModelName = NewType("ModelName", str)
--- a/proofs/tests/test_mutations.py
+++ b/proofs/tests/test_mutations.py
@@ -242,7 +242,7 @@
 
 
 def forget_crashes(patch):
-    patch.setattr(CrashTracker, "is_quarantined", lambda *_: False)
+    patch.setattr(CrashTracker, "find_refusal", lambda *_: None)
 
 
 def never_ready(patch):
