Send streams without framing in chunks

What callers would see: since a stream that ends with its connection ended the client's connection too, so a gateway that was killed in the middle of it looked like the end of the stream.

Cause: handing on the framing gives up the gateway's own end mark. For a stream that is not needed, since its last event tells whether it is whole; for a plain body nothing else does, and a buffered one is written at once.

--- a/fireflyquay/gateway/_forwarder.py
+++ b/fireflyquay/gateway/_forwarder.py
@@ -331,8 +331,9 @@
     async def _forward_unbuffered(
         self, stream: HttpStream, buffered: bytearray
     ) -> None:
+        headers = self._exchange.translate_headers(stream.raw_headers)
         responder = self._call.responder
-        await self._start_response(stream)
+        await responder.start(stream.status, headers, stream.ends_with_connection)
         await responder.write(bytes(buffered))
         async for chunk in stream:
             await responder.write(chunk)
@@ -375,16 +376,13 @@
     async def _write(self, stream: HttpStream, data: bytes) -> None:
         responder = self._call.responder
         if not responder.started:
-            await self._start_response(stream)
+            # Chunks show the client if this VM ends first; the last event proves
+            # whether the stream itself is whole.
+            headers = self._exchange.translate_headers(stream.raw_headers)
+            await responder.start(stream.status, headers)
         if data:
             await responder.write(data)
 
-    async def _start_response(self, stream: HttpStream) -> None:
-        headers = self._exchange.translate_headers(stream.raw_headers)
-        await self._call.responder.start(
-            stream.status, headers, stream.ends_with_connection
-        )
-
 
 def _may_hold_events(headers: dict[str, str]) -> bool:
     """Return whether a body is an event stream or of no stated type."""
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -26,7 +26,8 @@
 FAULTY_BEHAVIORS = [
     it
     for it in Behavior
-    if it not in (Behavior.NORMAL, Behavior.CRASH, *ENDLESS_BEHAVIORS)
+    if it
+    not in (Behavior.NORMAL, Behavior.CRASH, Behavior.SCRIPTED, *ENDLESS_BEHAVIORS)
 ]
 DISRUPTIVE_MODES = [Mode.RESET, Mode.SILENT, Mode.ONE_WAY]
 
