Let a quarantine end on all VMs although news is in transit

VMs tell each other the age of a crash, so each message makes it seem later by the time in transit, and a VM that had just forgotten a suspect was told of it again. Evidence that went back and forth prolonged a quarantine, and an expired one was renewed. A crash that is known is not moved, and what is about to expire is not adopted.

Two tests failed before: test_expired_quarantine_is_not_renewed_by_late_news and test_exchanged_evidence_does_not_prolong_a_quarantine.

--- a/fireflyquay/dispatch/_crash_tracker.py
+++ b/fireflyquay/dispatch/_crash_tracker.py
@@ -99,6 +99,13 @@
         """Return the time at which the suspect is forgotten unless it crashes again."""
         return self.last_crash_at + 2 * self.interval
 
+    def is_recent(self, now: float) -> bool:
+        """Return whether it lasts long enough to be adopted from other VMs.
+
+        Otherwise news in transit would renew what has just been forgotten.
+        """
+        return now + TRIAL_SECONDS <= self.expires_at
+
 
 def list_suspects(
     fingerprint: Fingerprint, shared_parts: Iterable[PromptPartId]
@@ -222,8 +229,7 @@
         for suspect, quarantine in list(self._quarantined.items()):
             if now > quarantine.expires_at:
                 self._release(suspect, SuspicionChange.EXPIRED)
-                for crash in self._crashes:
-                    crash.suspects.discard(suspect)
+                self._forget(suspect)
 
     def drain_changes(self) -> list[tuple[SuspicionChange, SuspectId, int]]:
         """Return and clear the changes of belief, with the numbers of crashes."""
@@ -259,11 +265,13 @@
         known = self._quarantined.get(record.suspect)
         if known is None:
             new = _Quarantine(record.crash_count, last_crash_at)
-            if now <= new.expires_at:
+            if new.is_recent(now):
                 self._quarantine(record.suspect, new)
             return
         known.crash_count = max(known.crash_count, record.crash_count)
-        known.last_crash_at = max(known.last_crash_at, last_crash_at)
+        # Time in transit makes a crash that is known seem a little later.
+        if last_crash_at - known.last_crash_at > SAME_CRASH_SECONDS:
+            known.last_crash_at = last_crash_at
 
     def _update(self, now: float) -> None:
         """Recompute the quarantine from the evidence."""
@@ -277,7 +285,11 @@
         while culprits := self._find_culprits():
             for suspect, count in culprits.items():
                 last_crash_at = max(self._list_crash_times(suspect))
-                self._quarantine(suspect, _Quarantine(count, last_crash_at))
+                quarantine = _Quarantine(count, last_crash_at)
+                if quarantine.is_recent(now):
+                    self._quarantine(suspect, quarantine)
+                else:
+                    self._forget(suspect)
 
     def _find_culprits(self) -> dict[SuspectId, int]:
         """Return the suspects in most unexplained crashes if these are enough.
@@ -363,6 +375,10 @@
             if suspect in self._sound_at
         )
 
+    def _forget(self, suspect: SuspectId) -> None:
+        for crash in self._crashes:
+            crash.suspects.discard(suspect)
+
     def _quarantine(self, suspect: SuspectId, quarantine: _Quarantine) -> None:
         self._quarantined[suspect] = quarantine
         change = (SuspicionChange.QUARANTINED, suspect, quarantine.crash_count)
--- a/fireflyquay/dispatch/tests/test_crash_tracker.py
+++ b/fireflyquay/dispatch/tests/test_crash_tracker.py
@@ -174,6 +174,33 @@
     assert not is_refused(tracker, BAD, at=expired_at + 2.0)
 
 
+def test_expired_quarantine_is_not_renewed_by_late_news():
+    tracker, late = CrashTracker(), CrashTracker()
+    crash_repeatedly(tracker, BAD)
+    late.merge(tracker.make_snapshot(3.0), 3.0)
+    expired_at = CRASH_LIMIT + 2 * MIN_QUARANTINE_SECONDS
+    news = late.make_snapshot(expired_at - 0.2)
+    tracker.expire(expired_at)
+    tracker.drain_changes()
+    for delay in (0.1, 0.6):
+        tracker.merge(news, expired_at + delay)
+    assert tracker.drain_changes() == []
+    assert not is_refused(tracker, BAD, at=expired_at + 1.0)
+
+
+def test_exchanged_evidence_does_not_prolong_a_quarantine():
+    trackers, transit = (CrashTracker(), CrashTracker()), 0.02
+    crash_repeatedly(trackers[0], BAD)
+    expired_at, now = CRASH_LIMIT + 2 * MIN_QUARANTINE_SECONDS, float(CRASH_LIMIT)
+    while now < expired_at:
+        for tracker, other in (trackers, trackers[::-1]):
+            other.merge(tracker.make_snapshot(now), now + transit)
+            now += 0.1
+    for tracker in trackers:
+        tracker.expire(expired_at + 1.0)
+        assert not is_refused(tracker, BAD, at=expired_at + 1.0)
+
+
 def test_old_crashes_do_not_count():
     tracker = CrashTracker()
     crash_repeatedly(tracker, REQUEST, count=CRASH_LIMIT - 1)
