Mark the failure of a request as seen when its gateway ends

A request's handler that is cancelled in the turn in which the request failed left the failure unread. The test failed before.

--- a/fireflyquay/gateway/_ingress.py
+++ b/fireflyquay/gateway/_ingress.py
@@ -104,6 +104,9 @@
             if not serve_task.done():
                 serve_task.cancel()
                 await asyncio.gather(serve_task, return_exceptions=True)
+            elif not serve_task.cancelled():
+                # Otherwise its failure is reported as lost if this task is cancelled.
+                serve_task.exception()
         if serve_task.cancelled():
             raise CallerDisconnectedError
         serve_task.result()
