Log the request limits that backend servers state

No line named a limit that a response stated, so a log could not tell whether a limit was read, at which VM and when. The forwarder logs each statement with the header as sent. No decision uses it yet.

--- a/fireflyquay/gateway/_dialect.py
+++ b/fireflyquay/gateway/_dialect.py
@@ -67,6 +67,11 @@
     is_sealed: bool
     # Whether the backend server states that it did not run the request.
     states_not_run: bool
+    # Requests per second that the backend server takes from all VMs together; None if
+    # it states no limit or a malformed one.
+    request_limit: float | None = None
+    # The limit as sent; empty if the backend server states none.
+    request_limit_text: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/fireflyquay/gateway/_forwarder.py
+++ b/fireflyquay/gateway/_forwarder.py
@@ -17,7 +17,7 @@
 from fireflyquay.world import BackendEntry, Code, RepeatRule
 
 from ._call import Call, Outcome, fingerprint_request
-from ._dialect import BrokenResponseError, EventReader
+from ._dialect import BrokenResponseError, EventReader, ResponseMetadata
 from ._gateway_metrics import GatewayMetrics
 from ._quarantine import Quarantine
 from ._slot_client import SlotClient
@@ -242,6 +242,8 @@
     async def _forward_response(self, stream: HttpStream) -> Outcome:
         metadata = self._exchange.read_response_metadata(stream.headers)
         self.status = stream.status
+        if metadata.request_limit_text:
+            self._log_request_limit(metadata)
         if metadata.states_not_run or stream.status == MISDIRECTED:
             return self._handle_declined(stream.status)
         is_success = 200 <= stream.status < 300
@@ -264,6 +266,18 @@
             self._record_sound_run()
         return outcome
 
+    def _log_request_limit(self, metadata: ResponseMetadata) -> None:
+        LOG.info(
+            "backend server states a limit",
+            extra={
+                "id": self._call.metadata.attempt_id,
+                "backend": self._backend.id,
+                "status": self.status,
+                "limit": metadata.request_limit,
+                "stated": metadata.request_limit_text,
+            },
+        )
+
     def _record_sound_run(self) -> None:
         if not self._was_sound:
             self._was_sound = True
