--- a/emulator/_backend_client.py
+++ b/emulator/_backend_client.py
@@ -76,14 +76,18 @@
             ) from None
         except RequestDeclined:
             run.is_declined = True
-            yield HttpStream(UNAVAILABLE_STATUS, {"not-run": "1"}, _iter_no_chunks())
+            headers = {"not-run": "1", **server.make_headers()}
+            yield HttpStream(UNAVAILABLE_STATUS, headers, _iter_no_chunks())
             return
         try:
             async with asyncio.timeout(timeout):
                 first = await self._read_first_chunk(job)
                 status = FAILURE_STATUS if first == FAILURE_BODY else 200
                 self.record_load(server)
-                yield HttpStream(status, {}, self._iter_chunks(job, first, address))
+                headers = server.make_headers()
+                yield HttpStream(
+                    status, headers, self._iter_chunks(job, first, address)
+                )
         except (ConnectionLost, TimeoutError) as error:
             message = type(error).__name__
             raise HttpFailure(Code.STREAM_LOST, message, True) from None
--- a/emulator/_dialect.py
+++ b/emulator/_dialect.py
@@ -80,7 +80,14 @@
 
     def read_response_metadata(self, headers: dict[str, str]) -> ResponseMetadata:
         """Return the metadata of a backend server's response."""
-        return ResponseMetadata(self.metadata.attempt_id, True, "not-run" in headers)
+        limit = headers.get("limit", "")
+        return ResponseMetadata(
+            self.metadata.attempt_id,
+            True,
+            "not-run" in headers,
+            float(limit) if limit else None,
+            limit,
+        )
 
     def open_reader(self, backend: BackendEntry, is_stream: bool) -> EventReader | None:
         """Return a reader of the events if the response is a stream."""
--- a/emulator/_servers.py
+++ b/emulator/_servers.py
@@ -84,6 +84,11 @@
         self.slowdown = 1.0
         # Whether the server closes the connection at the end of each run.
         self.drops_responses = False
+        # Requests per second that the server states to take; None to state no limit.
+        self.request_limit: float | None = None
+        # States the limit on each so many responses.
+        self.limit_interval = 1
+        self._response_count = 0
 
     def accept(self, job: Job, expected: str) -> None:
         """Queue or start a request; raise ConnectionLost or RequestDeclined."""
@@ -106,6 +111,13 @@
             self.running.remove(job)
         self.start_queued()
 
+    def make_headers(self) -> dict[str, str]:
+        """Return the headers of the next response."""
+        self._response_count += 1
+        if self.request_limit is None or self._response_count % self.limit_interval:
+            return {}
+        return {"limit": str(self.request_limit)}
+
     def crash(self) -> None:
         """Abort all requests and refuse connections."""
         self.is_down = True
