Follow a backend server that starts again under its id

Callers: nothing was reported. A server that restarts before its registration lapses kept the runs, speed, failures and pauses of its former process at the coordinator, and a new number of slots wasn't used, until something else about the registry changed.

Cause: replace_all reports changes of phase and address only, and the coordinator is told only of reported changes; SlotScheduler.set_backends, which compares born, never ran. Evidence: both tests failed with [] before. Ruled out: the digest that VMs compare holds all fields, so replicas did agree. The registry now reports any change, and a new process by name.

--- a/fireflyquay/dispatch/_backend_registry.py
+++ b/fireflyquay/dispatch/_backend_registry.py
@@ -127,6 +127,8 @@
         before = old.get(backend_id)
         if before is None or before.phase is not entry.phase:
             changes.append(f"{backend_id} {entry.phase.value}")
-        elif before.address != entry.address:
-            changes.append(f"{backend_id} address changed")
+        elif before.born_ms != entry.born_ms:
+            changes.append(f"{backend_id} restarted")
+        elif before != entry:
+            changes.append(f"{backend_id} changed")
     return changes
--- a/fireflyquay/dispatch/tests/test_replicas.py
+++ b/fireflyquay/dispatch/tests/test_replicas.py
@@ -70,6 +70,21 @@
     assert registry.get("s2") is None
 
 
+def test_new_process_of_a_registered_backend_is_a_change():
+    registry = BackendRegistry()
+    registry.replace_all([make_backend_entry("e1", born_ms=1)], Freshness(1, 0.0))
+    entries = [make_backend_entry("e1", born_ms=2)]
+    assert registry.replace_all(entries, Freshness(2, 1.0)) == ["e1 restarted"]
+    assert registry.replace_all(entries, Freshness(3, 2.0)) == []
+
+
+def test_new_number_of_slots_is_a_change():
+    registry = BackendRegistry()
+    registry.replace_all([make_backend_entry("e1", slots=2)], Freshness(1, 0.0))
+    entries = [make_backend_entry("e1", slots=3)]
+    assert registry.replace_all(entries, Freshness(2, 1.0)) == ["e1 changed"]
+
+
 def test_leaving_backend_accepts_no_requests():
     registry = BackendRegistry()
     registry.replace_all([make_backend_entry("s1")], Freshness(1, 0.0))
