Keep the request limits that backend servers state

Cause: nobody read the limit. BackendLoad.can_grant knew slots, pauses and failures; a server that takes few requests but is fast with each stayed the favourite. Evidence: the course was the same while no VM was stopped or cut off, and eight VMs with one coordinator sent what a single one would send. Ruled out: a limit kept by each VM by itself, and one read too late: no code read the header at all.

The VM reports the limit of each response as soon as its header is there: of streams, failures, rejections and 421, not of responses without a seal or to another request. The coordinator paces grants from a credit without bursts; free slots at a limited server are none, and with all servers of a service limited the forecast, the refusal and Retry-After count with the limits. All VMs learn of a change, and a handover names the limits known, so that a successor keeps them; it starts without the credit that its predecessor may have used. A majority of the VMs seen within 30 s grants the whole limit, other parts of a fleet their fraction. A limit ends in steps once responses to later requests state none, so neither an overtaken response nor a server that states it on some responses only ends it at once; a limit of 0 is tried every 10 s; a new process starts without one.

--- a/emulator/tests/test_request_limits.py
+++ b/emulator/tests/test_request_limits.py
@@ -110,3 +110,92 @@
     replay = REPLAYS[name]
     emulation, stated_at = run_virtual(play(replay, seed))
     assert not list(find_violations(emulation, replay, stated_at))
+
+
+def count_arrivals(emulation, server, since, until):
+    return sum(
+        run.server == server and since <= run.arrived_at < until
+        for run in emulation.history.runs
+    )
+
+
+@pytest.mark.parametrize("limit", [0.5, 2.0])
+def test_limit_ends_when_it_is_no_longer_stated(limit):
+    async def run():
+        async with Emulation(find_site("brolga"), 1) as emulation:
+            server, loop = emulation.servers["llm-0"], emulation.loop
+            emulation.start_traffic(26.0)
+            await emulation.run(6.0)
+            usual = count_arrivals(emulation, "llm-0", loop.time() - 4.0, loop.time())
+            server.request_limit = limit
+            await emulation.run(6.0)
+            server.request_limit = None
+            await emulation.run(8.0)
+            since = loop.time()
+            await emulation.run(4.0)
+            return usual, count_arrivals(emulation, "llm-0", since, loop.time())
+
+    usual, after = run_virtual(run())
+    assert after >= 0.5 * usual
+
+
+def test_new_process_of_a_limited_backend_server_starts_without_a_limit():
+    async def run():
+        async with Emulation(find_site("brolga"), 1) as emulation:
+            server, loop = emulation.servers["llm-0"], emulation.loop
+            emulation.start_traffic(16.0)
+            await emulation.run(3.0)
+            server.request_limit = 0.0
+            await emulation.run(4.0)
+            emulation.crash("llm-0", 1.0)
+            await emulation.run(1.0)
+            server.request_limit = None
+            server.entry = replace(server.entry, born_ms=2)
+            emulation.store.backends["llm-0"] = server.entry
+            emulation.store.increment_revision()
+            await emulation.run(2.0)
+            since = loop.time()
+            await emulation.run(4.0)
+            return count_arrivals(emulation, "llm-0", since, loop.time())
+
+    assert run_virtual(run()) > LIMIT_MARGIN_REQUESTS
+
+
+def test_vms_that_lost_each_other_keep_a_limit_together():
+    async def run():
+        async with Emulation(find_site("brolga"), 1) as emulation:
+            loop = emulation.loop
+            emulation.start_traffic(24.0)
+            await emulation.run(2.0)
+            emulation.servers["llm-0"].request_limit = 2.0
+            await emulation.run(4.0)
+            hosts = emulation.list_hosts()
+            for index, first in enumerate(hosts):
+                for second in hosts[index + 1 :]:
+                    emulation.cut(first, second, 16.0)
+            since = loop.time()
+            await emulation.run(18.0)
+            return [
+                it.arrived_at
+                for it in emulation.history.runs
+                if it.server == "llm-0" and it.arrived_at > since
+            ]
+
+    times = run_virtual(run())
+    most = max(sum(at <= it < at + WINDOW_SECONDS for it in times) for at in times)
+    assert most <= LIMIT_FACTOR * WINDOW_SECONDS * 2.0 + LIMIT_MARGIN_REQUESTS
+
+
+def test_requests_beyond_the_limits_of_all_servers_are_refused_at_once():
+    emulation, stated_at = run_virtual(play(REPLAYS["all servers of a service"], 1))
+    since = stated_at + CONTACT_SECONDS
+    refused = [
+        attempt
+        for it in emulation.history.requests
+        for attempt in it.attempts
+        if attempt.sent_at > since and attempt.code == "OVERLOADED"
+    ]
+    waits = sorted(it.ended_at - it.sent_at for it in refused)
+    assert len(waits) > 100
+    assert waits[len(waits) // 2] < 0.3
+    assert all(it.retry_after for it in refused)
--- a/fireflyquay/dispatch/__init__.py
+++ b/fireflyquay/dispatch/__init__.py
@@ -17,6 +17,7 @@
     Probe,
     Queued,
     ReplicaSyncMessage,
+    RequestLimitNews,
     RunEnded,
 )
 from ._coordinator import HANDOVER_USAGE_WINDOW_SECONDS, Coordinator
@@ -62,6 +63,7 @@
     "Refusal",
     "ReplicaSync",
     "ReplicaSyncMessage",
+    "RequestLimitNews",
     "RetryBudget",
     "RunEnded",
     "SlotRequest",
--- a/fireflyquay/dispatch/_backend_load.py
+++ b/fireflyquay/dispatch/_backend_load.py
@@ -6,6 +6,7 @@
 
 from fireflyquay.world import BackendEntry, ClientAccountId, Incarnation
 
+from ._request_limit import RequestLimit
 from ._slot_messages import SlotRequest
 from ._time_per_unit_estimator import TimePerUnitEstimator
 
@@ -31,6 +32,8 @@
 PEER_FAILURE_FACTOR = 2.0
 # Pause of an avoided backend server after each further failed request.
 FAILING_BACKEND_PAUSE_SECONDS = 1.0
+# Least average of occupied slots at a backend server with a request limit.
+MIN_USABLE_SLOTS = 0.01
 # Factor by which the recorded longest gap decays with each completed stream.
 GAP_DECAY_FACTOR = 0.85
 
@@ -80,6 +83,8 @@
     failure_rate: float = 0.0
     # Loop time until which no slot is granted.
     paused_until: float = 0.0
+    # Limit that the backend server states; None if it states none.
+    limit: RequestLimit | None = None
 
     def forecast_first_output(self, request: SlotRequest, now: float) -> float:
         """Return the seconds to the first output if the request were granted now."""
@@ -187,9 +192,25 @@
         """Return the number of active runs of a client account."""
         return sum(run.request.account == account for run in self.runs.values())
 
-    def can_grant(self, max_runs: float, now: float) -> bool:
-        """Return whether another run may be granted, given the maximum of runs."""
-        return now >= self.paused_until and len(self.runs) < max_runs
+    def can_grant(self, max_runs: float, limit_share: float, now: float) -> bool:
+        """Return whether another run may be granted.
+
+        ``max_runs`` is the maximum of runs and ``limit_share`` the fraction of a stated
+        limit that this VM may grant.
+        """
+        if now < self.paused_until or len(self.runs) >= max_runs:
+            return False
+        return self.limit is None or self.limit.can_grant(limit_share, now)
+
+    def count_usable_slots(
+        self, request: SlotRequest, share: float, limit_share: float
+    ) -> float:
+        """Return how many slots requests like this one can occupy on average."""
+        slots = self.entry.slots * share
+        if self.limit is None:
+            return slots
+        occupied = self.limit.rate * limit_share * self.forecast_run(request)
+        return max(MIN_USABLE_SLOTS, min(slots, occupied))
 
     def is_failing(self, peer_failure_rate: float) -> bool:
         """Return whether this backend server fails far more often than its peers.
--- a/fireflyquay/dispatch/_control_message.py
+++ b/fireflyquay/dispatch/_control_message.py
@@ -59,6 +59,19 @@
     seconds: float
 
 
+class RequestLimitNews(Message):
+    """Report whether a backend server's response states a request limit."""
+
+    backend: BackendServerId
+    # Start of the backend server's process, in milliseconds since the epoch.
+    born_ms: int
+    # Requests per second from all VMs together; None if the response states no limit.
+    limit: float | None
+    # Seconds since the statement was received, or, without one, since the request was
+    # sent.
+    age_seconds: float
+
+
 class CrashRecord(msgspec.Struct, frozen=True, array_like=True):
     """Describe the crash of a backend server."""
 
@@ -105,6 +118,8 @@
     runs: tuple[ActiveRun, ...]
     # Requests and quota tokens granted recently, by client account.
     usage: tuple[tuple[ClientAccountId, int, float], ...]
+    # Request limits that backend servers stated, as far as the sender knows.
+    limits: tuple[RequestLimitNews, ...] = ()
 
 
 class ActiveRunsReport(Message, tag="Holding"):
@@ -185,6 +200,7 @@
     | FirstOutput
     | RunEnded
     | BackendPause
+    | RequestLimitNews
     | Handover
     | ActiveRunsReport
     | Detach
--- a/fireflyquay/dispatch/_coordinator.py
+++ b/fireflyquay/dispatch/_coordinator.py
@@ -24,6 +24,7 @@
     FirstOutput,
     Handover,
     MessageToCoordinator,
+    RequestLimitNews,
     RunEnded,
 )
 from ._quota_limiter import QuotaLimiter, QuotaShortage
@@ -75,6 +76,27 @@
         self.share = share
         self._scheduler.share = share
 
+    def set_limit_share(self, share: float) -> None:
+        """Set the fraction of stated request limits that may be granted."""
+        self._scheduler.limit_share = share
+
+    def start_coordinating(self, now: float) -> None:
+        """Start to decide on requests that another VM decided on before."""
+        self._scheduler.restart_pacing(now)
+
+    def record_limit(self, news: RequestLimitNews, now: float) -> bool:
+        """Follow what a response states about a limit; return whether that is new."""
+        return self._scheduler.record_limit(news, now)
+
+    def get_limit_rate(self, backend: BackendServerId, born_ms: int) -> float | None:
+        """Return the requests per second that a limit allows; None without one."""
+        limit = self._scheduler.get_limit(backend, born_ms)
+        return None if limit is None else limit.rate
+
+    def list_limits(self, now: float) -> tuple[RequestLimitNews, ...]:
+        """Return the request limits that backend servers stated."""
+        return self._scheduler.list_limits(now)
+
     def submit(self, request: SlotRequest, now: float) -> list[Decision]:
         """Enqueue a request unless a limit refuses it; return all new decisions."""
         if not request.is_retry:
@@ -107,6 +129,8 @@
                 return self._settle_charges(scheduler.end_run(sender, message, now))
             case BackendPause(backend, seconds):
                 scheduler.pause(backend, now + seconds)
+            case RequestLimitNews():
+                scheduler.record_limit(message, now)
             case Handover():
                 return self._apply_handover(sender, message, now)
             case ActiveRunsReport(runs):
@@ -198,6 +222,8 @@
     ) -> list[Decision]:
         self.followers.add(sender)
         decisions = self._reconcile_runs(sender, handover.runs, now)
+        for limit in handover.limits:
+            self._scheduler.record_limit(limit, now)
         # Each VM reports its part of the usage, so it is credited with the same part of
         # what the quota refills within the window.
         refilled_seconds = HANDOVER_USAGE_WINDOW_SECONDS / self.fleet_size
--- a/fireflyquay/dispatch/_scheduler.py
+++ b/fireflyquay/dispatch/_scheduler.py
@@ -18,8 +18,9 @@
 )
 
 from ._backend_load import FAILING_BACKEND_PAUSE_SECONDS, BackendLoad, SlotRequestKey
-from ._control_message import RunEnded
+from ._control_message import RequestLimitNews, RunEnded
 from ._rank_statistics import RankStatistics
+from ._request_limit import RequestLimit
 from ._retry_after_schedule import HONORED_TIME_SHARE, RetryAfterSchedule
 from ._slot_messages import Decision, Grant, Refusal, SlotRequest
 from ._slot_queue import QueuedRequest, SlotQueue
@@ -30,6 +31,9 @@
 # Maximum number of backend servers compared for one request. Bounds the cost of a grant
 # in a large fleet; the best of a sample of this size is close to the best of all.
 MAX_CANDIDATE_BACKENDS = 24
+# Time for which the limit of an unregistered backend server is remembered. An outage of
+# the store may hide its registration.
+LIMIT_MEMORY_SECONDS = 60.0
 # Retry-After for a service without backend servers, which may have one by then.
 NO_BACKEND_RETRY_AFTER_SECONDS = 1.0
 
@@ -64,6 +68,7 @@
     """Name the condition on which a queued request is refused."""
 
     NO_SLOT_EXPECTED = "no slot is expected within its objective"
+    LIMITED = "all backend servers state request limits"
     LATE = "it is late and its rank is overloaded"
     WAIT_EXPIRED = "its longest wait is over"
 
@@ -89,6 +94,18 @@
             return rank
         return None
 
+    def estimate_limited_wait(self, waiting: int, share: float) -> float:
+        """Return the seconds until so many requests are granted at the stated limits.
+
+        Returns 0 if any backend server states no limit.
+        """
+        rate = 0.0
+        for load in self.loads.values():
+            if load.limit is None:
+                return 0.0
+            rate += load.limit.rate * share
+        return max(0, waiting - len(self.loads)) / rate
+
     def compute_median_failure_rate(self) -> float:
         """Return the median failure rate of the backend servers."""
         rates = sorted(load.failure_rate for load in self.loads.values())
@@ -110,6 +127,10 @@
         self._services_by_backend: dict[BackendServerId, ServiceId] = {}
         # Fraction of the slots of each backend server that this scheduler may grant.
         self.share = 1.0
+        # Fraction of each stated request limit that it may grant.
+        self.limit_share = 1.0
+        # By backend server and the start of its process.
+        self._limits: dict[tuple[BackendServerId, int], RequestLimit] = {}
 
     def set_backends(self, entries: Iterable[BackendEntry]) -> None:
         """Replace the backend servers that may receive requests."""
@@ -121,7 +142,8 @@
             state = self._states.setdefault(entry.service, _ServiceState(self._rng))
             load = state.loads.get(backend_id)
             if load is None or load.entry.born_ms != entry.born_ms:
-                state.loads[backend_id] = BackendLoad(entry)
+                limit = self._limits.get((backend_id, entry.born_ms))
+                state.loads[backend_id] = BackendLoad(entry, limit=limit)
             else:
                 load.entry = entry
             self._services_by_backend[backend_id] = entry.service
@@ -149,11 +171,10 @@
         item = QueuedRequest(request, now, now + max_wait, latest_start, weight)
         state.queue.add(item)
         decisions = self._assign_slots(state, now)
-        if not item.is_done and self._will_miss_objective(state, request, now):
+        cause = None if item.is_done else self._find_refusal(state, request, now)
+        if cause is not None:
             state.queue.remove(item.key)
-            decisions.append(
-                self._refuse_queued(state, item, _RefusalCause.NO_SLOT_EXPECTED, now)
-            )
+            decisions.append(self._refuse_queued(state, item, cause, now))
         return decisions
 
     def cancel(self, key: SlotRequestKey, now: float) -> list[Decision]:
@@ -199,6 +220,55 @@
         if load is not None:
             load.pause(until)
 
+    def record_limit(self, news: RequestLimitNews, now: float) -> bool:
+        """Follow what a response states about a limit; return whether that is new."""
+        key, at = (news.backend, news.born_ms), now - news.age_seconds
+        load, limit = self._find_load(news.backend), self._limits.get(key)
+        if news.limit is None:
+            if limit is None or not limit.record_absence(at):
+                return False
+            if load is not None and limit.has_ended(load.entry.slots):
+                del self._limits[key]
+                limit = None
+        elif limit is not None:
+            return limit.record_statement(news.limit, at)
+        else:
+            self._forget_limits(now)
+            limit = self._limits[key] = RequestLimit(news.limit, at)
+            limit.reset_credit(0.0, now)
+        if load is not None and load.entry.born_ms == news.born_ms:
+            load.limit = limit
+        return True
+
+    def get_limit(self, backend: BackendServerId, born_ms: int) -> RequestLimit | None:
+        """Return the request limit of a backend server's process, or None."""
+        return self._limits.get((backend, born_ms))
+
+    def list_limits(self, now: float) -> tuple[RequestLimitNews, ...]:
+        """Return the stated limits with their ages."""
+        return tuple(
+            RequestLimitNews(
+                backend, born_ms, limit.stated_rate, max(0.0, now - limit.stated_at)
+            )
+            for (backend, born_ms), limit in self._limits.items()
+        )
+
+    def restart_pacing(self, now: float) -> None:
+        """Drop the credit of all limits, which other VMs may have used.
+
+        A random part stays, so that VMs that take over together don't grant together.
+        """
+        for limit in self._limits.values():
+            limit.reset_credit(self._rng.random(), now)
+
+    def _forget_limits(self, now: float) -> None:
+        """Forget old limits of backend servers that are no longer registered."""
+        for key, limit in list(self._limits.items()):
+            load = self._find_load(key[0])
+            is_registered = load is not None and load.entry.born_ms == key[1]
+            if not is_registered and limit.stated_at < now - LIMIT_MEMORY_SECONDS:
+                del self._limits[key]
+
     def register_run(
         self, backend: BackendServerId, request: SlotRequest, granted_at: float
     ) -> None:
@@ -270,7 +340,7 @@
         available_loads = [
             load
             for load in state.loads.values()
-            if load.can_grant(self._compute_max_runs(load), now)
+            if self._can_grant(load, now)
             # A failing backend server is tested with one request at a time.
             and not (load.runs and load.is_failing(median_failure_rate))
         ]
@@ -285,7 +355,7 @@
             state.queue.remove(item.key)
             state.queue.record_grant(item)
             decisions.append(self._make_grant(state, load, item, now))
-            if not load.can_grant(self._compute_max_runs(load), now):
+            if not self._can_grant(load, now):
                 available_loads.remove(load)
         for item in state.queue.pop_expired(now):
             decisions.append(
@@ -310,8 +380,9 @@
                 )
         return decisions
 
-    def _compute_max_runs(self, load: BackendLoad) -> float:
-        return max(1.0, load.entry.slots * self._settings.runs_per_slot * self.share)
+    def _can_grant(self, load: BackendLoad, now: float) -> bool:
+        slots = load.entry.slots * self._settings.runs_per_slot * self.share
+        return load.can_grant(max(1.0, slots), self.limit_share, now)
 
     def _choose_backend(
         self, available_loads: Sequence[BackendLoad], item: QueuedRequest, now: float
@@ -347,25 +418,31 @@
         request = item.request
         forecast = load.forecast_first_output(request, now)
         load.add_run(item.key, request, now)
+        if load.limit is not None:
+            load.limit.charge(self.limit_share, now)
         state.ranks[request.rank].record_grant(now)
         waited = now - item.queued_at
         return Grant(request.owner, request.number, load.entry.id, waited, forecast)
 
-    def _will_miss_objective(
+    def _find_refusal(
         self, state: _ServiceState, request: SlotRequest, now: float
-    ) -> bool:
-        """Return whether the forecast wait exceeds the objective of a request.
+    ) -> _RefusalCause | None:
+        """Return why a request can't meet its objective, or None if it may.
 
         A request that was refused recently is queued regardless, because its client
         treats a second refusal as final.
         """
         if state.retry_schedule.was_refused_recently(request.fingerprint, now):
-            return False
+            return None
         waiting = state.queue.count_on_time(request.rank, now)
         statistics = state.ranks[request.rank]
-        wait = statistics.estimate_wait(waiting, now)
         seconds = statistics.limit_to_shortest_objective(request.seconds_to_objective)
-        return wait > self._settings.max_forecast_wait_share * max(0.0, seconds)
+        max_wait = self._settings.max_forecast_wait_share * max(0.0, seconds)
+        if statistics.estimate_wait(waiting, now) > max_wait:
+            return _RefusalCause.NO_SLOT_EXPECTED
+        if state.estimate_limited_wait(waiting, self.limit_share) > max_wait:
+            return _RefusalCause.LIMITED
+        return None
 
     def _refuse_queued(
         self,
@@ -377,7 +454,10 @@
         request = item.request
         statistics = state.ranks[request.rank]
         statistics.record_refusal()
-        slots = sum(load.entry.slots for load in state.loads.values()) * self.share
+        slots = sum(
+            load.count_usable_slots(request, self.share, self.limit_share)
+            for load in state.loads.values()
+        )
         load = next(iter(state.loads.values()))
         backlog = load.forecast_work(
             len(state.queue), state.queue.prompt_tokens, state.queue.output_tokens
--- a/fireflyquay/gateway/_fleet.py
+++ b/fireflyquay/gateway/_fleet.py
@@ -56,6 +56,9 @@
 UNRESPONSIVE_AFTER_SECONDS = 0.6
 # Seconds for which an unresponsive VM isn't chosen as coordinator.
 SKIP_UNRESPONSIVE_SECONDS = 1.0
+# Seconds for which a lost VM still counts in the division of stated request limits: it
+# may be on the other side of a partition.
+LOST_VM_MEMORY_SECONDS = 30.0
 # Age of this VM's configuration in seconds above which a random VM is probed as well.
 EXTRA_PROBE_AGE_SECONDS = 1.2
 
@@ -100,6 +103,8 @@
         self._skipped_until: dict[Incarnation, float] = {}
         self._last_heard_at: dict[Incarnation, float] = {}
         self._first_probed_at: dict[Incarnation, float] = {}
+        # Loop times of the recent loss of VMs that are not back, by peer address.
+        self._lost_at: dict[tuple[str, int], float] = {}
 
     @property
     def is_coordinating(self) -> bool:
@@ -276,6 +281,7 @@
             if kind is ChangeKind.JOINED:
                 self._quarantine.send_evidence(incarnation)
             if kind is ChangeKind.LOST:
+                self._lost_at[record.vm.host, record.vm.peer_port] = now
                 self._replica_sync.remove_vm(incarnation)
                 self._last_heard_at.pop(incarnation, None)
                 self._unlisted_vms.pop(incarnation, None)
@@ -285,6 +291,7 @@
                     self._coordinator.remove_vm(incarnation, now)
                 )
                 self._disconnect(record.vm)
+        self._forget_lost_vms(now)
 
     def _disconnect(self, vm: EntryVm) -> None:
         task = asyncio.get_running_loop().create_task(self._link.disconnect(vm))
@@ -303,3 +310,26 @@
         share = 1.0 if 2 * follower_count >= live_count else follower_count / live_count
         if share != self._coordinator.share:
             self._coordinator.set_share(share)
+        self._coordinator.set_limit_share(self._compute_limit_share(follower_count))
+
+    def _compute_limit_share(self, follower_count: int) -> float:
+        """Return the share of stated request limits that the local coordinator grants.
+
+        A majority of all VMs grants all. Other parts of the fleet grant their
+        fractions, which are less than half of a limit in sum.
+        """
+        known_count = max(1, len(self._ranking)) + len(self._lost_at)
+        if 2 * follower_count > known_count:
+            return 1.0
+        return follower_count / known_count
+
+    def _forget_lost_vms(self, now: float) -> None:
+        """Forget lost VMs that are back, or that were lost long ago."""
+        if not self._lost_at:
+            return
+        addresses = self.list_peer_addresses()
+        self._lost_at = {
+            address: lost_at
+            for address, lost_at in self._lost_at.items()
+            if address not in addresses and now - lost_at < LOST_VM_MEMORY_SECONDS
+        }
--- a/fireflyquay/gateway/_forwarder.py
+++ b/fireflyquay/gateway/_forwarder.py
@@ -123,6 +123,8 @@
         self._exchange = call.exchange
         self._reader: EventReader | None = None
         self.status = 0
+        # Loop time just before the request was sent.
+        self._sent_at = 0.0
         # Number of stream events so far.
         self.event_count = 0
         # Loop times of the first and the last output of this attempt.
@@ -140,6 +142,7 @@
         """Send the request and relay the response to the client."""
         call = self._call
         loop = asyncio.get_running_loop()
+        self._sent_at = loop.time()
         account = call.admission.account
         upstream = self._exchange.make_upstream_request(
             self._backend,
@@ -242,15 +245,15 @@
     async def _forward_response(self, stream: HttpStream) -> Outcome:
         metadata = self._exchange.read_response_metadata(stream.headers)
         self.status = stream.status
-        if metadata.request_limit_text:
-            self._log_request_limit(metadata)
-        if metadata.states_not_run or stream.status == MISDIRECTED:
-            return self._handle_declined(stream.status)
         is_success = 200 <= stream.status < 300
-        if is_success and not metadata.is_sealed:
+        is_declined = metadata.states_not_run or stream.status == MISDIRECTED
+        if is_success and not is_declined and not metadata.is_sealed:
             raise BrokenResponseError(
                 "The response lacks the seal of a backend server."
             )
+        self._record_request_limit(metadata)
+        if is_declined:
+            return self._handle_declined(stream.status)
         if is_success:
             is_stream = self._call.admission.route.is_stream and _may_hold_events(
                 stream.headers
@@ -266,7 +269,16 @@
             self._record_sound_run()
         return outcome
 
-    def _log_request_limit(self, metadata: ResponseMetadata) -> None:
+    def _record_request_limit(self, metadata: ResponseMetadata) -> None:
+        limit = metadata.request_limit
+        # Only a response that is proven to be the backend server's states that it has
+        # no limit, and only if nothing is malformed.
+        if limit is not None or (
+            metadata.is_sealed and not metadata.request_limit_text
+        ):
+            self._slot_client.record_limit(self._backend, limit, self._sent_at)
+        if not metadata.request_limit_text:
+            return
         LOG.info(
             "backend server states a limit",
             extra={
--- a/fireflyquay/gateway/_slot_client.py
+++ b/fireflyquay/gateway/_slot_client.py
@@ -26,11 +26,13 @@
     MessageToCoordinator,
     MessageToFollower,
     Queued,
+    RequestLimitNews,
     RunEnded,
     SlotRequest,
 )
 from fireflyquay.membership import Message
 from fireflyquay.world import (
+    BackendEntry,
     BackendServerId,
     ClientAccountId,
     EntryVm,
@@ -163,6 +165,41 @@
         """Suspend grants on a backend server for the given number of seconds."""
         self._notify(BackendPause(backend, seconds))
 
+    def record_limit(
+        self, backend: BackendEntry, limit: float | None, sent_at: float
+    ) -> None:
+        """Record the limit that a response states, or None if it states none.
+
+        ``sent_at`` is the loop time at which the request was sent. All VMs learn of a
+        change, since each of them may have to take over from the coordinator.
+        """
+        now = asyncio.get_running_loop().time()
+        age = 0.0 if limit is not None else now - sent_at
+        news = RequestLimitNews(backend.id, backend.born_ms, limit, age)
+        coordinator = self._local_coordinator
+        before = coordinator.get_limit_rate(backend.id, backend.born_ms)
+        is_new = coordinator.record_limit(news, now)
+        if is_new:
+            after = coordinator.get_limit_rate(backend.id, backend.born_ms)
+            LOG.info(
+                "request limit changed",
+                extra={
+                    "backend": backend.id,
+                    "stated": limit,
+                    "before": _round_rate(before),
+                    "after": _round_rate(after),
+                },
+            )
+        if self._peers is None:
+            return
+        targets: Sequence[Incarnation] = ()
+        if is_new:
+            targets = self._peers.list_others()
+        elif limit is not None and self._coordinator_vm != self._own:
+            targets = (self._coordinator_vm,)
+        for target in targets:
+            self._peers.send(target, news)
+
     def handle_message_to_follower(
         self, sender: Incarnation, message: MessageToFollower
     ) -> None:
@@ -265,6 +302,8 @@
         )
         if previous != self._own:
             self._peers.send(previous, Detach())
+        if target == self._own:
+            self._local_coordinator.start_coordinating(now)
         if target != self._own:
             self._peers.send(target, self._make_handover(now))
         for pending in list(self._pending.values()):
@@ -314,6 +353,7 @@
             own,
             self._list_runs(now),
             tuple((account, *used) for account, used in usage.items()),
+            self._local_coordinator.list_limits(now),
         )
 
     def _list_runs(self, now: float) -> tuple[ActiveRun, ...]:
@@ -356,6 +396,10 @@
             self._peers.send(self._coordinator_vm, message)
 
 
+def _round_rate(rate: float | None) -> float | None:
+    return None if rate is None else round(rate, 2)
+
+
 def _is_decision_on(decision: Decision, slot_request: SlotRequest) -> bool:
     return (
         decision.owner == slot_request.owner and decision.number == slot_request.number
--- a/proofs/tests/test_mutations.py
+++ b/proofs/tests/test_mutations.py
@@ -143,7 +143,7 @@
 
 
 def wait_for_ever(patch):
-    patch.setattr(SlotScheduler, "_will_miss_objective", lambda *_: False)
+    patch.setattr(SlotScheduler, "_find_refusal", lambda *_: None)
     patch.setattr(SlotScheduler, "_refuse_late", lambda *_: [])
     patch.setattr(SlotQueue, "pop_expired", lambda *_: [])
     original = Ingress._open_call
