Log software versions and the attempt that a client resumes

granted named a worker without its version, and no line held the attempt that a client resumes. No decision uses them yet.

--- a/emulator/_dialect.py
+++ b/emulator/_dialect.py
@@ -56,6 +56,7 @@
             int(headers["output"]),
             True,
             headers.get("last", ""),
+            AttemptId(headers.get("resumes", "")),
             tuple(PromptPartId(it) for it in headers["parts"].split(",")[:-1]),
         )
 
--- a/fireflyquay/gateway/_dialect.py
+++ b/fireflyquay/gateway/_dialect.py
@@ -43,6 +43,9 @@
     # Id of the last event that the client received of an interrupted stream; empty if
     # there is none.
     last_event_id: str
+    # Id of the attempt that brought the first event of the stream that the client
+    # resumes; empty if it resumes none.
+    resumed_attempt_id: AttemptId
     # Parts of the prompt that other requests may share, in order.
     shared_parts: tuple[PromptPartId, ...]
 
--- a/fireflyquay/gateway/_ingress.py
+++ b/fireflyquay/gateway/_ingress.py
@@ -270,6 +270,7 @@
         if isinstance(decision, Refusal):
             raise RejectionError(decision.code, decision.reason, decision.retry_after)
         self._metrics.record_wait(call.service, decision.waited)
+        backend = self._replicas.backends.get(decision.backend)
         LOG.info(
             "granted",
             extra={
@@ -277,6 +278,7 @@
                 "rank": slot_request.rank,
                 "service": call.service,
                 "backend": decision.backend,
+                "backend_version": "" if backend is None else backend.version,
                 "waited": round(decision.waited, 3),
                 "forecast": round(decision.forecast, 3),
                 "config_version": call.admission.version,
--- a/fireflyquay/interface/_parser.py
+++ b/fireflyquay/interface/_parser.py
@@ -107,6 +107,7 @@
         max_output_tokens=_validate_token_count(body.max_tokens) if has_prompt else 0,
         has_token_counts=True,
         last_event_id="",
+        resumed_attempt_id=AttemptId(""),
         shared_parts=(PromptPartId(prefix_hash),) if prefix else (),
         kind=kind,
         key=key,
--- a/fireflyquay/world/__init__.py
+++ b/fireflyquay/world/__init__.py
@@ -39,6 +39,7 @@
     RegionId,
     RequestKey,
     ServiceId,
+    SoftwareVersion,
     SuspectId,
     ZoneId,
 )
@@ -95,5 +96,6 @@
     "VmListingState",
     "ZoneId",
     "is_valid_request_key",
+    "SoftwareVersion",
     "SuspectId",
 ]
--- a/fireflyquay/world/_backend_entry.py
+++ b/fireflyquay/world/_backend_entry.py
@@ -6,7 +6,7 @@
 from enum import StrEnum
 
 from ._backend_server import BackendKind
-from ._ids import BackendServerId, ServiceId, ZoneId
+from ._ids import BackendServerId, ServiceId, SoftwareVersion, ZoneId
 
 
 class BackendPhase(StrEnum):
@@ -32,6 +32,9 @@
     born_ms: int = 0
     # None if all backend servers are of the same kind.
     kind: BackendKind | None = None
+    # Empty if all backend servers run the same software. Streams of two versions don't
+    # fit together.
+    version: SoftwareVersion = SoftwareVersion("")
 
     @property
     def address(self) -> tuple[str, int]:
--- a/fireflyquay/world/_ids.py
+++ b/fireflyquay/world/_ids.py
@@ -24,5 +24,7 @@
 # Names a part of a prompt that other requests may have too.
 PromptPartId = NewType("PromptPartId", str)
 ModelName = NewType("ModelName", str)
+# Names the release of a backend server's software, not of its model's weights.
+SoftwareVersion = NewType("SoftwareVersion", str)
 # Identifier that the client generates for each attempt.
 AttemptId = NewType("AttemptId", str)
