Continue a stream only at the software version that began it

Cause: no decision knew versions. The registration's version was dropped, the next attempt of a response chose among all servers of the service, and Resumes was not read; on a split route even the service was drawn anew. Evidence: the failing tests cross within one response and over gateways alike, without any fault.

A slot request names the version that it needs, and the scheduler passes over other servers; it is refused at once (STREAM_VERSION_GONE) when none is left. The VM that sends a stream, the coordinator that granted its slot and a third VM remember its origin under the attempt that began it, from the grant on and for twice the longest timeout; a handover names the origins that a VM owns. A VM at which a client resumes asks the coordinator, then all others. If nobody knows, it refuses (UNKNOWN_STREAM), unless a fresh registry proves that the service ran one version all that time. A server that refused connections gets no continued stream until it has registered anew or 4 s have passed, since its registration may be that of the process before.

--- a/fireflyquay/dispatch/__init__.py
+++ b/fireflyquay/dispatch/__init__.py
@@ -14,6 +14,9 @@
     Handover,
     MessageToCoordinator,
     MessageToFollower,
+    OriginMessage,
+    OriginRequest,
+    OriginResponse,
     Probe,
     Queued,
     ReplicaSyncMessage,
@@ -33,6 +36,7 @@
 from ._retry_budget import RetryBudget
 from ._scheduler import SlotScheduler, SlotSchedulerSettings
 from ._slot_messages import Decision, Grant, Refusal, SlotRequest
+from ._stream_origins import StreamOrigin, StreamOrigins
 
 __all__ = [
     "HANDOVER_USAGE_WINDOW_SECONDS",
@@ -57,6 +61,9 @@
     "Handover",
     "MessageToCoordinator",
     "MessageToFollower",
+    "OriginMessage",
+    "OriginRequest",
+    "OriginResponse",
     "Probe",
     "Queued",
     "QuotaLimiter",
@@ -69,4 +76,6 @@
     "SlotRequest",
     "SlotScheduler",
     "SlotSchedulerSettings",
+    "StreamOrigin",
+    "StreamOrigins",
 ]
--- a/fireflyquay/dispatch/_backend_load.py
+++ b/fireflyquay/dispatch/_backend_load.py
@@ -4,7 +4,12 @@
 
 from dataclasses import dataclass, field
 
-from fireflyquay.world import BackendEntry, ClientAccountId, Incarnation
+from fireflyquay.world import (
+    BackendEntry,
+    ClientAccountId,
+    Incarnation,
+    SoftwareVersion,
+)
 
 from ._request_limit import RequestLimit
 from ._slot_messages import SlotRequest
@@ -83,6 +88,8 @@
     failure_rate: float = 0.0
     # Loop time until which no slot is granted.
     paused_until: float = 0.0
+    # Loop time until which another process may answer than the registered one.
+    doubted_until: float = 0.0
     # Limit that the backend server states; None if it states none.
     limit: RequestLimit | None = None
 
@@ -202,6 +209,10 @@
             return False
         return self.limit is None or self.limit.can_grant(limit_share, now)
 
+    def can_continue(self, version: SoftwareVersion, now: float) -> bool:
+        """Return whether a stream that began at a software version may continue."""
+        return self.entry.version == version and now >= self.doubted_until
+
     def count_usable_slots(
         self, request: SlotRequest, share: float, limit_share: float
     ) -> float:
--- a/fireflyquay/dispatch/_backend_registry.py
+++ b/fireflyquay/dispatch/_backend_registry.py
@@ -7,13 +7,24 @@
 import msgspec
 from xxhash import xxh64_intdigest
 
-from fireflyquay.world import BackendEntry, BackendPhase, BackendServerId
+from fireflyquay.world import (
+    BackendEntry,
+    BackendPhase,
+    BackendServerId,
+    ServiceId,
+    SoftwareVersion,
+)
 
 from ._freshness import Freshness
 
 # The platform guarantees that a live backend server registers again within this time
 # after an outage of the store.
 REREGISTRATION_SECONDS = 2.0
+# Age of the registry from which it may lack a version that streams have begun at.
+MAX_VERSIONS_AGE_SECONDS = 1.0
+# Seconds for which versions that are no longer registered are remembered.
+VERSION_MEMORY_SECONDS = 600.0
+MILLISECONDS_PER_SECOND = 1000.0
 
 
 class BackendRegistry:
@@ -24,6 +35,10 @@
         # Time until which each missing entry is retained, on the suspend-aware clock.
         self._retained_until: dict[BackendServerId, float] = {}
         self._digest: int | None = None
+        # Time at which each version was last registered, for those that no longer are.
+        self._left_at: dict[tuple[ServiceId, SoftwareVersion], float] = {}
+        # Time of the first list.
+        self._known_since: float | None = None
         self.freshness = Freshness(0, float("-inf"))
 
     def replace_all(
@@ -49,6 +64,7 @@
             }
         changes = self._retain_missing(entries_by_id, freshness, after_outage)
         changes += _describe_changes(self._entries, entries_by_id)
+        self._record_versions(entries_by_id, freshness.confirmed_at)
         self._entries = entries_by_id
         self._digest = None
         self.freshness = freshness
@@ -81,6 +97,45 @@
         """Return all registered backend servers."""
         return list(self._entries.values())
 
+    def had_one_version(
+        self, service: ServiceId, seconds: float, now: float, unix_ms: float
+    ) -> bool:
+        """Return whether a service surely ran one software version for some seconds.
+
+        A registry that was first read more recently proves it only if all backend
+        servers are older than that.
+        """
+        since = now - seconds
+        if self.freshness.compute_age(now) > MAX_VERSIONS_AGE_SECONDS:
+            return False
+        entries = [it for it in self._entries.values() if it.service == service]
+        versions = {it.version for it in entries}
+        versions |= {
+            version
+            for (name, version), left_at in self._left_at.items()
+            if name == service and left_at >= since
+        }
+        if len(versions) != 1:
+            return False
+        if self._known_since is not None and self._known_since <= since:
+            return True
+        oldest_ms = unix_ms - seconds * MILLISECONDS_PER_SECOND
+        return bool(entries) and all(0 < it.born_ms < oldest_ms for it in entries)
+
+    def _record_versions(
+        self, new: dict[BackendServerId, BackendEntry], now: float
+    ) -> None:
+        if self._known_since is None:
+            self._known_since = now
+        present = {(it.service, it.version) for it in new.values()}
+        for entry in self._entries.values():
+            self._left_at[entry.service, entry.version] = now
+        self._left_at = {
+            key: left_at
+            for key, left_at in self._left_at.items()
+            if key not in present and now - left_at < VERSION_MEMORY_SECONDS
+        }
+
     @staticmethod
     def _is_reverted(known: BackendEntry, listed: BackendEntry | None) -> bool:
         """Return whether a listed entry is from before its backend server's leave."""
--- a/fireflyquay/dispatch/_control_message.py
+++ b/fireflyquay/dispatch/_control_message.py
@@ -9,12 +9,15 @@
     Message,
 )
 from fireflyquay.world import (
+    AttemptId,
     BackendEntry,
     BackendServerId,
     ClientAccountId,
     EntryVm,
     FleetConfig,
     Incarnation,
+    ServiceId,
+    SoftwareVersion,
     SuspectId,
 )
 
@@ -57,6 +60,8 @@
 
     backend: BackendServerId
     seconds: float
+    # Whether it refuses connections, so that another process may answer next.
+    may_restart: bool = False
 
 
 class RequestLimitNews(Message):
@@ -72,6 +77,20 @@
     age_seconds: float
 
 
+class OriginRequest(Message):
+    """Request the origin of a stream; a VM that does not know it sends no response."""
+
+    stream: AttemptId
+
+
+class OriginResponse(Message):
+    """Report at which service and software version a stream began."""
+
+    stream: AttemptId
+    service: ServiceId
+    version: SoftwareVersion
+
+
 class CrashRecord(msgspec.Struct, frozen=True, array_like=True):
     """Describe the crash of a backend server."""
 
@@ -120,6 +139,8 @@
     usage: tuple[tuple[ClientAccountId, int, float], ...]
     # Request limits that backend servers stated, as far as the sender knows.
     limits: tuple[RequestLimitNews, ...] = ()
+    # Origins of the streams that the sender sends to clients.
+    origins: tuple[OriginResponse, ...] = ()
 
 
 class ActiveRunsReport(Message, tag="Holding"):
@@ -205,11 +226,13 @@
     | ActiveRunsReport
     | Detach
 )
+OriginMessage = OriginRequest | OriginResponse
 MessageToFollower = Grant | Refusal | Queued
 ControlMessage = (
     MembershipMessage
     | ReplicaSyncMessage
     | MessageToCoordinator
     | MessageToFollower
+    | OriginMessage
     | CrashNews
 )
--- a/fireflyquay/dispatch/_coordinator.py
+++ b/fireflyquay/dispatch/_coordinator.py
@@ -31,6 +31,7 @@
 from ._retry_budget import RetryBudget
 from ._scheduler import SlotScheduler
 from ._slot_messages import Decision, Refusal, SlotRequest
+from ._stream_origins import StreamOrigin, StreamOrigins
 
 # Bounds of the Retry-After of a client account that exceeds its quota.
 MIN_QUOTA_RETRY_AFTER_SECONDS = 0.2
@@ -76,6 +77,11 @@
         self.share = share
         self._scheduler.share = share
 
+    @property
+    def origins(self) -> StreamOrigins:
+        """Return where recent streams began."""
+        return self._scheduler.origins
+
     def set_limit_share(self, share: float) -> None:
         """Set the fraction of stated request limits that may be granted."""
         self._scheduler.limit_share = share
@@ -127,8 +133,8 @@
                 scheduler.record_first_output((sender, number), backend, now)
             case RunEnded():
                 return self._settle_charges(scheduler.end_run(sender, message, now))
-            case BackendPause(backend, seconds):
-                scheduler.pause(backend, now + seconds)
+            case BackendPause(backend, seconds, may_restart):
+                scheduler.pause(backend, now + seconds, may_restart, now)
             case RequestLimitNews():
                 scheduler.record_limit(message, now)
             case Handover():
@@ -224,6 +230,9 @@
         decisions = self._reconcile_runs(sender, handover.runs, now)
         for limit in handover.limits:
             self._scheduler.record_limit(limit, now)
+        for it in handover.origins:
+            origin = StreamOrigin(it.service, it.version)
+            self.origins.record(it.stream, origin, now)
         # Each VM reports its part of the usage, so it is credited with the same part of
         # what the quota refills within the window.
         refilled_seconds = HANDOVER_USAGE_WINDOW_SECONDS / self.fleet_size
--- a/fireflyquay/dispatch/_scheduler.py
+++ b/fireflyquay/dispatch/_scheduler.py
@@ -24,6 +24,7 @@
 from ._retry_after_schedule import HONORED_TIME_SHARE, RetryAfterSchedule
 from ._slot_messages import Decision, Grant, Refusal, SlotRequest
 from ._slot_queue import QueuedRequest, SlotQueue
+from ._stream_origins import StreamOrigin, StreamOrigins
 
 # Time within which a grant reaches the requesting VM, even if a lost packet delays it
 # by 200 ms.
@@ -34,6 +35,9 @@
 # Time for which the limit of an unregistered backend server is remembered. An outage of
 # the store may hide its registration.
 LIMIT_MEMORY_SECONDS = 60.0
+# Time within which a backend server that refused connections has registered its new
+# process, or has lost its registration.
+DOUBT_SECONDS = 4.0
 # Retry-After for a service without backend servers, which may have one by then.
 NO_BACKEND_RETRY_AFTER_SECONDS = 1.0
 
@@ -83,6 +87,16 @@
         )
         self.loads: dict[BackendServerId, BackendLoad] = {}
         self.queue = SlotQueue()
+        # Whether a software version may have left while streams wait for it.
+        self.has_lost_backends = False
+
+    def is_version_gone(self, request: SlotRequest) -> bool:
+        """Return whether no backend server is left at which a stream may continue."""
+        return request.version is not None and not any(
+            load.entry.version == request.version
+            and load.entry.id not in request.excluded
+            for load in self.loads.values()
+        )
 
     def find_starved_rank(self, min_grant_share: float) -> tuple[int, int] | None:
         """Return the rank whose granted share is far below the best one's, if any."""
@@ -129,6 +143,8 @@
         self.share = 1.0
         # Fraction of each stated request limit that it may grant.
         self.limit_share = 1.0
+        # Where the streams began that were granted slots here or elsewhere.
+        self.origins = StreamOrigins()
         # By backend server and the start of its process.
         self._limits: dict[tuple[BackendServerId, int], RequestLimit] = {}
 
@@ -138,12 +154,14 @@
         for backend_id in self._services_by_backend.keys() - entries_by_id.keys():
             state = self._states[self._services_by_backend.pop(backend_id)]
             state.loads.pop(backend_id, None)
+            state.has_lost_backends = True
         for backend_id, entry in entries_by_id.items():
             state = self._states.setdefault(entry.service, _ServiceState(self._rng))
             load = state.loads.get(backend_id)
             if load is None or load.entry.born_ms != entry.born_ms:
                 limit = self._limits.get((backend_id, entry.born_ms))
                 state.loads[backend_id] = BackendLoad(entry, limit=limit)
+                state.has_lost_backends = True
             else:
                 load.entry = entry
             self._services_by_backend[backend_id] = entry.service
@@ -158,6 +176,8 @@
         state = self._states.get(request.service)
         if state is None or not state.loads:
             return [self._make_no_backend_refusal(request)]
+        if state.is_version_gone(request):
+            return [self._make_version_refusal(request)]
         settings = self._settings
         max_wait = min(
             settings.max_give_up_wait_share * request.seconds_to_give_up,
@@ -214,11 +234,19 @@
             load.pause(now + FAILING_BACKEND_PAUSE_SECONDS)
         return self._assign_slots(state, now)
 
-    def pause(self, backend: BackendServerId, until: float) -> None:
-        """Suspend grants on a backend server until the given loop time."""
+    def pause(
+        self, backend: BackendServerId, until: float, may_restart: bool, now: float
+    ) -> None:
+        """Suspend grants on a backend server until the given loop time.
+
+        If it may restart, no stream continues there until its registration is surely
+        that of the process that answers.
+        """
         load = self._find_load(backend)
         if load is not None:
             load.pause(until)
+            if may_restart:
+                load.doubted_until = now + DOUBT_SECONDS
 
     def record_limit(self, news: RequestLimitNews, now: float) -> bool:
         """Follow what a response states about a limit; return whether that is new."""
@@ -276,6 +304,7 @@
         load = self._find_load(backend)
         if load is not None:
             load.add_run((request.owner, request.number), request, granted_at)
+            self._record_origin(load, request, granted_at)
 
     def drop_unreported_runs(
         self, owner: Incarnation, reported: set[SlotRequestKey], now: float
@@ -336,6 +365,7 @@
                 self._make_no_backend_refusal(item.request)
                 for item in state.queue.pop_all()
             ]
+        decisions = self._refuse_gone_versions(state)
         median_failure_rate = state.compute_median_failure_rate()
         available_loads = [
             load
@@ -344,7 +374,6 @@
             # A failing backend server is tested with one request at a time.
             and not (load.runs and load.is_failing(median_failure_rate))
         ]
-        decisions: list[Decision] = []
         starved_rank = state.find_starved_rank(self._settings.min_grant_share)
         for item in state.queue.iter_candidates(now, starved_rank):
             if not available_loads:
@@ -363,6 +392,18 @@
             )
         return decisions
 
+    def _refuse_gone_versions(self, state: _ServiceState) -> list[Decision]:
+        """Refuse the streams whose software version has left."""
+        if not state.has_lost_backends:
+            return []
+        state.has_lost_backends = False
+        decisions: list[Decision] = []
+        for item in state.queue.list_all():
+            if state.is_version_gone(item.request):
+                state.queue.remove(item.key)
+                decisions.append(self._make_version_refusal(item.request))
+        return decisions
+
     def _refuse_late(self, state: _ServiceState, now: float) -> list[Decision]:
         """Refuse the late requests of overloaded ranks.
 
@@ -397,6 +438,10 @@
         for load in candidates:
             if load.entry.id in request.excluded:
                 continue
+            if request.version is not None and not load.can_continue(
+                request.version, now
+            ):
+                continue
             run_cost = self._settings.occupancy_weight * load.forecast_run(request)
             score = (
                 not load.would_meet_objectives(request, waited, now),
@@ -418,12 +463,21 @@
         request = item.request
         forecast = load.forecast_first_output(request, now)
         load.add_run(item.key, request, now)
+        self._record_origin(load, request, now)
         if load.limit is not None:
             load.limit.charge(self.limit_share, now)
         state.ranks[request.rank].record_grant(now)
         waited = now - item.queued_at
         return Grant(request.owner, request.number, load.entry.id, waited, forecast)
 
+    def _record_origin(
+        self, load: BackendLoad, request: SlotRequest, now: float
+    ) -> None:
+        """Record where a stream begins; continuing it changes nothing."""
+        if request.stream:
+            origin = StreamOrigin(request.service, load.entry.version)
+            self.origins.record(request.stream, origin, now, request.owner)
+
     def _find_refusal(
         self, state: _ServiceState, request: SlotRequest, now: float
     ) -> _RefusalCause | None:
@@ -476,6 +530,11 @@
         reason = f"waited {waited:.2f} s among {len(state.queue)}: {cause}"
         return Refusal(request.owner, request.number, Code.OVERLOADED, seconds, reason)
 
+    def _make_version_refusal(self, request: SlotRequest) -> Refusal:
+        reason = f"no backend server of version {request.version} is left"
+        code = Code.STREAM_VERSION_GONE
+        return Refusal(request.owner, request.number, code, None, reason)
+
     def _make_no_backend_refusal(self, request: SlotRequest) -> Refusal:
         seconds = min(
             NO_BACKEND_RETRY_AFTER_SECONDS,
--- a/fireflyquay/dispatch/_slot_messages.py
+++ b/fireflyquay/dispatch/_slot_messages.py
@@ -13,6 +13,7 @@
     Fingerprint,
     Incarnation,
     ServiceId,
+    SoftwareVersion,
     ZoneId,
 )
 
@@ -52,6 +53,11 @@
     # Latency objective of the route in seconds, counted from the arrival; 0 from a VM
     # that does not state it.
     latency_objective: float = 0.0
+    # The client's attempt that brings the stream's first event; empty if the stream
+    # can't be resumed.
+    stream: AttemptId = AttemptId("")
+    # Software version at which the stream began; None if it has not begun.
+    version: SoftwareVersion | None = None
 
 
 class Grant(Message):
@@ -72,8 +78,8 @@
     owner: Incarnation
     number: int
     code: Code
-    # Seconds after which the client should retry.
-    retry_after: float
+    # Seconds after which the client should retry; None if it should not.
+    retry_after: float | None
     # Cause of the refusal, for the client and the log.
     reason: str
 
--- a/fireflyquay/dispatch/_slot_queue.py
+++ b/fireflyquay/dispatch/_slot_queue.py
@@ -145,7 +145,8 @@
             if item is None:
                 continue
             yield item
-            if not item.is_done:
+            # A stream that waits for its software version says nothing of the others.
+            if not item.is_done and item.request.version is None:
                 skipped += 1
             heapq.heappush(flows, (self._normalized_usage[name], name, items))
 
@@ -197,9 +198,13 @@
         for key in [key for key in self._by_key if key[0] == owner]:
             self.remove(key)
 
+    def list_all(self) -> list[QueuedRequest]:
+        """Return all requests in order of arrival."""
+        return list(self._by_key.values())
+
     def pop_all(self) -> list[QueuedRequest]:
         """Remove and return all requests in order of arrival."""
-        items = list(self._by_key.values())
+        items = self.list_all()
         for item in items:
             self.remove(item.key)
         return items
--- a/fireflyquay/gateway/_call.py
+++ b/fireflyquay/gateway/_call.py
@@ -9,7 +9,15 @@
 from xxhash import xxh64
 
 from fireflyquay.links import HttpRequest, HttpResponder
-from fireflyquay.world import BackendServerId, Fingerprint, ServiceId, SuspectId
+from fireflyquay.world import (
+    AttemptId,
+    BackendServerId,
+    Fingerprint,
+    RepeatRule,
+    ServiceId,
+    SoftwareVersion,
+    SuspectId,
+)
 
 from ._admission import Admission
 from ._dialect import Exchange, RequestMetadata, Response
@@ -62,6 +70,8 @@
     # Loop time of the first output, and seconds of the longest gap after it.
     first_output_at: float | None = None
     longest_gap: float = 0.0
+    # Software version at which the stream began; None if it has not begun.
+    version: SoftwareVersion | None = None
     # Id of the last event that the client received.
     last_event_id: str = ""
     # Whether the client received a part of an event without its end.
@@ -83,6 +93,13 @@
         """Return the metadata of the client's request."""
         return self.exchange.metadata
 
+    @property
+    def stream(self) -> AttemptId:
+        """Return the attempt that names the stream; empty if it can't be resumed."""
+        if self.admission.route.repeat_rule is not RepeatRule.RESUMABLE:
+            return AttemptId("")
+        return self.metadata.resumed_attempt_id or self.metadata.attempt_id
+
     @property
     def output_timeout(self) -> float:
         """Return the seconds from arrival that the client waits for output."""
--- a/fireflyquay/gateway/_clock.py
+++ b/fireflyquay/gateway/_clock.py
@@ -6,6 +6,8 @@
 import time
 from abc import ABC, abstractmethod
 
+MILLISECONDS_PER_SECOND = 1000.0
+
 
 class AgeClock(ABC):
     """Measure the age of replicas, if possible also while the machine is suspended."""
@@ -14,6 +16,10 @@
     def read(self) -> float:
         """Return the seconds since an arbitrary point in time."""
 
+    @abstractmethod
+    def read_unix_ms(self) -> float:
+        """Return the time of day in milliseconds since the epoch."""
+
 
 class BootClock(AgeClock):
     """Read the kernel's boot-time clock, which includes suspended time."""
@@ -22,6 +28,10 @@
         """Return the seconds since the machine booted."""
         return time.clock_gettime(time.CLOCK_BOOTTIME)
 
+    def read_unix_ms(self) -> float:
+        """Return the time of day in milliseconds since the epoch."""
+        return time.time() * MILLISECONDS_PER_SECOND
+
 
 class LoopClock(AgeClock):
     """Read the clock of the running event loop, which tests control."""
@@ -29,3 +39,7 @@
     def read(self) -> float:
         """Return the loop's time."""
         return asyncio.get_running_loop().time()
+
+    def read_unix_ms(self) -> float:
+        """Return the loop's time in milliseconds."""
+        return self.read() * MILLISECONDS_PER_SECOND
--- a/fireflyquay/gateway/_fleet.py
+++ b/fireflyquay/gateway/_fleet.py
@@ -15,6 +15,8 @@
     Handover,
     MessageToCoordinator,
     MessageToFollower,
+    OriginRequest,
+    OriginResponse,
     Probe,
     ReplicaSync,
     ReplicaSyncMessage,
@@ -41,6 +43,7 @@
 from ._discovery import MembershipView
 from ._quarantine import Quarantine
 from ._slot_client import Peers, SlotClient
+from ._stream_locator import StreamLocator
 
 LOG = logbook.Logger("fleet")
 
@@ -74,6 +77,7 @@
         slot_client: SlotClient,
         replica_sync: ReplicaSync,
         quarantine: Quarantine,
+        stream_locator: StreamLocator,
         clock: AgeClock,
         is_ready: Callable[[], bool],
         compute_config_age: Callable[[], float],
@@ -87,6 +91,7 @@
         self._slot_client = slot_client
         self._replica_sync = replica_sync
         self._quarantine = quarantine
+        self._stream_locator = stream_locator
         self._clock = clock
         self._is_ready = is_ready
         self._compute_config_age = compute_config_age
@@ -250,6 +255,10 @@
                 self.send(sender, response)
             if is_changed:
                 self._on_replicas_change()
+        elif isinstance(message, OriginRequest):
+            self._stream_locator.handle_request(sender, message)
+        elif isinstance(message, OriginResponse):
+            self._stream_locator.handle_response(message)
         elif isinstance(message, CrashNews):
             self._quarantine.handle_news(message)
         else:
--- a/fireflyquay/gateway/_forwarder.py
+++ b/fireflyquay/gateway/_forwarder.py
@@ -190,6 +190,7 @@
             self._backend.address, CONNECT_TIMEOUT_SECONDS
         ):
             return
+        self._slot_client.pause(self._backend.id, REFUSED_PAUSE_SECONDS, True)
         call, seconds = self._call, self._seconds_of_output
         has_just_begun = seconds is None or seconds < BEGINNING_SECONDS
         suspects = call.suspects if has_just_begun else ()
@@ -226,7 +227,7 @@
         if self._call.responder.started:
             outcome = Outcome.CUT
         if not sent:
-            self._slot_client.pause(self._backend.id, REFUSED_PAUSE_SECONDS)
+            self._slot_client.pause(self._backend.id, REFUSED_PAUSE_SECONDS, True)
         return self._log_failure(outcome, sentence)
 
     def _log_failure(self, outcome: Outcome, sentence: str) -> Outcome:
@@ -402,6 +403,7 @@
     async def _write(self, stream: HttpStream, data: bytes) -> None:
         responder = self._call.responder
         if not responder.started:
+            self._call.version = self._backend.version
             # Chunks show the client if this VM ends first; the last event proves
             # whether the stream itself is whole.
             headers = self._exchange.translate_headers(stream.raw_headers)
--- a/fireflyquay/gateway/_gateway.py
+++ b/fireflyquay/gateway/_gateway.py
@@ -23,7 +23,14 @@
     LinkFactory,
     PeerLink,
 )
-from fireflyquay.world import EntryVm, Incarnation, RegionId, VmListing, ZoneId
+from fireflyquay.world import (
+    EntryVm,
+    FleetConfig,
+    Incarnation,
+    RegionId,
+    VmListing,
+    ZoneId,
+)
 
 from ._claims import KeyClaims
 from ._clock import AgeClock, BootClock
@@ -35,12 +42,13 @@
 from ._fleet import Fleet
 from ._forwarder import Forwarder
 from ._gateway_metrics import GatewayMetrics
-from ._ingress import Ingress
+from ._ingress import DEFAULT_TIMEOUT_SECONDS, Ingress
 from ._quarantine import Quarantine
 from ._settings import GatewaySettings, split_address
 from ._slot_client import SlotClient
 from ._state_replicas import StateReplicas
 from ._status import GatewayStatus
+from ._stream_locator import StreamLocator
 
 LOG = logbook.Logger("gateway")
 
@@ -66,6 +74,9 @@
 # guaranteed bounds depend on, long enough that a persistent fault overloads neither the
 # CPU nor the log.
 TASK_RETRY_SECONDS = 0.5
+# Time within which clients may resume a stream, as a multiple of the longest timeout of
+# any stream's route.
+RESUMABLE_TIME_FACTOR = 2.0
 # Seconds from the end of a request's headers to the end of its body: enough for the
 # largest body over a shared link of a few Mbit/s.
 BODY_TIMEOUT_SECONDS = 30.0
@@ -107,9 +118,13 @@
         )
         self._slot_client = SlotClient(self.incarnation, self._coordinator)
         self._quarantine = Quarantine(self._clock, rng)
+        self._stream_locator = StreamLocator(
+            self._coordinator.origins, self.replicas.backends, self._clock
+        )
         self.fleet = self._make_fleet(rng)
         self._slot_client.connect(self.fleet)
         self._quarantine.connect(self.fleet)
+        self._stream_locator.connect(self.fleet)
         own = self.fleet.get_own_vm()
         listing = VmListing(own.host, own.peer_port, own.zone, own.region)
         self._discovery = Discovery(source, listing, self.fleet)
@@ -122,6 +137,7 @@
             self._slot_client,
             Forwarder(client, self._slot_client, self._quarantine, self.metrics),
             self._quarantine,
+            self._stream_locator,
             claims,
             self.metrics,
             promises.revoke,
@@ -173,6 +189,7 @@
                 self.replicas.request_config_read,
             ),
             self._quarantine,
+            self._stream_locator,
             self._clock,
             self.is_ready,
             self.replicas.compute_config_age,
@@ -381,6 +398,7 @@
         config = self.replicas.config.config
         if config is None:
             return
+        self._coordinator.origins.lifetime = _compute_resumable_seconds(config)
         limits = config.limits
         http_limits = HttpLimits(
             max_header_bytes=limits.max_header_bytes,
@@ -393,6 +411,12 @@
             self._client_server.set_limits(http_limits)
 
 
+def _compute_resumable_seconds(config: FleetConfig) -> float:
+    """Return the seconds within which clients may resume a stream."""
+    timeouts = [route.timeout for route in config.routes if route.is_stream]
+    return RESUMABLE_TIME_FACTOR * max(timeouts, default=DEFAULT_TIMEOUT_SECONDS)
+
+
 async def _restart_on_failure(run: Callable[[], Awaitable[None]]) -> None:
     """Run a task to its end; restart it after an unexpected exception."""
     while True:
--- a/fireflyquay/gateway/_ingress.py
+++ b/fireflyquay/gateway/_ingress.py
@@ -37,6 +37,7 @@
 from ._quarantine import Quarantine
 from ._slot_client import SlotClient
 from ._state_replicas import StateReplicas
+from ._stream_locator import StreamLocator
 
 LOG = logbook.Logger("requests")
 
@@ -65,6 +66,7 @@
         slot_client: SlotClient,
         forwarder: Forwarder,
         quarantine: Quarantine,
+        stream_locator: StreamLocator,
         claims: KeyClaims | None,
         metrics: GatewayMetrics,
         revocation_bound_seconds: float,
@@ -78,6 +80,7 @@
         self._slot_client = slot_client
         self._forwarder = forwarder
         self._quarantine = quarantine
+        self._stream_locator = stream_locator
         self._claims = claims
         self._metrics = metrics
         self.set_revocation_bound(revocation_bound_seconds)
@@ -124,6 +127,8 @@
         try:
             call = self._open_call(request, exchange, responder, arrived_at)
             async with asyncio.timeout_at(call.deadline_at):
+                if call.last_event_id and call.admission.route.is_stream:
+                    await self._stream_locator.locate(call)
                 await self._run_attempts(call)
             outcome = SERVED
             if met_objectives(call, loop.time()):
@@ -310,6 +315,8 @@
             bool(call.tried_backends),
             tuple(call.tried_backends),
             route.target_latency,
+            call.stream,
+            call.version,
         )
 
     def _may_retry(self, call: Call, outcome: Outcome) -> bool:
--- a/fireflyquay/gateway/_slot_client.py
+++ b/fireflyquay/gateway/_slot_client.py
@@ -25,6 +25,7 @@
     Handover,
     MessageToCoordinator,
     MessageToFollower,
+    OriginResponse,
     Queued,
     RequestLimitNews,
     RunEnded,
@@ -32,6 +33,7 @@
 )
 from fireflyquay.membership import Message
 from fireflyquay.world import (
+    AttemptId,
     BackendEntry,
     BackendServerId,
     ClientAccountId,
@@ -117,6 +119,8 @@
         self._coordinator_vm = own
         self._pending: dict[int, _PendingRequest] = {}
         self._runs: dict[int, _LocalRun] = {}
+        # Number of origins of streams that were copied to other VMs.
+        self._next_copy = 0
         # Loop time, client account and quota tokens of each recent grant.
         self._usage: deque[tuple[float, ClientAccountId, float]] = deque()
 
@@ -146,6 +150,8 @@
     ) -> None:
         """Report the first output of a run to the coordinator."""
         self._notify(FirstOutput(slot_request.number, backend))
+        if slot_request.stream and self._peers is not None:
+            self._copy_origin(slot_request.stream, self._peers)
 
     def release(
         self,
@@ -161,9 +167,11 @@
             RunEnded(slot_request.number, backend, event_count, longest_gap, failed)
         )
 
-    def pause(self, backend: BackendServerId, seconds: float) -> None:
+    def pause(
+        self, backend: BackendServerId, seconds: float, may_restart: bool = False
+    ) -> None:
         """Suspend grants on a backend server for the given number of seconds."""
-        self._notify(BackendPause(backend, seconds))
+        self._notify(BackendPause(backend, seconds, may_restart))
 
     def record_limit(
         self, backend: BackendEntry, limit: float | None, sent_at: float
@@ -259,6 +267,7 @@
         loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(RUNS_REPORT_INTERVAL_SECONDS)
+            self._local_coordinator.origins.expire(loop.time())
             if self._coordinator_vm != self._own and self._peers is not None:
                 self._peers.send(
                     self._coordinator_vm, ActiveRunsReport(self._list_runs(loop.time()))
@@ -341,6 +350,19 @@
                 self._follow_coordinator(now)
                 return
 
+    def _copy_origin(self, stream: AttemptId, peers: Peers) -> None:
+        """Send the origin of a stream to a VM that neither owns nor granted it.
+
+        Otherwise the end of one VM could leave nobody who knows the origin.
+        """
+        origin = self._local_coordinator.origins.find(stream)
+        others = [it for it in peers.list_others() if it != self._coordinator_vm]
+        if origin is None or not others:
+            return
+        target = others[self._next_copy % len(others)]
+        self._next_copy += 1
+        peers.send(target, OriginResponse(stream, origin.service, origin.version))
+
     def _make_handover(self, now: float) -> Handover:
         usage: dict[ClientAccountId, tuple[int, float]] = {}
         self._trim_usage(now)
@@ -354,6 +376,12 @@
             self._list_runs(now),
             tuple((account, *used) for account, used in usage.items()),
             self._local_coordinator.list_limits(now),
+            tuple(
+                OriginResponse(stream, origin.service, origin.version)
+                for stream, origin in self._local_coordinator.origins.list_owned(
+                    self._own
+                )
+            ),
         )
 
     def _list_runs(self, now: float) -> tuple[ActiveRun, ...]:
--- /dev/null
+++ b/fireflyquay/gateway/_stream_locator.py
@@ -0,0 +1,138 @@
+"""Locator of the software version at which a client's stream began."""
+
+from __future__ import annotations
+
+import asyncio
+
+import logbook
+
+from fireflyquay.dispatch import (
+    BackendRegistry,
+    OriginRequest,
+    OriginResponse,
+    StreamOrigin,
+    StreamOrigins,
+)
+from fireflyquay.world import AttemptId, Code, Incarnation
+
+from ._admission import RejectionError
+from ._call import Call
+from ._clock import AgeClock
+from ._slot_client import Peers
+
+LOG = logbook.Logger("streams")
+
+# Seconds to wait for responses until other VMs are asked, or asked again. A round trip
+# takes a few milliseconds.
+LOOKUP_INTERVAL_SECONDS = 0.1
+# Seconds after which an unknown stream is refused. Until then, the VMs that know it may
+# be changing to another coordinator.
+MAX_LOOKUP_SECONDS = 0.6
+# Retry-After of an unknown stream: another VM may know it, or this one a little later.
+UNKNOWN_STREAM_RETRY_AFTER_SECONDS = 0.3
+
+
+class StreamLocator:
+    """Find where a stream began that a client resumes.
+
+    The VM that sent the stream and the one that granted its slot know, and a third one
+    if both are the same. A VM that finds no one who knows refuses, unless all backend
+    servers have run one version for as long as a stream may last.
+    """
+
+    def __init__(
+        self, origins: StreamOrigins, backends: BackendRegistry, clock: AgeClock
+    ) -> None:
+        self._origins = origins
+        self._backends = backends
+        self._clock = clock
+        self._peers: Peers | None = None
+        # Lookups in progress by stream; set to the origin once it is known.
+        self._lookups: dict[AttemptId, asyncio.Future[StreamOrigin]] = {}
+
+    def connect(self, peers: Peers) -> None:
+        """Ask the given peers from now on."""
+        self._peers = peers
+
+    async def locate(self, call: Call) -> None:
+        """Bind a call that resumes a stream to its origin; raise RejectionError."""
+        stream = call.metadata.resumed_attempt_id
+        origin = self._origins.find(stream)
+        if origin is None and self._has_one_version(call):
+            return
+        is_remote = origin is None
+        if origin is None and stream:
+            origin = await self._ask_peers(stream)
+        LOG.info(
+            "stream located",
+            extra={
+                "id": call.metadata.attempt_id,
+                "stream": stream,
+                "service": None if origin is None else origin.service,
+                "version": None if origin is None else origin.version,
+                "asked_others": is_remote,
+            },
+        )
+        if origin is None:
+            raise RejectionError(
+                Code.UNKNOWN_STREAM,
+                "It is not known at which software version the stream began.",
+                UNKNOWN_STREAM_RETRY_AFTER_SECONDS,
+            )
+        services = {share.service for share in call.admission.route.shares}
+        if origin.service not in services:
+            raise RejectionError(
+                Code.STREAM_VERSION_GONE,
+                "The stream began at a service that its route no longer leads to.",
+            )
+        call.service, call.version = origin.service, origin.version
+
+    def handle_request(self, sender: Incarnation, request: OriginRequest) -> None:
+        """Tell another VM where a stream began, if this one knows."""
+        origin = self._origins.find(request.stream)
+        if origin is not None and self._peers is not None:
+            response = OriginResponse(request.stream, origin.service, origin.version)
+            self._peers.send(sender, response)
+
+    def handle_response(self, response: OriginResponse) -> None:
+        """Record where a stream began, as another VM reports it."""
+        origin = StreamOrigin(response.service, response.version)
+        now = asyncio.get_running_loop().time()
+        self._origins.record(response.stream, origin, now)
+        lookup = self._lookups.get(response.stream)
+        if lookup is not None and not lookup.done():
+            lookup.set_result(origin)
+
+    def _has_one_version(self, call: Call) -> bool:
+        """Return whether a stream of the call's route can't have begun elsewhere."""
+        shares = call.admission.route.shares
+        return len(shares) == 1 and self._backends.had_one_version(
+            shares[0].service,
+            self._origins.lifetime,
+            self._clock.read(),
+            self._clock.read_unix_ms(),
+        )
+
+    async def _ask_peers(self, stream: AttemptId) -> StreamOrigin | None:
+        """Ask the coordinator, then all others; return None if nobody knows."""
+        if self._peers is None:
+            return None
+        loop = asyncio.get_running_loop()
+        lookup = self._lookups.get(stream)
+        if lookup is None:
+            lookup = self._lookups[stream] = loop.create_future()
+        targets = [self._peers.choose_coordinator()]
+        ends_at = loop.time() + MAX_LOOKUP_SECONDS
+        try:
+            while loop.time() < ends_at:
+                for target in targets:
+                    if target != self._peers.get_own_vm().incarnation:
+                        self._peers.send(target, OriginRequest(stream))
+                await asyncio.wait((lookup,), timeout=LOOKUP_INTERVAL_SECONDS)
+                if lookup.done():
+                    return lookup.result()
+                targets = list(self._peers.list_others())
+        finally:
+            if self._lookups.get(stream) is lookup:
+                del self._lookups[stream]
+        return None
--- a/fireflyquay/world/_codes.py
+++ b/fireflyquay/world/_codes.py
@@ -28,6 +28,10 @@
     OVERLOADED = "OVERLOADED"
     DEADLINE_UNREACHABLE = "DEADLINE_UNREACHABLE"
     NO_BACKEND_SERVER = "NO_BACKEND_SERVER"
+    # A stream can't be resumed: no backend server of the software version at which it
+    # began is left, or no VM knows that version.
+    STREAM_VERSION_GONE = "STREAM_VERSION_GONE"
+    UNKNOWN_STREAM = "UNKNOWN_STREAM"
     # The VM is not ready, its configuration is outdated, or the store is unavailable.
     NOT_READY = "NOT_READY"
     STALE_CONFIG = "STALE_CONFIG"
