Count what other coordinators granted to a VM that takes over

Cause: a successor starts with full buckets and deducts what the handovers of the other VMs report. What the former coordinator granted to the successor itself nobody reports, so its part of the last four seconds is granted twice. Evidence: test_vm_that_takes_over_counts_what_others_granted_it failed before: a VM that got 4,200 of 5,000 tokens from another coordinator granted itself 2,100 more.

The VM now deducts its own usage when it takes over, but not what it had granted and charged itself.

--- a/fireflyquay/dispatch/_control_message.py
+++ b/fireflyquay/dispatch/_control_message.py
@@ -129,14 +129,17 @@
     age_seconds: float
 
 
+# Requests and quota tokens granted recently, by client account.
+QuotaUsage = tuple[tuple[ClientAccountId, int, float], ...]
+
+
 class Handover(Message):
     """Report the sender's runs and recent usage to a new coordinator."""
 
     # The sender, whose membership record may not have reached the receiver yet.
     vm: EntryVm
     runs: tuple[ActiveRun, ...]
-    # Requests and quota tokens granted recently, by client account.
-    usage: tuple[tuple[ClientAccountId, int, float], ...]
+    usage: QuotaUsage
     # Request limits that backend servers stated, as far as the sender knows.
     limits: tuple[RequestLimitNews, ...] = ()
     # Origins of the streams that the sender sends to clients.
--- a/fireflyquay/dispatch/_coordinator.py
+++ b/fireflyquay/dispatch/_coordinator.py
@@ -24,6 +24,7 @@
     FirstOutput,
     Handover,
     MessageToCoordinator,
+    QuotaUsage,
     RequestLimitNews,
     RunEnded,
 )
@@ -86,9 +87,13 @@
         """Set the fraction of stated request limits that may be granted."""
         self._scheduler.limit_share = share
 
-    def start_coordinating(self, now: float) -> None:
-        """Start to decide on requests that another VM decided on before."""
+    def start_coordinating(self, usage: QuotaUsage, now: float) -> None:
+        """Start to decide on requests that another VM decided on before.
+
+        ``usage`` is what it granted to this VM.
+        """
         self._scheduler.restart_pacing(now)
+        self._deduct_usage(usage, now)
 
     def record_limit(self, news: RequestLimitNews, now: float) -> bool:
         """Follow what a response states about a limit; return whether that is new."""
@@ -233,14 +238,17 @@
         for it in handover.origins:
             origin = StreamOrigin(it.service, it.version)
             self.origins.record(it.stream, origin, now)
+        self._deduct_usage(handover.usage, now)
+        return self._settle_charges(decisions)
+
+    def _deduct_usage(self, usage: QuotaUsage, now: float) -> None:
         # Each VM reports its part of the usage, so it is credited with the same part of
         # what the quota refills within the window.
         refilled_seconds = HANDOVER_USAGE_WINDOW_SECONDS / self.fleet_size
-        for account_id, requests, tokens in handover.usage:
+        for account_id, requests, tokens in usage:
             account = self._config.get_account(account_id)
             if account is not None:
                 self.quotas.deduct(account, requests, tokens, refilled_seconds, now)
-        return self._settle_charges(decisions)
 
     def _reconcile_runs(
         self, sender: Incarnation, runs: tuple[ActiveRun, ...], now: float
--- a/fireflyquay/gateway/_slot_client.py
+++ b/fireflyquay/gateway/_slot_client.py
@@ -27,6 +27,7 @@
     MessageToFollower,
     OriginResponse,
     Queued,
+    QuotaUsage,
     RequestLimitNews,
     RunEnded,
     SlotRequest,
@@ -102,6 +103,17 @@
     granted_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class _GrantedUsage:
+    """Hold what a recent grant used of the quotas of a client account."""
+
+    granted_at: float
+    account: ClientAccountId
+    quota_tokens: float
+    # Whether the local coordinator granted it and has charged it.
+    is_charged_here: bool
+
+
 class SlotClient:
     """Request slots from the coordinator; use the local one if there is no other.
 
@@ -121,8 +133,7 @@
         self._runs: dict[int, _LocalRun] = {}
         # Number of origins of streams that were copied to other VMs.
         self._next_copy = 0
-        # Loop time, client account and quota tokens of each recent grant.
-        self._usage: deque[tuple[float, ClientAccountId, float]] = deque()
+        self._usage: deque[_GrantedUsage] = deque()
 
     def connect(self, peers: Peers) -> None:
         """Send messages through the given peers from now on."""
@@ -312,7 +323,9 @@
         if previous != self._own:
             self._peers.send(previous, Detach())
         if target == self._own:
-            self._local_coordinator.start_coordinating(now)
+            # The grants of other coordinators were not charged here.
+            usage = self._sum_usage(now, includes_own_grants=False)
+            self._local_coordinator.start_coordinating(usage, now)
         if target != self._own:
             self._peers.send(target, self._make_handover(now))
         for pending in list(self._pending.values()):
@@ -364,17 +377,12 @@
         peers.send(target, OriginResponse(stream, origin.service, origin.version))
 
     def _make_handover(self, now: float) -> Handover:
-        usage: dict[ClientAccountId, tuple[int, float]] = {}
-        self._trim_usage(now)
-        for _, account, tokens in self._usage:
-            requests, total_tokens = usage.get(account, (0, 0.0))
-            usage[account] = (requests + 1, total_tokens + tokens)
         assert self._peers is not None
         own = self._peers.get_own_vm()
         return Handover(
             own,
             self._list_runs(now),
-            tuple((account, *used) for account, used in usage.items()),
+            self._sum_usage(now, includes_own_grants=True),
             self._local_coordinator.list_limits(now),
             tuple(
                 OriginResponse(stream, origin.service, origin.version)
@@ -384,6 +392,17 @@
             ),
         )
 
+    def _sum_usage(self, now: float, includes_own_grants: bool) -> QuotaUsage:
+        """Return the requests and tokens granted recently, by client account."""
+        self._trim_usage(now)
+        usage: dict[ClientAccountId, tuple[int, float]] = {}
+        for used in self._usage:
+            if used.is_charged_here and not includes_own_grants:
+                continue
+            requests, tokens = usage.get(used.account, (0, 0.0))
+            usage[used.account] = (requests + 1, tokens + used.quota_tokens)
+        return tuple((account, *used) for account, used in usage.items())
+
     def _list_runs(self, now: float) -> tuple[ActiveRun, ...]:
         return tuple(
             ActiveRun(run.slot_request, run.backend, now - run.granted_at)
@@ -398,15 +417,22 @@
                 slot_request, decision.backend, now
             )
             if not slot_request.is_retry and slot_request.account:
+                is_charged_here = pending.target == self._own
                 self._usage.append(
-                    (now, slot_request.account, slot_request.quota_tokens)
+                    _GrantedUsage(
+                        now,
+                        slot_request.account,
+                        slot_request.quota_tokens,
+                        is_charged_here,
+                    )
                 )
                 self._trim_usage(now)
         if not pending.future.done():
             pending.future.set_result(decision)
 
     def _trim_usage(self, now: float) -> None:
-        while self._usage and self._usage[0][0] < now - HANDOVER_USAGE_WINDOW_SECONDS:
+        since = now - HANDOVER_USAGE_WINDOW_SECONDS
+        while self._usage and self._usage[0].granted_at < since:
             self._usage.popleft()
 
     def _cancel(self, slot_request: SlotRequest) -> None:
--- /dev/null
+++ b/fireflyquay/gateway/tests/test_slot_client.py
@@ -0,0 +1,88 @@
+"""Tests of the change of coordinators as one VM sees it."""
+
+import asyncio
+
+from fireflyquay.dispatch import Grant, Handover, Refusal
+from fireflyquay.dispatch.tests.builders import (
+    ACCOUNT,
+    OTHER_VM,
+    OWN_VM,
+    make_account,
+    make_backend_entry,
+    make_coordinator,
+    make_request,
+    make_vm,
+)
+from fireflyquay.gateway._slot_client import Peers, SlotClient
+
+
+class FakePeers(Peers):
+    """Choose the coordinator that a test sets, and record what is sent."""
+
+    def __init__(self):
+        self.coordinator = OTHER_VM
+        self.sent = []
+
+    def choose_coordinator(self):
+        return self.coordinator
+
+    def get_own_vm(self):
+        return make_vm()
+
+    def send(self, target, message):
+        self.sent.append((target, message))
+
+    def list_others(self):
+        return [OTHER_VM]
+
+    def mark_unresponsive(self, target):
+        self.coordinator = OWN_VM
+
+
+def run_with_client(scenario):
+    async def run():
+        # A burst of 5,000 tokens, refilled by 100 a second.
+        coordinator = make_coordinator(make_account(rate=100.0, burst=5000.0))
+        coordinator.set_backends([make_backend_entry("e1", slots=50)])
+        client = SlotClient(OWN_VM, coordinator)
+        peers = FakePeers()
+        client.connect(peers)
+        await scenario(client, coordinator, peers)
+
+    asyncio.run(run())
+
+
+async def acquire_from_other(client, number):
+    """Acquire a slot that the other VM grants."""
+    task = asyncio.ensure_future(client.acquire(make_request(number)))
+    await asyncio.sleep(0)
+    grant = Grant(OWN_VM, number, "e1", 0.0, 0.0)
+    client.handle_message_to_follower(OTHER_VM, grant)
+    assert isinstance(await task, Grant)
+
+
+def test_vm_that_takes_over_counts_what_others_granted_it():
+    async def scenario(client, coordinator, peers):
+        # Each request has 1,050 tokens.
+        for number in range(4):
+            await acquire_from_other(client, number)
+        peers.coordinator = OWN_VM
+        decisions = [await client.acquire(make_request(n)) for n in (10, 11)]
+        assert [isinstance(it, Refusal) for it in decisions] == [False, True]
+
+    run_with_client(scenario)
+
+
+def test_vm_that_coordinates_again_does_not_count_its_own_grants_twice():
+    async def scenario(client, coordinator, peers):
+        peers.coordinator = OWN_VM
+        for number in (1, 2):
+            assert isinstance(await client.acquire(make_request(number)), Grant)
+        peers.coordinator = OTHER_VM
+        await acquire_from_other(client, 3)
+        [handover] = [it for _, it in peers.sent if isinstance(it, Handover)]
+        assert handover.usage == ((ACCOUNT, 2, 2100.0),)
+        peers.coordinator = OWN_VM
+        assert isinstance(await client.acquire(make_request(4)), Grant)
+
+    run_with_client(scenario)
