Credit all handovers together with one refill of a quota

Cause: each handover was credited with its part of what the quota refills in four seconds, by the number of VMs that the new coordinator knew at that moment. One that has just started knows one or two, so that eight reports of a part each were credited eight halves: nothing was deducted. Evidence: with one VM known, eight handovers of 1,050 tokens each deducted 0 in place of 4,200 (the new test granted six of six requests, allowed four).

The bucket adds up what is reported within four seconds and is credited once, so the number of VMs no longer matters and is gone from the coordinator.

--- a/fireflyquay/dispatch/__init__.py
+++ b/fireflyquay/dispatch/__init__.py
@@ -24,7 +24,7 @@
     RequestLimitNews,
     RunEnded,
 )
-from ._coordinator import HANDOVER_USAGE_WINDOW_SECONDS, Coordinator
+from ._coordinator import Coordinator
 from ._crash_tracker import (
     BEGINNING_SECONDS,
     CrashTracker,
@@ -32,7 +32,7 @@
     list_suspects,
 )
 from ._freshness import Freshness
-from ._quota_limiter import QuotaLimiter
+from ._quota_limiter import REPORTED_USAGE_SECONDS, QuotaLimiter
 from ._replica_sync import ReplicaSync
 from ._retry_budget import RetryBudget
 from ._scheduler import SlotScheduler, SlotSchedulerSettings
@@ -40,7 +40,6 @@
 from ._stream_origins import StreamOrigin, StreamOrigins
 
 __all__ = [
-    "HANDOVER_USAGE_WINDOW_SECONDS",
     "ActiveRun",
     "ActiveRunsReport",
     "BackendPause",
@@ -69,6 +68,7 @@
     "Queued",
     "QuotaLimiter",
     "QuotaUsage",
+    "REPORTED_USAGE_SECONDS",
     "Refusal",
     "ReplicaSync",
     "ReplicaSyncMessage",
--- a/fireflyquay/dispatch/_coordinator.py
+++ b/fireflyquay/dispatch/_coordinator.py
@@ -42,9 +42,6 @@
 # Retry-After of a client account at its in-flight limit, which may have fewer requests
 # in progress after this time: a few typical runs.
 IN_FLIGHT_RETRY_AFTER_SECONDS = 0.5
-# Window of the usage that a handover reports: about the time in which a quota refills
-# its burst.
-HANDOVER_USAGE_WINDOW_SECONDS = 4.0
 
 
 class Coordinator:
@@ -64,8 +61,6 @@
         self._scheduler = scheduler
         self._retry_budget = retry_budget
         self.quotas = quotas
-        # Number of running VMs, including this one.
-        self.fleet_size = 1
         # VMs that follow this coordinator, excluding its own.
         self.followers: set[Incarnation] = set()
         # Client account and charged quota tokens of each waiting request.
@@ -242,13 +237,10 @@
         return self._settle_charges(decisions)
 
     def _deduct_usage(self, usage: QuotaUsage, now: float) -> None:
-        # Each VM reports its part of the usage, so it is credited with the same part of
-        # what the quota refills within the window.
-        refilled_seconds = HANDOVER_USAGE_WINDOW_SECONDS / self.fleet_size
         for account_id, requests, tokens in usage:
             account = self._config.get_account(account_id)
             if account is not None:
-                self.quotas.deduct(account, requests, tokens, refilled_seconds, now)
+                self.quotas.deduct_reported(account, requests, tokens, now)
 
     def _reconcile_runs(
         self, sender: Incarnation, runs: tuple[ActiveRun, ...], now: float
--- a/fireflyquay/dispatch/_quota_limiter.py
+++ b/fireflyquay/dispatch/_quota_limiter.py
@@ -7,6 +7,9 @@
 
 from fireflyquay.world import ClientAccount, ClientAccountId, Quota, QuotaUnit
 
+# Time that the reports of recent usage cover: about that in which a quota refills its
+# burst.
+REPORTED_USAGE_SECONDS = 4.0
 # Decay constant of the largest recent request of a bucket.
 LARGEST_REQUEST_DECAY_SECONDS = 10.0
 
@@ -30,6 +33,9 @@
     allowance: float
     # Decaying maximum of the units that requests asked for.
     largest_request: float = 0.0
+    # Units that handovers reported, and the time of the first of them.
+    reported: float = 0.0
+    reported_since: float = -math.inf
 
     def refill(self, rate: float, burst: float, allowance: float, now: float) -> None:
         """Add the units accrued since the last refill."""
@@ -39,6 +45,19 @@
         self.refilled_at = now
         self.rate, self.burst, self.allowance = rate, burst, allowance
 
+    def deduct_reported(self, units: float, quota_rate: float, now: float) -> None:
+        """Deduct units that other coordinators granted.
+
+        All reports together are credited with what the quota refills in the time that
+        they cover, whatever part each of them has.
+        """
+        if now - self.reported_since > REPORTED_USAGE_SECONDS:
+            self.reported, self.reported_since = 0.0, now
+        refilled = quota_rate * REPORTED_USAGE_SECONDS
+        before = max(0.0, self.reported - refilled)
+        self.reported += units
+        self.level -= max(0.0, self.reported - refilled) - before
+
     def compute_wait(self, units: float) -> float:
         """Return the seconds until enough units are available."""
         self.largest_request = max(self.largest_request, units)
@@ -101,24 +120,16 @@
                 units = _count_units(unit, 1, tokens)
                 bucket.level = min(bucket.burst, bucket.level + units)
 
-    def deduct(
-        self,
-        account: ClientAccount,
-        requests: int,
-        tokens: float,
-        refilled_seconds: float,
-        now: float,
+    def deduct_reported(
+        self, account: ClientAccount, requests: int, tokens: float, now: float
     ) -> None:
-        """Deduct usage that another VM granted.
-
-        The usage is reduced by what the quota refills in ``refilled_seconds``.
-        """
+        """Deduct the usage of one VM that other coordinators granted it recently."""
         for quota in account.quotas:
             if quota.rate <= 0:
                 continue
             units = _count_units(quota.unit, requests, tokens)
-            units -= quota.rate * refilled_seconds
-            self._refill_bucket(account.id, quota, 1.0, now).level -= max(0.0, units)
+            bucket = self._refill_bucket(account.id, quota, 1.0, now)
+            bucket.deduct_reported(units, quota.rate, now)
 
     def _refill_bucket(
         self, account: ClientAccountId, quota: Quota, share: float, now: float
--- a/fireflyquay/dispatch/tests/test_coordinator.py
+++ b/fireflyquay/dispatch/tests/test_coordinator.py
@@ -17,7 +17,7 @@
     RunEnded,
     SlotSchedulerSettings,
 )
-from fireflyquay.world import Code, Quota, QuotaUnit
+from fireflyquay.world import Code, Incarnation, Quota, QuotaUnit
 
 from .builders import (
     ACCOUNT,
@@ -252,6 +252,19 @@
     assert list_granted_keys(decisions) == [(OWN_VM, 1)]
 
 
+def test_handovers_are_credited_with_one_refill_whatever_the_size_of_the_fleet():
+    # A burst of 8,400 tokens, refilled by 1,050 a second; each request has 1,050.
+    coordinator = make_coordinator(make_account(rate=1050.0, burst=8400.0))
+    coordinator.set_backends([make_backend_entry("s1", slots=50)])
+    for number in range(8):
+        vm = Incarnation(f"vm-{number}")
+        handover = Handover(make_vm(vm), (), ((ACCOUNT, 1, 1050.0),))
+        coordinator.handle_message(vm, handover, 10.0)
+    # Eight requests were granted in four seconds, in which four were refilled.
+    decisions = [it for n in range(6) for it in coordinator.submit(make_request(n), 10)]
+    assert [isinstance(it, Grant) for it in decisions] == [True] * 4 + [False] * 2
+
+
 def test_active_runs_report_frees_slot_after_lost_run_ended():
     coordinator = make_coordinator()
     coordinator.set_backends([make_backend_entry("s1", slots=1)])
--- a/fireflyquay/gateway/_fleet.py
+++ b/fireflyquay/gateway/_fleet.py
@@ -314,7 +314,6 @@
         otherwise the part of the fleet that follows it.
         """
         live_count = max(1, len(self._ranking))
-        self._coordinator.fleet_size = live_count
         follower_count = 1 + len(self._coordinator.followers)
         share = 1.0 if 2 * follower_count >= live_count else follower_count / live_count
         if share != self._coordinator.share:
--- a/fireflyquay/gateway/_slot_client.py
+++ b/fireflyquay/gateway/_slot_client.py
@@ -12,7 +12,7 @@
 from msgspec.structs import replace
 
 from fireflyquay.dispatch import (
-    HANDOVER_USAGE_WINDOW_SECONDS,
+    REPORTED_USAGE_SECONDS,
     ActiveRun,
     ActiveRunsReport,
     BackendPause,
@@ -431,7 +431,7 @@
             pending.future.set_result(decision)
 
     def _trim_usage(self, now: float) -> None:
-        since = now - HANDOVER_USAGE_WINDOW_SECONDS
+        since = now - REPORTED_USAGE_SECONDS
         while self._usage and self._usage[0].granted_at < since:
             self._usage.popleft()
 
