Keep new requests at a backend server whose connections broke

Cause: the check after a broken response paused the server for 0.5 s besides doubting its registration, so that the next requests reached other servers sooner than the news of the third crash reached all VMs. The pause was no part of what streams across versions need: new requests find out by themselves whether a server accepts connections.

--- a/fireflyquay/gateway/_forwarder.py
+++ b/fireflyquay/gateway/_forwarder.py
@@ -190,7 +190,8 @@
             self._backend.address, CONNECT_TIMEOUT_SECONDS
         ):
             return
-        self._slot_client.pause(self._backend.id, REFUSED_PAUSE_SECONDS, True)
+        # The next process may answer before it has registered.
+        self._slot_client.pause(self._backend.id, 0.0, True)
         call, seconds = self._call, self._seconds_of_output
         has_just_begun = seconds is None or seconds < BEGINNING_SECONDS
         suspects = call.suspects if has_just_begun else ()
