Let a stream that continues wait for a slot in place of a forecast refusal

Cause: a continued stream was refused on arrival if the forecast wait exceeded its objective. The forecast counts grants of the whole rank, not those at its version, and a successor grants a part of the slots until its followers have handed over. Evidence: each refused stream has the reason 'no slot is expected within its objective'; none was unknown and none crossed.

--- a/fireflyquay/dispatch/_scheduler.py
+++ b/fireflyquay/dispatch/_scheduler.py
@@ -484,8 +484,11 @@
         """Return why a request can't meet its objective, or None if it may.
 
         A request that was refused recently is queued regardless, because its client
-        treats a second refusal as final.
+        treats a second refusal as final. So is a stream that continues: what its client
+        has would be lost, and the forecast counts slots of other versions.
         """
+        if request.version is not None:
+            return None
         if state.retry_schedule.was_refused_recently(request.fingerprint, now):
             return None
         waiting = state.queue.count_on_time(request.rank, now)
--- a/fireflyquay/dispatch/tests/test_software_versions.py
+++ b/fireflyquay/dispatch/tests/test_software_versions.py
@@ -62,6 +62,15 @@
     assert [it.backend for it in decisions] == ["e2"] * 5
 
 
+def test_stream_that_continues_waits_where_a_new_request_is_refused():
+    scheduler = make_scheduler(make_server("e1", OLD))
+    for number in range(6):
+        scheduler.submit(make_request(number), 0.0)
+    [refusal] = scheduler.submit(make_request(10), 0.0)
+    assert refusal.code is Code.OVERLOADED
+    assert not scheduler.submit(resume(11, seconds_to_objective=0.1), 0.0)
+
+
 def test_stream_is_refused_when_its_version_leaves_while_it_waits():
     old, new = make_server("e1", OLD), make_server("e2", NEW)
     scheduler = make_scheduler(old, new)
