Draw request limits and software versions in the soak, and write up limits

The soak's engines run two versions, each named in its events; clients of resumable streams resume them with Resumes and Last-Event-Id, and a stream of two versions is a violation. A new fault makes a worker state a limit for 8 s; more in any 4 s than the platform allows is a violation, counted over all gateways without excuse.

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -29,6 +29,9 @@
     if it
     not in (Behavior.NORMAL, Behavior.CRASH, Behavior.SCRIPTED, *ENDLESS_BEHAVIORS)
 ]
+# Requests per second that a worker states to take, and for how long.
+REQUEST_LIMITS = (0.5, 1.0, 2.2)
+LIMIT_SECONDS = 8.0
 DISRUPTIVE_MODES = [Mode.RESET, Mode.SILENT, Mode.ONE_WAY]
 
 
@@ -62,7 +65,11 @@
         ]
         if draws_later_faults:
             # Apart, so that earlier seeds can draw the faults that they drew then.
-            self._faults += [self.restore_store, self.inject_endless_responses]
+            self._faults += [
+                self.restore_store,
+                self.inject_endless_responses,
+                self.limit_worker,
+            ]
 
     async def run(self, seconds: float) -> None:
         """Start faults for some seconds, then wait until all have ended."""
@@ -151,6 +158,17 @@
         worker = self._rng.choice(self._fleet.workers)
         worker.behaviors.append(self._rng.choice(ENDLESS_BEHAVIORS))
 
+    async def limit_worker(self) -> None:
+        """Make a worker state how many requests it takes per second."""
+        worker = self._rng.choice(self._fleet.workers)
+        limit = self._rng.choice(REQUEST_LIMITS)
+        if worker.request_limit:
+            return
+        worker.request_limit = str(limit)
+        with self._history.record_limit(worker.name, limit):
+            await asyncio.sleep(LIMIT_SECONDS)
+        worker.request_limit = ""
+
     async def restore_store(self) -> None:
         """Take the store away, and bring it back from a copy some seconds old."""
         store = self._fleet.store
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -16,6 +16,8 @@
 from ._relay import Relay
 
 PLAIN_SERVICE, ENGINE_SERVICE = "plain", "engines"
+# Software versions that serve side by side; each names itself in its events.
+VERSIONS = ("v1", "v2")
 
 
 class Fleet:
@@ -69,7 +71,8 @@
 
     async def add_worker(self, service: str) -> WorkerStandIn:
         """Start a worker behind a relay and register the relay's address."""
-        worker = WorkerStandIn()
+        version = VERSIONS[len(self.workers) % len(VERSIONS)]
+        worker = WorkerStandIn(version=version, event_text=version)
         await worker.start()
         relay = Relay(worker.port)
         await relay.start()
--- a/soak/_history.py
+++ b/soak/_history.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from collections import Counter, defaultdict
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -20,6 +21,13 @@
 # Time after a fault in which a gateway may still be slow.
 FAULT_RECOVERY_SECONDS = 3.0
 NOT_RUN_STATUSES = (408, 421, 429, 503)
+# Time from a worker's first statement of a request limit until the limit must be kept,
+# and the window in which it is counted with a margin.
+LIMIT_CONTACT_SECONDS = 3.0
+LIMIT_WINDOW_SECONDS = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_MARGIN_REQUESTS = 5
+EVENT_TEXT_PATTERN = re.compile(rb"data: (\S+) \d+\n\n")
 
 
 class SoakHistory:
@@ -32,6 +40,8 @@
         self._observed_violations: list[str] = []
         self._keys_revoked_at: dict[str, float] = {}
         self._draining_since: dict[str, float] = {}
+        # Worker, limit, start and end of each stated request limit.
+        self._limit_intervals: list[tuple[str, float, float, float]] = []
         # Host, start and end of each fault; an empty host stands for all gateways.
         self._fault_intervals: list[tuple[str, float, float]] = []
 
@@ -53,6 +63,16 @@
         finally:
             self._fault_intervals.append((host, since, loop.time()))
 
+    @contextmanager
+    def record_limit(self, worker: str, limit: float) -> Iterator[None]:
+        """Record that a worker states a request limit for the duration of the block."""
+        loop = asyncio.get_running_loop()
+        since = loop.time()
+        try:
+            yield
+        finally:
+            self._limit_intervals.append((worker, limit, since, loop.time()))
+
     def record_draining(self, worker: str) -> None:
         """Record the time at which a worker was marked as draining."""
         self._draining_since[worker] = asyncio.get_running_loop().time()
@@ -74,6 +94,7 @@
             violations += self._find_unanswered(outcome, runs)
         violations += self._find_runs_under_revoked_keys(workers)
         violations += self._find_requests_after_draining(workers)
+        violations += self._find_requests_beyond_limits(workers)
         violations += _find_unknown_attempts(self.outcomes, workers)
         return violations
 
@@ -138,6 +159,33 @@
             > self._draining_since.get(worker.name, 1e18) + LEAVING_GRACE_SECONDS
         ]
 
+    def _find_requests_beyond_limits(self, workers: list[WorkerStandIn]) -> list[str]:
+        """Find windows in which a worker got more requests than it stated to take."""
+        received = {worker.name: worker.received_requests for worker in workers}
+        found = []
+        for name, limit, since, until in self._limit_intervals:
+            times = [
+                request.received_at
+                for request in received[name]
+                if since + LIMIT_CONTACT_SECONDS < request.received_at < until
+            ]
+            allowed = (
+                LIMIT_FACTOR * LIMIT_WINDOW_SECONDS * limit + LIMIT_MARGIN_REQUESTS
+            )
+            most = max(
+                (
+                    sum(at <= it < at + LIMIT_WINDOW_SECONDS for it in times)
+                    for at in times
+                ),
+                default=0,
+            )
+            if most > allowed:
+                found.append(
+                    f"{name} stated a limit of {limit:g} requests a second and got "
+                    f"{most} in {LIMIT_WINDOW_SECONDS:g} s"
+                )
+        return found
+
 
 def _find_outcome_violations(
     outcome: Outcome, runs: dict[str, list[ReceivedRequest]]
@@ -159,6 +207,9 @@
             f"{outcome.attempt_ids[-1]} got an unexpected body "
             f"that ends with {outcome.body[-40:]!r}"
         )
+    texts = set(EVENT_TEXT_PATTERN.findall(outcome.events + outcome.body))
+    if len(texts) > 1:
+        found.append(f"{outcome.attempt_ids[-1]} holds events of versions {texts}")
     if outcome.duration_seconds > request.timeout_seconds + RESPONSE_MARGIN_SECONDS:
         found.append(
             f"{outcome.attempt_ids[-1:]} took {outcome.duration_seconds:.1f} s; "
@@ -171,8 +222,10 @@
     request = outcome.request
     if request.tokens is None:
         return f"done {request.target}".encode()
+    texts = EVENT_TEXT_PATTERN.findall(outcome.body)
+    text = texts[0].decode() if texts else ""
     numbers = range(1, request.tokens[1] + 1)
-    return b"".join(f"id: {n}\ndata: piece {n}\n\n".encode() for n in numbers)
+    return b"".join(f"id: {n}\ndata: {text} {n}\n\n".encode() for n in numbers)
 
 
 def _find_unknown_attempts(
--- a/soak/_soak_run.py
+++ b/soak/_soak_run.py
@@ -121,6 +121,7 @@
             HOST,
             is_idempotent=kind == "look",
             tokens=STREAM_TOKENS if kind in STREAM_KINDS else None,
+            may_resume=kind == "ask",
             timeout_seconds=REQUEST_TIMEOUT_SECONDS,
         )
         self._history.outcomes.append(
--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -8,6 +8,8 @@
 from collections.abc import Callable
 from pathlib import Path
 
+from fireflyquay.dispatch._backend_load import BackendLoad
+from fireflyquay.dispatch._request_limit import RequestLimit
 from fireflyquay.gateway import _gateway, _ingress
 from fireflyquay.gateway._ingress import Ingress, RejectionError
 from fireflyquay.world import Code
@@ -70,6 +72,16 @@
     Ingress._send_failure = send_failure
 
 
+def ignore_limits() -> None:
+    """Grant requests beyond the limits that backend servers state."""
+    RequestLimit.can_grant = lambda *_: True
+
+
+def ignore_versions() -> None:
+    """Continue streams at any software version."""
+    BackendLoad.can_continue = lambda *_: True
+
+
 MUTANTS: dict[str, Callable[[], None]] = {
     it.__name__: it
     for it in (
@@ -78,6 +90,8 @@
         pass_cut_streams,
         trust_old_keys,
         answer_never,
+        ignore_limits,
+        ignore_versions,
     )
 }
 
