--- a/fireflyquay/links/__init__.py
+++ b/fireflyquay/links/__init__.py
@@ -11,6 +11,7 @@
     RawHeaders,
     join_headers,
 )
+from ._http_pool import Address, Dialer, TcpDialer
 from ._http_responder import HttpResponder, abort_connection
 from ._http_server import Handler, HttpServer
 from ._http_statuses import get_http_status
@@ -20,6 +21,9 @@
 from ._store import HttpStore, HttpVmList, Store, VmList
 
 __all__ = [
+    "Address",
+    "Dialer",
+    "TcpDialer",
     "CallerDisconnectedError",
     "ExchangeOptions",
     "HttpClient",
--- a/fireflyquay/links/_http_client.py
+++ b/fireflyquay/links/_http_client.py
@@ -20,7 +20,13 @@
     HttpStream,
     join_headers,
 )
-from ._http_pool import Address, ClientConnection, ConnectionPool, open_connection
+from ._http_pool import (
+    Address,
+    ClientConnection,
+    ConnectionPool,
+    Dialer,
+    TcpDialer,
+)
 
 # Statuses of responses that never have a body.
 BODILESS_STATUSES = (204, 304)
@@ -66,6 +72,7 @@
     def __init__(
         self,
         pool: ConnectionPool,
+        dialer: Dialer,
         limits: HttpLimits,
         address: Address,
         head: h11.Request,
@@ -74,6 +81,7 @@
         options: ExchangeOptions,
     ) -> None:
         self._pool = pool
+        self._dialer = dialer
         self._limits = limits
         self._address = address
         self._head = head
@@ -155,7 +163,8 @@
     async def _connect(self) -> ClientConnection:
         try:
             async with asyncio.timeout(self._options.connect_timeout or self._timeout):
-                return await open_connection(self._address, self._limits)
+                reader, writer = await self._dialer.dial(self._address)
+                return ClientConnection(reader, writer, self._limits)
         except TimeoutError:
             raise self._make_failure(
                 Code.BACKEND_TIMEOUT, "The connection attempt timed out."
@@ -257,8 +266,9 @@
 class HttpClient(BackendClient):
     """Send requests over pooled connections."""
 
-    def __init__(self, limits: HttpLimits) -> None:
+    def __init__(self, limits: HttpLimits, dialer: Dialer | None = None) -> None:
         self._limits = limits
+        self._dialer = dialer or TcpDialer()
         self._pool = ConnectionPool(limits.idle_timeout)
 
     async def request(
@@ -327,16 +337,24 @@
                 Code.BAD_REQUEST, f"The request is not valid HTTP/1.1: {error}.", False
             ) from None
         return HttpExchange(
-            self._pool, self._limits, address, head, body, timeout, options
+            self._pool,
+            self._dialer,
+            self._limits,
+            address,
+            head,
+            body,
+            timeout,
+            options,
         )
 
     async def can_connect(self, address: Address, timeout: float) -> bool:
         """Return whether a connection opens within the timeout in seconds; pool it."""
         try:
             async with asyncio.timeout(timeout):
-                connection = await open_connection(address, self._limits)
+                reader, writer = await self._dialer.dial(address)
         except (OSError, TimeoutError):
             return False
+        connection = ClientConnection(reader, writer, self._limits)
         now = asyncio.get_running_loop().time()
         self._pool.release(address, connection, now)
         return True
--- a/fireflyquay/links/_http_pool.py
+++ b/fireflyquay/links/_http_pool.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import select
+from abc import ABC, abstractmethod
 from collections import deque
 
 import h11
@@ -114,15 +115,30 @@
         abort_connection(self._writer)
 
 
-async def open_connection(address: Address, limits: HttpLimits) -> ClientConnection:
-    """Connect to the address; raise OSError if that fails."""
-    loop = asyncio.get_running_loop()
-    reader = MonitoredReader(loop)
-    protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
-    transport, _ = await loop.create_connection(lambda: protocol, *address)
-    writer = asyncio.StreamWriter(transport, protocol, reader, loop)
-    enable_dead_peer_detection(writer)
-    return ClientConnection(reader, writer, limits)
+class Dialer(ABC):
+    """Open connections to addresses."""
+
+    @abstractmethod
+    async def dial(
+        self, address: Address
+    ) -> tuple[MonitoredReader, asyncio.StreamWriter]:
+        """Connect to an address; raise OSError if that fails."""
+
+
+class TcpDialer(Dialer):
+    """Open TCP connections from this VM."""
+
+    async def dial(
+        self, address: Address
+    ) -> tuple[MonitoredReader, asyncio.StreamWriter]:
+        """Connect to an address; raise OSError if that fails."""
+        loop = asyncio.get_running_loop()
+        reader = MonitoredReader(loop)
+        protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
+        transport, _ = await loop.create_connection(lambda: protocol, *address)
+        writer = asyncio.StreamWriter(transport, protocol, reader, loop)
+        enable_dead_peer_detection(writer)
+        return reader, writer
 
 
 class ConnectionPool:
