Serve requests at VMs that are cut off from backend servers through other VMs

Cause: a VM's failed connection was taken for a fact about the backend server. It paused the server for all VMs for half a second, counted in its failure rate, and could report a crash; the VM's own requests asked for the next slot and failed again, up to 23 times. Class: evidence about a path taken for evidence about its end.

The client's connections to backend servers are opened by BackendPaths now, directly or as a tunnel through a VM that can. Only what several VMs find, each of which reaches another server at that moment, pauses a server or reports a crash. A VM that reaches none, and knows no carrier, refuses at once.

--- a/emulator/_backend_client.py
+++ b/emulator/_backend_client.py
@@ -5,9 +5,16 @@
 import asyncio
 import random
 from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
-
-from fireflyquay.links import BackendClient, ExchangeOptions, HttpFailure, HttpStream
+from contextlib import AbstractAsyncContextManager, asynccontextmanager
+
+from fireflyquay.links import (
+    BackendClient,
+    BackendExchange,
+    Connection,
+    ExchangeOptions,
+    HttpFailure,
+    HttpStream,
+)
 from fireflyquay.world import Code
 
 from ._history import History, Run
@@ -19,6 +26,44 @@
 # Status of a failed run, and the output by which the server marks it.
 FAILURE_STATUS = 500
 FAILURE_BODY = b"!failed"
+# Seconds after which the kernel gives up to connect to an unreachable host.
+UNREACHABLE_SECONDS = 60.0
+
+
+class EmulatedConnection:
+    """Stand for both ends of a connection to an emulated backend server."""
+
+    def __init__(self, host: str) -> None:
+        # Of the VM that has the connection.
+        self.host = host
+        self.transport = self
+
+    def get_extra_info(self, name: str) -> None:
+        """Return no socket."""
+
+    def abort(self) -> None:
+        """Do nothing, since no bytes are sent."""
+
+
+class EmulatedExchange(BackendExchange):
+    """Run an exchange that ends with its network or backend server."""
+
+    def __init__(self, manager: AbstractAsyncContextManager[HttpStream]) -> None:
+        self._manager = manager
+
+    @property
+    def is_direct(self) -> bool:
+        """Return False: an emulated connection shows at once that it is cut."""
+        return False
+
+    def interrupt(self) -> None:
+        """Do nothing, since nothing is interrupted."""
+
+    async def __aenter__(self) -> HttpStream:
+        return await self._manager.__aenter__()
+
+    async def __aexit__(self, *error: object) -> bool | None:
+        return await self._manager.__aexit__(*error)
 
 
 class EmulatedBackendClient(BackendClient):
@@ -38,8 +83,7 @@
         self._history = history
         self._rng = rng
 
-    @asynccontextmanager
-    async def forward(
+    def forward(
         self,
         address: tuple[str, int],
         method: str,
@@ -48,10 +92,20 @@
         body: bytes,
         timeout: float,
         options: ExchangeOptions = ExchangeOptions(),  # noqa: B008
-    ) -> AsyncIterator[HttpStream]:
-        """Forward a request and yield its response; raise HttpFailure without one."""
+    ) -> EmulatedExchange:
+        """Prepare an exchange that raises HttpFailure without a response."""
         headers = {str(name): str(value) for name, value in header_pairs}
-        await self._connect(address, options.connect_timeout or timeout)
+        return EmulatedExchange(self._forward(address, headers, timeout, options))
+
+    @asynccontextmanager
+    async def _forward(
+        self,
+        address: tuple[str, int],
+        headers: dict[str, str],
+        timeout: float,
+        options: ExchangeOptions,
+    ) -> AsyncIterator[HttpStream]:
+        host = await self._connect(address, options)
         server = self._find_server(address)
         if server is None or server.is_down:
             raise HttpFailure(
@@ -86,7 +140,7 @@
                 self.record_load(server)
                 headers = server.make_headers()
                 yield HttpStream(
-                    status, headers, self._iter_chunks(job, first, address)
+                    status, headers, self._iter_chunks(job, first, host, address[0])
                 )
         except (ConnectionLost, TimeoutError) as error:
             message = type(error).__name__
@@ -100,21 +154,43 @@
 
     async def can_connect(self, address: tuple[str, int], timeout: float) -> bool:
         """Return whether a backend server accepts connections at an address."""
+        try:
+            async with asyncio.timeout(timeout):
+                await self.dial(address)
+        except (OSError, TimeoutError):
+            return False
+        return True
+
+    async def dial(self, address: tuple[str, int]) -> Connection:
+        """Connect to a backend server; raise OSError if that fails."""
+        if not self._network.can_reach(self._host, address[0]):
+            await asyncio.sleep(UNREACHABLE_SECONDS)
+            raise TimeoutError
+        await asyncio.sleep(self._network.draw_delay(self._host, address[0]))
         server = self._find_server(address)
-        return server is not None and not server.is_down
+        if server is None or server.is_down:
+            raise ConnectionRefusedError
+        connection = EmulatedConnection(self._host)
+        return connection, connection
 
     async def close(self) -> None:
         """Do nothing, since there are no connections."""
 
-    async def _connect(self, address: tuple[str, int], timeout: float) -> None:
-        if not self._network.can_reach(self._host, address[0]):
-            await asyncio.sleep(timeout)
-            raise HttpFailure(
-                Code.BACKEND_TIMEOUT,
-                "Connecting to the backend server timed out.",
-                False,
-            )
-        await asyncio.sleep(self._network.draw_delay(self._host, address[0]))
+    async def _connect(self, address: tuple[str, int], options: ExchangeOptions) -> str:
+        """Return the host of the VM whose connection leads to the backend server."""
+        try:
+            connection = await (options.dialer or self).dial(address)
+        except OSError as error:
+            sentence = f"The connection attempt failed: {error}."
+            raise HttpFailure(Code.STREAM_LOST, sentence, False) from None
+        return connection[0].host
+
+    def _is_connected(self, host: str, server_host: str) -> bool:
+        """Return whether bytes arrive, through another VM's host if it differs."""
+        network = self._network
+        if host != self._host and not network.can_reach(self._host, host):
+            return False
+        return network.can_reach(host, server_host)
 
     async def _read_first_chunk(self, job: Job) -> bytes:
         async for data in iter_output(job):
@@ -122,14 +198,14 @@
         return b""
 
     async def _iter_chunks(
-        self, job: Job, first: bytes, address: tuple[str, int]
+        self, job: Job, first: bytes, host: str, server_host: str
     ) -> AsyncIterator[bytes]:
-        delay = self._network.draw_delay(address[0], self._host)
+        delay = self._network.draw_delay(server_host, host)
         await asyncio.sleep(delay)
         try:
             yield first
             async for data in iter_output(job):
-                if not self._network.can_reach(self._host, address[0]):
+                if not self._is_connected(host, server_host):
                     raise ConnectionLost
                 yield data
         except ConnectionLost:
--- a/emulator/_network.py
+++ b/emulator/_network.py
@@ -6,7 +6,7 @@
 import random
 from collections.abc import Callable
 
-from fireflyquay.links import Link
+from fireflyquay.links import Connection, Link, TunnelRequest, TunnelState
 from fireflyquay.membership import Message
 from fireflyquay.world import EntryVm, Incarnation
 
@@ -98,6 +98,18 @@
         self._network.links[self._address] = self
         return port
 
+    async def open_tunnel(
+        self, vm: EntryVm, request: TunnelRequest
+    ) -> tuple[TunnelState, Connection | None]:
+        """Request a tunnel through another VM; raise OSError if it can't be reached."""
+        link = self._network.links.get((vm.host, vm.peer_port))
+        if link is None or not self._network.can_reach(self._host, vm.host):
+            raise ConnectionRefusedError
+        await asyncio.sleep(2 * self._network.draw_delay(self._host, vm.host))
+        if link.carrier.opener is None:
+            return TunnelState.DECLINED, None
+        return await link.carrier.opener(request)
+
     def send(self, vm: EntryVm, message: Message) -> None:
         """Send a message to one incarnation of an entry VM."""
         self._send(vm.host, vm.peer_port, vm.incarnation, message)
--- a/fireflyquay/gateway/_fleet.py
+++ b/fireflyquay/gateway/_fleet.py
@@ -21,7 +21,15 @@
     ReplicaSync,
     ReplicaSyncMessage,
 )
-from fireflyquay.links import LinkFactory, PeerLink, PeerTraffic
+from fireflyquay.links import (
+    Connection,
+    LinkFactory,
+    PeerLink,
+    PeerTraffic,
+    TunnelOpener,
+    TunnelRequest,
+    TunnelState,
+)
 from fireflyquay.membership import (
     Action,
     ChangeKind,
@@ -39,6 +47,7 @@
     VmListing,
 )
 
+from ._backend_paths import Carriers
 from ._clock import AgeClock
 from ._discovery import MembershipView
 from ._quarantine import Quarantine
@@ -66,7 +75,7 @@
 EXTRA_PROBE_AGE_SECONDS = 1.2
 
 
-class Fleet(Peers, MembershipView):
+class Fleet(Peers, MembershipView, Carriers):
     """Run the membership protocol, choose the coordinator and exchange messages."""
 
     def __init__(
@@ -121,10 +130,30 @@
         """Return the traffic counters of the link to other VMs."""
         return self._link.traffic
 
+    @property
+    def carried_count(self) -> int:
+        """Return the number of tunnels that this VM carries for others."""
+        return self._link.carrier.count
+
     def get_own_vm(self) -> EntryVm:
         """Return the description of this VM."""
         return self._own
 
+    def carry_tunnels(self, opener: TunnelOpener | None) -> None:
+        """Carry tunnels for other VMs with the given opener, or none any more."""
+        self._link.carrier.opener = opener
+
+    def list_carriers(self) -> list[EntryVm]:
+        """Return the other VMs that accept requests."""
+        own = self._own.incarnation
+        return [vm for vm in self.list_entry_vms() if vm.incarnation != own]
+
+    async def open_tunnel(
+        self, vm: EntryVm, request: TunnelRequest
+    ) -> tuple[TunnelState, Connection | None]:
+        """Request a tunnel through another VM; raise OSError if it can't be reached."""
+        return await self._link.open_tunnel(vm, request)
+
     async def start(self) -> None:
         """Listen for other VMs."""
         await self._link.start(self._own.host, self._own.peer_port)
--- a/fireflyquay/gateway/_forwarder.py
+++ b/fireflyquay/gateway/_forwarder.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import AsyncIterator, Iterator
+from contextlib import contextmanager
 from dataclasses import replace
 
 import logbook
@@ -10,12 +12,14 @@
 from fireflyquay.dispatch import BEGINNING_SECONDS, SlotRequest
 from fireflyquay.links import (
     BackendClient,
+    BackendExchange,
     ExchangeOptions,
     HttpFailure,
     HttpStream,
 )
 from fireflyquay.world import BackendEntry, Code, RepeatRule
 
+from ._backend_paths import BackendPaths, Finding
 from ._call import Call, Outcome, fingerprint_request
 from ._dialect import BrokenResponseError, EventReader, ResponseMetadata
 from ._gateway_metrics import GatewayMetrics
@@ -24,9 +28,10 @@
 
 LOG = logbook.Logger("forwarder")
 
-# A lost SYN packet is retransmitted after one second; trying another backend server is
-# faster.
-CONNECT_TIMEOUT_SECONDS = 0.6
+# Seconds for which a backend server may be silent until its path is examined, and until
+# a request that may be repeated is given up where the path is down.
+EXAMINED_SILENCE_SECONDS = 0.4
+MAX_SILENCE_SECONDS = 0.7
 # Seconds that a reused connection may have been idle. Requests that aren't idempotent
 # use more recently active connections, because they can't be repeated if the peer
 # closes the connection while they are being sent.
@@ -41,10 +46,15 @@
 MISDIRECTED = 421
 # Outcomes that don't count as a failure of the backend server, unless the status of its
 # response is 500 or above.
-HEALTHY_OUTCOMES = (Outcome.DELIVERED, Outcome.NOT_RUN, Outcome.UNSENDABLE)
-# Seconds without new requests for a backend server that refuses connections, and for
-# one that declines a request.
-REFUSED_PAUSE_SECONDS = 0.5
+HEALTHY_OUTCOMES = (
+    Outcome.DELIVERED,
+    Outcome.NOT_RUN,
+    Outcome.NOT_SENT,
+    Outcome.UNSENDABLE,
+)
+# Seconds without new requests for a backend server that closes new connections, and
+# for one that declines a request.
+CLOSED_PAUSE_SECONDS = 0.5
 DECLINED_PAUSE_SECONDS = 0.1
 
 
@@ -54,11 +64,13 @@
     def __init__(
         self,
         client: BackendClient,
+        paths: BackendPaths,
         slot_client: SlotClient,
         quarantine: Quarantine,
         metrics: GatewayMetrics,
     ) -> None:
         self.client = client
+        self.paths = paths
         self.slot_client = slot_client
         self.quarantine = quarantine
         self._crash_checks: set[asyncio.Task[None]] = set()
@@ -74,9 +86,8 @@
         try:
             outcome = await attempt.execute()
             self.metrics.record_attempt(call.service, outcome.value)
-            failed = outcome not in HEALTHY_OUTCOMES
-            is_wasted = failed and outcome is not Outcome.NOT_SENT
-            failed = failed or attempt.status >= 500
+            is_wasted = outcome not in HEALTHY_OUTCOMES
+            failed = is_wasted or attempt.status >= 500
             if attempt.was_broken_off:
                 call.crash_check = self._start_crash_check(attempt)
             return outcome
@@ -88,15 +99,11 @@
                 self.metrics.record_wasted_prefill(
                     call.service, slot_request.prompt_tokens
                 )
-            self.slot_client.release(
-                slot_request,
-                backend.id,
-                attempt.event_count,
-                attempt.longest_gap,
-                failed,
-            )
+            if call.crash_check is None:
+                attempt.release(failed)
 
     def _start_crash_check(self, attempt: _Attempt) -> asyncio.Task[None]:
+        """Find out why a connection broke, then release the slot."""
         task = asyncio.get_running_loop().create_task(attempt.check_crash())
         self._crash_checks.add(task)
         task.add_done_callback(self._crash_checks.discard)
@@ -114,6 +121,7 @@
         backend: BackendEntry,
     ) -> None:
         self._client = forwarder.client
+        self._paths = forwarder.paths
         self._slot_client = forwarder.slot_client
         self._quarantine = forwarder.quarantine
         self._metrics = forwarder.metrics
@@ -125,6 +133,9 @@
         self.status = 0
         # Loop time just before the request was sent.
         self._sent_at = 0.0
+        # Loop time since which a response or its next part is awaited; None while it
+        # is not.
+        self._awaiting_since: float | None = None
         # Number of stream events so far.
         self.event_count = 0
         # Loop times of the first and the last output of this attempt.
@@ -160,8 +171,10 @@
                 max(0.0, call.deadline_at - loop.time()),
                 self._make_exchange_options(),
             )
-            async with response as stream:
-                return await self._forward_response(stream)
+            self._awaiting_since = loop.time()
+            with self._watch_path(response):
+                async with response as stream:
+                    return await self._forward_response(stream)
         except HttpFailure as failure:
             if failure.code is Code.BAD_REQUEST:
                 return self._log_failure(Outcome.UNSENDABLE, failure.sentence)
@@ -181,14 +194,70 @@
             return None
         return asyncio.get_running_loop().time() - self._first_output_at
 
+    @contextmanager
+    def _watch_path(self, exchange: BackendExchange) -> Iterator[None]:
+        """Interrupt an exchange that may be repeated if its path goes down."""
+        if self._call.admission.route.repeat_rule is RepeatRule.AT_MOST_ONCE:
+            yield
+            return
+        watch = asyncio.ensure_future(self._interrupt_if_down(exchange))
+        try:
+            yield
+        finally:
+            watch.cancel()
+
+    async def _interrupt_if_down(self, exchange: BackendExchange) -> None:
+        loop, address = asyncio.get_running_loop(), self._backend.address
+        while True:
+            await asyncio.sleep(EXAMINED_SILENCE_SECONDS)
+            since = self._awaiting_since
+            if since is None or not exchange.is_direct:
+                continue
+            heard_at = max(since, self._paths.get_heard_at(address))
+            if loop.time() - heard_at < EXAMINED_SILENCE_SECONDS:
+                continue
+            finding = await self._paths.examine(address)
+            if finding is not Finding.PATH_DOWN or self._awaiting_since != since:
+                continue
+            await asyncio.sleep(heard_at + MAX_SILENCE_SECONDS - loop.time())
+            if self._awaiting_since == since:
+                exchange.interrupt()
+                return
+
+    async def _read_chunks(self, stream: HttpStream) -> AsyncIterator[bytes]:
+        loop, chunks = asyncio.get_running_loop(), aiter(stream)
+        while True:
+            self._awaiting_since = loop.time()
+            try:
+                chunk = await anext(chunks)
+            except StopAsyncIteration:
+                return
+            finally:
+                self._awaiting_since = None
+            self._paths.record_contact(self._backend.address)
+            yield chunk
+
+    def release(self, failed: bool) -> None:
+        """Release the slot; ``failed`` counts against the backend server."""
+        self._slot_client.release(
+            self._slot_request,
+            self._backend.id,
+            self.event_count,
+            self.longest_gap,
+            failed,
+        )
+
     async def check_crash(self) -> None:
-        """Report a crash if the backend server no longer accepts connections.
+        """Report a crash if nobody can connect to the backend server, and release.
 
         A run that had been sending output for a while did not cause it.
         """
-        if await self._client.can_connect(
-            self._backend.address, CONNECT_TIMEOUT_SECONDS
-        ):
+        finding = Finding.UNKNOWN
+        try:
+            finding = await self._paths.examine(self._backend.address)
+        finally:
+            self.release(finding in (Finding.REACHABLE, Finding.SERVER_DOWN))
+        if finding is not Finding.SERVER_DOWN:
             return
         # The next process may answer before it has registered.
         self._slot_client.pause(self._backend.id, 0.0, True)
@@ -217,18 +286,23 @@
             if is_idempotent
             else MAX_IDLE_NON_IDEMPOTENT_SECONDS
         )
-        return ExchangeOptions(CONNECT_TIMEOUT_SECONDS, max_idle, self._matches_request)
+        return ExchangeOptions(
+            max_idle_seconds=max_idle,
+            matches_request=self._matches_request,
+            dialer=self._paths,
+        )
 
     def _matches_request(self, headers: dict[str, str]) -> bool:
         attempt_id = self._exchange.read_response_metadata(headers).attempt_id
         return not attempt_id or attempt_id == self._call.metadata.attempt_id
 
     def _handle_failure(self, sentence: str, sent: bool) -> Outcome:
+        address = self._backend.address
         outcome = Outcome.LOST if sent else Outcome.NOT_SENT
         if self._call.responder.started:
             outcome = Outcome.CUT
-        if not sent:
-            self._slot_client.pause(self._backend.id, REFUSED_PAUSE_SECONDS, True)
+        if not sent and self._paths.get_connected_at(address) >= self._sent_at:
+            self._slot_client.pause(self._backend.id, CLOSED_PAUSE_SECONDS, True)
         return self._log_failure(outcome, sentence)
 
     def _log_failure(self, outcome: Outcome, sentence: str) -> Outcome:
@@ -245,6 +319,8 @@
         return outcome
 
     async def _forward_response(self, stream: HttpStream) -> Outcome:
+        self._awaiting_since = None
+        self._paths.record_contact(self._backend.address)
         metadata = self._exchange.read_response_metadata(stream.headers)
         self.status = stream.status
         is_success = 200 <= stream.status < 300
@@ -312,7 +388,7 @@
 
     async def _forward_buffered(self, stream: HttpStream) -> Outcome:
         body = bytearray()
-        async for chunk in stream:
+        async for chunk in self._read_chunks(stream):
             body += chunk
             if len(body) > MAX_BUFFERED_BYTES:
                 await self._forward_unbuffered(stream, body)
@@ -363,12 +439,12 @@
         responder = self._call.responder
         await responder.start(stream.status, headers, stream.ends_with_connection)
         await responder.write(bytes(buffered))
-        async for chunk in stream:
+        async for chunk in self._read_chunks(stream):
             await responder.write(chunk)
         await responder.finish()
 
     async def _forward_events(self, stream: HttpStream, reader: EventReader) -> None:
-        async for chunk in stream:
+        async for chunk in self._read_chunks(stream):
             events_before = reader.event_count
             complete = reader.feed(chunk)
             if complete or reader.event_count > events_before:
--- a/fireflyquay/gateway/_gateway.py
+++ b/fireflyquay/gateway/_gateway.py
@@ -32,6 +32,7 @@
     ZoneId,
 )
 
+from ._backend_paths import BackendPaths
 from ._claims import KeyClaims
 from ._clock import AgeClock, BootClock
 from ._coordinator_factory import make_coordinator
@@ -121,7 +122,12 @@
         self._stream_locator = StreamLocator(
             self._coordinator.origins, self.replicas.backends, self._clock
         )
+        self.paths = BackendPaths(
+            client, self.replicas.backends, self._slot_client.pause_unreachable, rng
+        )
         self.fleet = self._make_fleet(rng)
+        self.paths.connect(self.fleet)
+        self.fleet.carry_tunnels(self.paths.open_for_tunnel)
         self._slot_client.connect(self.fleet)
         self._quarantine.connect(self.fleet)
         self._stream_locator.connect(self.fleet)
@@ -135,7 +141,10 @@
             self.replicas,
             self._clock,
             self._slot_client,
-            Forwarder(client, self._slot_client, self._quarantine, self.metrics),
+            Forwarder(
+                client, self.paths, self._slot_client, self._quarantine, self.metrics
+            ),
+            self.paths,
             self._quarantine,
             self._stream_locator,
             claims,
@@ -226,6 +235,16 @@
             "Whether this VM gives out places for the others.",
             lambda: float(self.fleet.is_coordinating),
         )
+        add_gauge(
+            "paths_down",
+            "Backend servers that this VM can't connect to, but others can.",
+            lambda: self.paths.down_count,
+        )
+        add_gauge(
+            "carried_tunnels",
+            "Connections to backend servers that this VM carries for others.",
+            lambda: self.fleet.carried_count,
+        )
         traffic = self.fleet.traffic
         add_gauge(
             "peer_bytes_sent", "Bytes sent to other VMs.", lambda: traffic.bytes_sent
@@ -313,6 +332,7 @@
             self._discovery.discover_vms,
             self._slot_client.advance_requests,
             self._slot_client.report_active_runs,
+            self.paths.test_paths,
             self._quarantine.spread_evidence,
         ):
             self._spawn(run)
@@ -324,6 +344,7 @@
         self._stopping = True
         LOG.info("stopping", extra={"in_progress": self._ingress.in_progress})
         self.fleet.leave()
+        self.fleet.carry_tunnels(None)
         self._client_server.stop_keep_alive()
         deadline = (
             started_at + self._settings.promises.stop_grace - CLOSE_MARGIN_SECONDS
@@ -331,10 +352,10 @@
         while loop.time() < deadline:
             if loop.time() - started_at > ACCEPT_WHILE_STOPPING_SECONDS:
                 self._client_server.stop_accepting()
-                if not self._ingress.in_progress:
+                if not self._ingress.in_progress and not self.fleet.carried_count:
                     break
             await asyncio.sleep(STOP_POLL_INTERVAL_SECONDS)
-        cut_off = self._ingress.in_progress
+        cut_off = self._ingress.in_progress + self.fleet.carried_count
         await self._shut_down()
         LOG.info(
             "stopped",
--- a/fireflyquay/gateway/_ingress.py
+++ b/fireflyquay/gateway/_ingress.py
@@ -28,6 +28,7 @@
 )
 
 from ._admission import Admission, RejectionError, admit
+from ._backend_paths import BackendPaths
 from ._call import Call, Outcome, fingerprint_request, met_objectives
 from ._claims import KeyClaims
 from ._clock import AgeClock
@@ -48,6 +49,9 @@
 DEFAULT_TIMEOUT_SECONDS = 30.0
 # Retry-After of a request that is rejected without a forecast.
 DEFAULT_RETRY_AFTER_SECONDS = 0.5
+# Number of grants whose backend servers were not reached in any way, after which a
+# request is refused.
+MAX_UNSENT_ATTEMPTS = 6
 NO_ACCOUNT_ID = ClientAccountId("")
 # Outcome in the log of a request that got its response; others are named by a code.
 SERVED = "served"
@@ -65,6 +69,7 @@
         clock: AgeClock,
         slot_client: SlotClient,
         forwarder: Forwarder,
+        paths: BackendPaths,
         quarantine: Quarantine,
         stream_locator: StreamLocator,
         claims: KeyClaims | None,
@@ -79,6 +84,7 @@
         self._clock = clock
         self._slot_client = slot_client
         self._forwarder = forwarder
+        self._paths = paths
         self._quarantine = quarantine
         self._stream_locator = stream_locator
         self._claims = claims
@@ -228,8 +234,10 @@
 
     async def _run_attempts(self, call: Call) -> None:
         """Make attempts until one succeeds; raise RejectionError if none may follow."""
+        unsent_count = 0
         while True:
             self._quarantine.check(call)
+            self._check_paths(unsent_count)
             grant, slot_request = await self._acquire_slot(call)
             backend = self._replicas.backends.get(grant.backend)
             if backend is None or not self._replicas.backends.accepts_requests(
@@ -247,11 +255,21 @@
                 return
             if outcome in (Outcome.NOT_SENT, Outcome.UNSENDABLE):
                 call.tried_backends.pop()
+                unsent_count += 1
             if not self._may_retry(call, outcome):
                 self._raise_failure(call, outcome)
             if call.crash_check is not None:
                 await call.crash_check
 
+    def _check_paths(self, unsent_count: int) -> None:
+        """Raise RejectionError if this VM seems to reach no backend server."""
+        if unsent_count >= MAX_UNSENT_ATTEMPTS or self._paths.is_stranded():
+            raise RejectionError(
+                Code.NO_BACKEND_SERVER,
+                "No backend server can be reached.",
+                DEFAULT_RETRY_AFTER_SECONDS,
+            )
+
     async def _recheck_and_claim(
         self, call: Call, slot_request: SlotRequest, grant: Grant
     ) -> None:
--- a/fireflyquay/gateway/_slot_client.py
+++ b/fireflyquay/gateway/_slot_client.py
@@ -52,6 +52,9 @@
 # Seconds between reports of active runs. A slot whose release message is lost is freed
 # by the next report.
 RUNS_REPORT_INTERVAL_SECONDS = 1.0
+# Seconds without grants on a backend server that no VM reaches; one that restarts is
+# back after seconds.
+UNREACHABLE_PAUSE_SECONDS = 0.5
 
 
 class Peers(ABC):
@@ -184,6 +187,10 @@
         """Suspend grants on a backend server for the given number of seconds."""
         self._notify(BackendPause(backend, seconds, may_restart))
 
+    def pause_unreachable(self, backend: BackendServerId) -> None:
+        """Suspend grants on a backend server that accepts no connections."""
+        self.pause(backend, UNREACHABLE_PAUSE_SECONDS, True)
+
     def record_limit(
         self, backend: BackendEntry, limit: float | None, sent_at: float
     ) -> None:
--- a/fireflyquay/links/__init__.py
+++ b/fireflyquay/links/__init__.py
@@ -1,6 +1,12 @@
 """HTTP server and client, store client, connections between VMs, and JSON logs."""
 
-from ._http_client import BackendClient, ExchangeOptions, HttpClient, HttpExchange
+from ._http_client import (
+    BackendClient,
+    BackendExchange,
+    ExchangeOptions,
+    HttpClient,
+    HttpExchange,
+)
 from ._http_message import (
     CallerDisconnectedError,
     HttpFailure,
@@ -19,8 +25,14 @@
 from ._peer import Envelope, Link, LinkFactory, PeerAddress, PeerLink, PeerTraffic
 from ._sse import SseEvent, SseParser, encode_sse
 from ._store import HttpStore, HttpVmList, Store, VmList
+from ._tunnel import Connection, TunnelOpener, TunnelRequest, TunnelState
 
 __all__ = [
+    "BackendExchange",
+    "Connection",
+    "TunnelOpener",
+    "TunnelRequest",
+    "TunnelState",
     "Address",
     "Dialer",
     "TcpDialer",
--- a/fireflyquay/links/_http_client.py
+++ b/fireflyquay/links/_http_client.py
@@ -27,6 +27,7 @@
     Dialer,
     TcpDialer,
 )
+from ._tunnel import Connection
 
 # Statuses of responses that never have a body.
 BODILESS_STATUSES = (204, 304)
@@ -42,6 +43,8 @@
     max_idle_seconds: float | None = None
     # Returns whether response headers belong to this request; None to accept all.
     matches_request: Callable[[dict[str, str]], bool] | None = None
+    # Opens the connection; None to use the client's own dialer.
+    dialer: Dialer | None = None
 
 
 def parse_keep_alive_seconds(value: str) -> float | None:
@@ -62,7 +65,20 @@
     return "content-length" not in headers and "transfer-encoding" not in headers
 
 
-class HttpExchange:
+class BackendExchange(AbstractAsyncContextManager[HttpStream]):
+    """Send a request to a backend server and yield its response."""
+
+    @property
+    @abstractmethod
+    def is_direct(self) -> bool:
+        """Return whether a connection is open that no other VM carries."""
+
+    @abstractmethod
+    def interrupt(self) -> None:
+        """Break the connection off, so that the exchange fails at once."""
+
+
+class HttpExchange(BackendExchange):
     """Send a request and yield its response, as an async context manager.
 
     Entering it and reading chunks raise HttpFailure, whose `sent` says whether the
@@ -81,7 +97,7 @@
         options: ExchangeOptions,
     ) -> None:
         self._pool = pool
-        self._dialer = dialer
+        self._dialer = options.dialer or dialer
         self._limits = limits
         self._address = address
         self._head = head
@@ -90,6 +106,7 @@
         self._options = options
         self._connection: ClientConnection | None = None
         self._is_complete = False
+        self._is_interrupted = False
         # Whether any byte of the request may have reached the peer.
         self.sent = False
 
@@ -136,15 +153,27 @@
         self._is_complete = True
         raise StopAsyncIteration
 
+    @property
+    def is_direct(self) -> bool:
+        """Return whether a connection is open that no other VM carries."""
+        return self._connection is not None and not self._connection.is_tunneled
+
+    def interrupt(self) -> None:
+        """Break the connection off, so that the exchange fails at once."""
+        self._is_interrupted = True
+        if self._connection is not None:
+            self._connection.abort()
+
     async def _send_request(self) -> ClientConnection:
         """Send the request over a pooled or new connection; return the connection."""
         now = asyncio.get_running_loop().time()
         max_idle_seconds = self._options.max_idle_seconds
-        while (
-            pooled := self._pool.acquire(self._address, now, max_idle_seconds)
-        ) is not None:
-            if self._try_send(pooled):
-                return pooled
+        if self._dialer.may_reuse(self._address):
+            while (
+                pooled := self._pool.acquire(self._address, now, max_idle_seconds)
+            ) is not None:
+                if self._try_send(pooled):
+                    return pooled
         new_connection = await self._connect()
         if self._try_send(new_connection):
             return new_connection
@@ -202,7 +231,11 @@
         assert self._connection is not None
         try:
             async with asyncio.timeout(self._timeout):
-                return await self._connection.next_event()
+                event = await self._connection.next_event()
+            if self._is_interrupted:
+                # The end of the connection might pass for the end of the response.
+                raise ConnectionAbortedError("it was given up")
+            return event
         except TimeoutError:
             raise self._make_failure(
                 Code.BACKEND_TIMEOUT, "No data arrived within the timeout."
@@ -247,13 +280,17 @@
         body: bytes,
         timeout: float,
         options: ExchangeOptions = DEFAULT_EXCHANGE_OPTIONS,
-    ) -> AbstractAsyncContextManager[HttpStream]:
+    ) -> BackendExchange:
         """Prepare an exchange with the given headers and, if needed, a content length.
 
         The timeout in seconds limits each wait for data, and connecting unless the
         options limit it.
         """
 
+    @abstractmethod
+    async def dial(self, address: Address) -> Connection:
+        """Connect to a backend server; raise OSError if that fails."""
+
     @abstractmethod
     async def can_connect(self, address: Address, timeout: float) -> bool:
         """Return whether a connection opens within the timeout in seconds."""
@@ -347,6 +384,10 @@
             options,
         )
 
+    async def dial(self, address: Address) -> Connection:
+        """Connect to a backend server; raise OSError if that fails."""
+        return await self._dialer.dial(address)
+
     async def can_connect(self, address: Address, timeout: float) -> bool:
         """Return whether a connection opens within the timeout in seconds; pool it."""
         try:
--- a/fireflyquay/links/_http_pool.py
+++ b/fireflyquay/links/_http_pool.py
@@ -45,6 +45,11 @@
         self.peer_keep_alive_seconds: float | None = None
         self._limits = limits
 
+    @property
+    def is_tunneled(self) -> bool:
+        """Return whether another VM carries the connection."""
+        return self._reader.is_tunneled
+
     @property
     def _has_unsent_bytes(self) -> bool:
         """Return whether the write buffer still holds unsent bytes."""
@@ -103,6 +108,8 @@
 
     def reset_for_next_request(self) -> bool:
         """Prepare for another request; return False if reuse is impossible."""
+        if self.is_tunneled:
+            return False
         if self._http.our_state is not h11.DONE or self._has_unsent_bytes:
             return False
         if self._http.their_state is not h11.DONE or self._http.trailing_data[0]:
@@ -124,6 +131,10 @@
     ) -> tuple[MonitoredReader, asyncio.StreamWriter]:
         """Connect to an address; raise OSError if that fails."""
 
+    def may_reuse(self, address: Address) -> bool:
+        """Return whether idle connections to an address may be used."""
+        return True
+
 
 class TcpDialer(Dialer):
     """Open TCP connections from this VM."""
--- a/fireflyquay/links/_monitored_reader.py
+++ b/fireflyquay/links/_monitored_reader.py
@@ -22,6 +22,8 @@
         self.closed = asyncio.Event()
         # Called once, when the peer has closed the connection, or it is lost.
         self.on_closed: Callable[[], None] | None = None
+        # Whether another VM carries the connection.
+        self.is_tunneled = False
         # Number of bytes received so far, including those that were not read.
         self.received_bytes = 0
 
--- a/fireflyquay/links/_peer.py
+++ b/fireflyquay/links/_peer.py
@@ -13,11 +13,20 @@
 from fireflyquay.membership import Message
 from fireflyquay.world import DECODE_ERRORS, EntryVm, Incarnation
 
+from ._monitored_reader import MonitoredReader
 from ._sockets import enable_dead_peer_detection
+from ._tunnel import (
+    FRAME_HEADER_BYTES,
+    Connection,
+    TunnelCarrier,
+    TunnelProtocol,
+    TunnelRequest,
+    TunnelState,
+    encode_frame,
+)
 
 LOG = logbook.Logger("peers")
 
-FRAME_HEADER_BYTES = 4
 # Maximum size of a frame; the registry of thousands of backend servers fits in.
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 # Maximum length of the queue for one peer: several seconds of a coordinator's messages
@@ -138,11 +147,10 @@
             self._is_loss_logged = False
         for target, messages in self._queued_messages.items():
             envelope = Envelope(self._own_incarnation, target, tuple(messages))
-            body = self._encoder.encode(envelope)
-            writer.write(len(body).to_bytes(FRAME_HEADER_BYTES, "big"))
-            writer.write(body)
+            frame = encode_frame(self._encoder.encode(envelope))
+            writer.write(frame)
             self._traffic.messages_sent += len(messages)
-            self._traffic.bytes_sent += len(body) + FRAME_HEADER_BYTES
+            self._traffic.bytes_sent += len(frame)
         self._queued_messages.clear()
         self._queued_count = 0
 
@@ -165,6 +173,13 @@
 
     def __init__(self) -> None:
         self.traffic = PeerTraffic()
+        self.carrier = TunnelCarrier()
+
+    async def open_tunnel(
+        self, vm: EntryVm, request: TunnelRequest
+    ) -> tuple[TunnelState, Connection | None]:
+        """Request a tunnel through another VM; raise OSError if it can't be reached."""
+        raise ConnectionRefusedError("this link carries no tunnels")
 
     @abstractmethod
     async def start(self, host: str, port: int) -> int:
@@ -204,7 +219,7 @@
         super().__init__()
         self._own_incarnation = own_incarnation
         self._deliver = deliver
-        self._message_decoder = msgspec.msgpack.Decoder(message_type)
+        self._message_decoder = msgspec.msgpack.Decoder(message_type | TunnelRequest)
         self._envelope_decoder = msgspec.msgpack.Decoder(Envelope)
         self._senders: dict[PeerAddress, _PeerSender] = {}
         self._accepted_connections: set[asyncio.StreamWriter] = set()
@@ -240,6 +255,31 @@
         for writer in tuple(self._accepted_connections):
             writer.close()
 
+    async def open_tunnel(
+        self, vm: EntryVm, request: TunnelRequest
+    ) -> tuple[TunnelState, Connection | None]:
+        """Request a tunnel through another VM; raise OSError if it can't be reached."""
+        loop = asyncio.get_running_loop()
+        reader = MonitoredReader(loop)
+        reader.is_tunneled = True
+        transport, protocol = await loop.create_connection(
+            lambda: TunnelProtocol(reader, loop), vm.host, vm.peer_port
+        )
+        writer = asyncio.StreamWriter(transport, protocol, reader, loop)
+        try:
+            enable_dead_peer_detection(writer)
+            raw = msgspec.Raw(msgspec.msgpack.encode(request))
+            envelope = Envelope(self._own_incarnation, vm.incarnation, (raw,))
+            writer.write(encode_frame(msgspec.msgpack.encode(envelope)))
+            state = await protocol.state
+        except BaseException:
+            transport.abort()
+            raise
+        if state is TunnelState.OPEN:
+            return state, (reader, writer)
+        transport.abort()
+        return state, None
+
     def _get_sender(self, address: PeerAddress) -> _PeerSender:
         peer_sender = self._senders.get(address)
         if peer_sender is None:
@@ -254,7 +294,10 @@
         enable_dead_peer_detection(writer)
         try:
             while True:
-                self._handle_frame(await self._read_frame(reader))
+                request = self._handle_frame(await self._read_frame(reader))
+                if request is not None:
+                    await self.carrier.carry(request, reader, writer)
+                    return
         except (OSError, asyncio.IncompleteReadError, ValueError):
             # The connection ended, or a frame was too large, which was logged.
             pass
@@ -277,26 +320,32 @@
         self.traffic.bytes_received += size + FRAME_HEADER_BYTES
         return body
 
-    def _handle_frame(self, body: bytes) -> None:
+    def _handle_frame(self, body: bytes) -> TunnelRequest | None:
+        """Deliver the messages of a frame, or return the request for a tunnel."""
         try:
             envelope = self._envelope_decoder.decode(body)
         except DECODE_ERRORS as error:
             self._record_rejection(str(error))
-            return
+            return None
         if envelope.target not in ("", self._own_incarnation):
             # Sent to an earlier incarnation at this address.
-            return
+            return None
         for raw in envelope.messages:
-            self._handle_message(envelope.sender, raw)
-
-    def _handle_message(self, sender: Incarnation, raw: msgspec.Raw) -> None:
+            message = self._decode_message(raw)
+            if isinstance(message, TunnelRequest):
+                return message
+            if message is not None:
+                self._deliver(envelope.sender, message)
+        return None
+
+    def _decode_message(self, raw: msgspec.Raw) -> Message | None:
         try:
             message = self._message_decoder.decode(raw)
         except DECODE_ERRORS as error:
             self._record_rejection(str(error))
-            return
+            return None
         self.traffic.messages_received += 1
-        self._deliver(sender, message)
+        return message
 
     def _record_rejection(self, cause: str) -> None:
         self.traffic.messages_rejected += 1
--- a/proofs/tests/test_mutations.py
+++ b/proofs/tests/test_mutations.py
@@ -237,7 +237,7 @@
 def repeat_without_bound(patch):
     patch.setattr(RetryBudget, "try_acquire", lambda *_: True)
     patch.setattr(Ingress, "_may_retry", lambda self, call, outcome: True)
-    pause = "fireflyquay.gateway._forwarder.REFUSED_PAUSE_SECONDS"
+    pause = "fireflyquay.gateway._slot_client.UNREACHABLE_PAUSE_SECONDS"
     patch.setattr(pause, 0.0)
 
 
