Charge a request that is granted again to its quota once

Cause: a request whose backend server could not be reached asked for the next slot as a new request, and each grant was charged. A slot request says now that it is charged.

--- a/fireflyquay/dispatch/_coordinator.py
+++ b/fireflyquay/dispatch/_coordinator.py
@@ -105,6 +105,8 @@
 
     def submit(self, request: SlotRequest, now: float) -> list[Decision]:
         """Enqueue a request unless a limit refuses it; return all new decisions."""
+        if request.is_charged:
+            return self._enqueue(request, now)
         if not request.is_retry:
             self._retry_budget.record_request(request.service, now)
             return self._charge_or_refuse(request, now) or self._enqueue(request, now)
--- a/fireflyquay/dispatch/_slot_messages.py
+++ b/fireflyquay/dispatch/_slot_messages.py
@@ -58,6 +58,9 @@
     stream: AttemptId = AttemptId("")
     # Software version at which the stream began; None if it has not begun.
     version: SoftwareVersion | None = None
+    # Whether an earlier grant of this request, which was never sent to a backend
+    # server, was charged to its client account.
+    is_charged: bool = False
 
 
 class Grant(Message):
--- a/fireflyquay/gateway/_call.py
+++ b/fireflyquay/gateway/_call.py
@@ -63,6 +63,8 @@
     tried_backends: list[BackendServerId] = field(default_factory=list)
     # Whether a backend server may have run the request.
     may_have_run: bool = False
+    # Whether a grant was charged to the client account.
+    is_charged: bool = False
     # Whether this call holds the claim on its idempotency key.
     is_claimed: bool = False
     # Failure response of a backend server, which is sent unless a retry succeeds.
--- a/fireflyquay/gateway/_ingress.py
+++ b/fireflyquay/gateway/_ingress.py
@@ -292,6 +292,7 @@
         decision = await self._slot_client.acquire(slot_request)
         if isinstance(decision, Refusal):
             raise RejectionError(decision.code, decision.reason, decision.retry_after)
+        call.is_charged = True
         self._metrics.record_wait(call.service, decision.waited)
         backend = self._replicas.backends.get(decision.backend)
         LOG.info(
@@ -335,6 +336,7 @@
             route.target_latency,
             call.stream,
             call.version,
+            call.is_charged and not call.tried_backends,
         )
 
     def _may_retry(self, call: Call, outcome: Outcome) -> bool:
--- a/fireflyquay/gateway/_slot_client.py
+++ b/fireflyquay/gateway/_slot_client.py
@@ -423,7 +423,8 @@
             self._runs[slot_request.number] = _LocalRun(
                 slot_request, decision.backend, now
             )
-            if not slot_request.is_retry and slot_request.account:
+            is_first = not slot_request.is_retry and not slot_request.is_charged
+            if is_first and slot_request.account:
                 is_charged_here = pending.target == self._own
                 self._usage.append(
                     _GrantedUsage(
