--- a/emulator/_servers.py
+++ b/emulator/_servers.py
@@ -14,6 +14,9 @@
 from ._history import Run
 from ._site import EngineModel, ServiceModel
 
+# Time for which a server that fell over refuses connections.
+FALL_DOWNTIME_SECONDS = 2.0
+
 
 class ConnectionLost(Exception):  # noqa: N818
     """Indicate that a backend server closed or refused the connection."""
@@ -89,6 +92,13 @@
         # States the limit on each so many responses.
         self.limit_interval = 1
         self._response_count = 0
+        # Rejections a second that the server states to stand; None if any number.
+        self.max_rejections: float | None = None
+        # Requests that it holds meanwhile, running and queued; None for its usual.
+        self.room: int | None = None
+        # Loop times of recent rejections, and of each time that they made it fall over.
+        self._rejected_at: deque[float] = deque()
+        self.fell_at: list[float] = []
 
     def accept(self, job: Job, expected: str) -> None:
         """Queue or start a request; raise ConnectionLost or RequestDeclined."""
@@ -96,11 +106,32 @@
             raise ConnectionLost
         if expected and expected != self.entry.id:
             raise RequestDeclined
-        if len(self.queued) >= self._queue_limit:
+        if not self._has_room():
+            self._record_rejection()
             raise RequestDeclined
         self.queued.append(job)
         self.start_queued()
 
+    def _has_room(self) -> bool:
+        if self.room is not None:
+            return len(self.queued) + len(self.running) < self.room
+        return len(self.queued) < self._queue_limit
+
+    def _record_rejection(self) -> None:
+        """Fall over if there were too many rejections within a second."""
+        if self.max_rejections is None:
+            return
+        loop = asyncio.get_running_loop()
+        self._rejected_at.append(loop.time())
+        while self._rejected_at[0] <= loop.time() - 1.0:
+            self._rejected_at.popleft()
+        if len(self._rejected_at) <= self.max_rejections:
+            return
+        self._rejected_at.clear()
+        self.fell_at.append(loop.time())
+        self.crash()
+        loop.call_later(FALL_DOWNTIME_SECONDS, self.restart)
+
     def cancel(self, job: Job) -> None:
         """Cancel a request after its client has disconnected."""
         job.is_finished = True
@@ -114,9 +145,12 @@
     def make_headers(self) -> dict[str, str]:
         """Return the headers of the next response."""
         self._response_count += 1
+        headers = {}
+        if self.max_rejections is not None:
+            headers["brittle"] = str(self.max_rejections)
         if self.request_limit is None or self._response_count % self.limit_interval:
-            return {}
-        return {"limit": str(self.request_limit)}
+            return headers
+        return {"limit": str(self.request_limit), **headers}
 
     def crash(self) -> None:
         """Abort all requests and refuse connections."""
