Send nothing to backend servers that state that they leave

Cause: a leaving backend server counted as such only once the store listed it; its responses were not read. Class: as with limits, a statement that no decision knew.

The statement is one more part of BackendNews: spread to all VMs at once, handed over, for the process that made it, which never comes back.

--- a/fireflyquay/dispatch/_backend_beliefs.py
+++ b/fireflyquay/dispatch/_backend_beliefs.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from fireflyquay.world import BackendEntry, BackendServerId
@@ -23,6 +23,8 @@
 
     request_limit: RequestLimit | None = None
     occupancy_limit: OccupancyLimit | None = None
+    # Whether it leaves; a process that leaves does not come back.
+    is_leaving: bool = False
     # Loop time of the latest statement.
     stated_at: float = 0.0
 
@@ -39,6 +41,8 @@
         self._rng = rng
         # By backend server and the start of its process.
         self._beliefs: dict[tuple[BackendServerId, int], Belief] = {}
+        # Called when a process is known to leave.
+        self.on_leaving: Callable[[BackendServerId, int], None] = lambda *_: None
 
     def get(self, backend: BackendServerId, born_ms: int) -> Belief | None:
         """Return what is known of a backend server's process, or None."""
@@ -55,12 +59,17 @@
             absent_at = now - news.sent_age_seconds
         belief = self._beliefs.get(key)
         if belief is None:
-            if news.limit is None and news.max_rejections is None:
+            states_nothing = news.limit is None and news.max_rejections is None
+            if states_nothing and not news.is_leaving:
                 return False
             belief = self._beliefs[key] = Belief()
         belief.stated_at = max(belief.stated_at, at)
         is_new = _merge_request_limit(belief, news, slots, at, absent_at, now)
-        return _merge_occupancy_limit(belief, news, at, absent_at, now) or is_new
+        is_new = _merge_occupancy_limit(belief, news, at, absent_at, now) or is_new
+        if news.is_leaving and not belief.is_leaving:
+            belief.is_leaving = is_new = True
+            self.on_leaving(*key)
+        return is_new
 
     def inherit(self, entry: BackendEntry, others: Iterable[BackendEntry]) -> None:
         """Assume that a new process is as brittle as the others of its service."""
@@ -159,7 +168,7 @@
     age = now - (limit.stated_at if limit is not None else belief.stated_at)
     if occupancy is None:
         rate = None if limit is None else limit.stated_rate
-        return BackendNews(*key, rate, max(0.0, age))
+        return BackendNews(*key, rate, max(0.0, age), is_leaving=belief.is_leaving)
     return BackendNews(
         *key,
         None if limit is None else limit.stated_rate,
@@ -170,4 +179,5 @@
             Rejection(held, max(0.0, now - at), 0.0)
             for at, held in occupancy.list_rejections(now)
         ),
+        is_leaving=belief.is_leaving,
     )
--- a/fireflyquay/dispatch/_backend_registry.py
+++ b/fireflyquay/dispatch/_backend_registry.py
@@ -24,6 +24,9 @@
 MAX_VERSIONS_AGE_SECONDS = 1.0
 # Seconds for which versions that are no longer registered are remembered.
 VERSION_MEMORY_SECONDS = 600.0
+# Number of processes that are remembered as leaving: more than a large fleet replaces
+# in a day.
+MAX_LEAVING_MARKS = 4096
 MILLISECONDS_PER_SECOND = 1000.0
 
 
@@ -37,6 +40,8 @@
         self._digest: int | None = None
         # Time at which each version was last registered, for those that no longer are.
         self._left_at: dict[tuple[ServiceId, SoftwareVersion], float] = {}
+        # Processes that stated that they leave, by the start of each.
+        self._leaving: dict[BackendServerId, int] = {}
         # Time of the first list.
         self._known_since: float | None = None
         self.freshness = Freshness(0, float("-inf"))
@@ -91,7 +96,19 @@
     def accepts_requests(self, backend_id: BackendServerId) -> bool:
         """Return whether a backend server may receive new requests."""
         entry = self._entries.get(backend_id)
-        return entry is not None and entry.phase is BackendPhase.READY
+        if entry is None or entry.phase is not BackendPhase.READY:
+            return False
+        return self._leaving.get(backend_id) != entry.born_ms
+
+    def mark_leaving(self, backend_id: BackendServerId, born_ms: int) -> None:
+        """Exclude a process that leaves, whatever the store lists."""
+        if len(self._leaving) >= MAX_LEAVING_MARKS:
+            del self._leaving[next(iter(self._leaving))]
+        self._leaving[backend_id] = born_ms
+
+    def list_at(self, address: tuple[str, int]) -> list[BackendEntry]:
+        """Return the backend servers that are registered at an address."""
+        return [it for it in self._entries.values() if it.address == address]
 
     def list_backends(self) -> list[BackendEntry]:
         """Return all registered backend servers."""
--- a/fireflyquay/dispatch/_control_message.py
+++ b/fireflyquay/dispatch/_control_message.py
@@ -93,6 +93,8 @@
     # Runs that it seems to hold; None if that is not known.
     room: float | None = None
     rejections: tuple[Rejection, ...] = ()
+    # Whether it leaves and takes no new requests.
+    is_leaving: bool = False
 
 
 class OriginRequest(Message):
--- a/fireflyquay/gateway/_backend_paths.py
+++ b/fireflyquay/gateway/_backend_paths.py
@@ -26,7 +26,7 @@
     TunnelState,
     abort_connection,
 )
-from fireflyquay.world import BackendEntry, BackendServerId, EntryVm, Incarnation
+from fireflyquay.world import BackendServerId, EntryVm, Incarnation
 
 LOG = logbook.Logger("paths")
 
@@ -161,7 +161,7 @@
         if attempt is not None and attempt.connection is not None:
             return attempt.connection
         if finding is Finding.SERVER_DOWN:
-            for entry in self._find_entries(address):
+            for entry in self._backends.list_at(address):
                 self._pause(entry.id)
         raise ConnectionRefusedError(f"no path: {finding.value}")
 
@@ -181,7 +181,7 @@
         address = (request.host, request.port)
         if not any(
             self._backends.accepts_requests(entry.id)
-            for entry in self._find_entries(address)
+            for entry in self._backends.list_at(address)
         ):
             return TunnelState.DECLINED, None
         if self.is_cut_off:
@@ -248,13 +248,9 @@
         return {
             "host": address[0],
             "port": address[1],
-            "backends": [entry.id for entry in self._find_entries(address)],
+            "backends": [entry.id for entry in self._backends.list_at(address)],
         }
 
-    def _find_entries(self, address: Address) -> list[BackendEntry]:
-        entries = self._backends.list_backends()
-        return [entry for entry in entries if entry.address == address]
-
     def _list_addresses(self) -> list[Address]:
         return [entry.address for entry in self._backends.list_backends()]
 
--- a/fireflyquay/gateway/_dialect.py
+++ b/fireflyquay/gateway/_dialect.py
@@ -76,6 +76,8 @@
     # Rejections per second from which the backend server may fall over; None if it
     # states none or a malformed number.
     max_rejections: float | None = None
+    # Whether the backend server leaves and takes no new requests.
+    is_leaving: bool = False
     # The headers of these statements as sent; empty without any.
     statements: str = ""
     # Whether a statement is malformed.
--- a/fireflyquay/gateway/_gateway.py
+++ b/fireflyquay/gateway/_gateway.py
@@ -24,6 +24,7 @@
     PeerLink,
 )
 from fireflyquay.world import (
+    BackendServerId,
     EntryVm,
     FleetConfig,
     Incarnation,
@@ -117,6 +118,7 @@
         self._coordinator = make_coordinator(
             promises, self.replicas.config, scheduler_settings, rng
         )
+        self._coordinator.beliefs.on_leaving = self._exclude_leaving
         self._slot_client = SlotClient(self.incarnation, self._coordinator)
         self._quarantine = Quarantine(self._clock, rng)
         self._stream_locator = StreamLocator(
@@ -408,6 +410,10 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def _exclude_leaving(self, backend: BackendServerId, born_ms: int) -> None:
+        self.replicas.backends.mark_leaving(backend, born_ms)
+        self._apply_replicas()
+
     def _apply_replicas(self) -> None:
         registry = self.replicas.backends
         ready = [
--- a/fireflyquay/gateway/_slot_client.py
+++ b/fireflyquay/gateway/_slot_client.py
@@ -219,6 +219,7 @@
             metadata.max_rejections,
             None,
             self._describe_rejection(rejected, now),
+            metadata.is_leaving,
         )
         coordinator = self._local_coordinator
         before = coordinator.get_limit_rate(backend.id, backend.born_ms)
@@ -260,7 +261,9 @@
                     "after": _round_rate(after),
                 },
             )
-        if occupancy is not None or news.max_rejections is None:
+        if news.is_leaving:
+            LOG.info("backend server leaves", extra={"backend": news.backend})
+        if occupancy is not None:
             has_room = occupancy is not None and math.isfinite(occupancy.room)
             LOG.info(
                 "occupancy limit changed",
