Leave backend servers alone for as long as they ask a VM to

Cause: Retry-After of a backend server was not read; a constant tenth of a second took its place, and what kept the rule else was the pause of a server that fails more often than its peers, which ends when most do.

A rest binds the VM that was told, wherever its slots are granted: the coordinator passes the server over for it, the VM checks its own grants, reports the rest with its handover and declines tunnels. Others get nothing there for a second, and then try one after the other. Forecast and Retry-After count with it.

--- a/fireflyquay/dispatch/_backend_load.py
+++ b/fireflyquay/dispatch/_backend_load.py
@@ -80,6 +80,8 @@
     failure_rate: float = 0.0
     # Loop time until which no slot is granted.
     paused_until: float = 0.0
+    # Loop times until which no slot is granted to a VM.
+    rests: dict[Incarnation, float] = field(default_factory=dict)
     # Loop time until which another process may answer than the registered one.
     doubted_until: float = 0.0
     # Limit that the backend server states; None if it states none.
@@ -234,6 +236,15 @@
             FAILURE_RATE_LIMIT, PEER_FAILURE_FACTOR * peer_failure_rate
         )
 
+    def is_resting(self, vm: Incarnation, now: float) -> bool:
+        """Return whether the backend server wants nothing from a VM at present."""
+        return now < self.rests.get(vm, 0.0)
+
+    def rest(self, vm: Incarnation, until: float, now: float) -> None:
+        """Suspend grants to one VM until the given loop time."""
+        self.rests = {it: end for it, end in self.rests.items() if end > now}
+        self.rests[vm] = max(until, self.rests.get(vm, 0.0))
+
     def pause(self, until: float) -> None:
         """Suspend grants until the given loop time."""
         self.paused_until = max(self.paused_until, until)
--- a/fireflyquay/dispatch/_control_message.py
+++ b/fireflyquay/dispatch/_control_message.py
@@ -62,6 +62,8 @@
     seconds: float
     # Whether it refuses connections, so that another process may answer next.
     may_restart: bool = False
+    # VM from which it wants nothing for so long; empty if the pause holds for all.
+    vm: Incarnation = Incarnation("")
 
 
 class Rejection(msgspec.Struct, frozen=True, array_like=True):
@@ -164,6 +166,8 @@
     news: tuple[BackendNews, ...] = ()
     # Origins of the streams that the sender sends to clients.
     origins: tuple[OriginResponse, ...] = ()
+    # Pauses that backend servers requested from the sender.
+    rests: tuple[BackendPause, ...] = ()
 
 
 class ActiveRunsReport(Message, tag="Holding"):
--- a/fireflyquay/dispatch/_coordinator.py
+++ b/fireflyquay/dispatch/_coordinator.py
@@ -100,6 +100,14 @@
         """Return what responses of backend servers state."""
         return self._scheduler.beliefs
 
+    def is_resting(self, backend: BackendServerId, vm: Incarnation, now: float) -> bool:
+        """Return whether a backend server wants nothing from a VM at present."""
+        return self._scheduler.is_resting(backend, vm, now)
+
+    def list_rests(self, vm: Incarnation, now: float) -> tuple[BackendPause, ...]:
+        """Return the rests that backend servers requested from a VM."""
+        return self._scheduler.list_rests(vm, now)
+
     def get_limit_rate(self, backend: BackendServerId, born_ms: int) -> float | None:
         """Return the requests per second that a limit allows; None without one."""
         belief = self.beliefs.get(backend, born_ms)
@@ -139,8 +147,8 @@
                 scheduler.record_first_output((sender, number), backend, now)
             case RunEnded():
                 return self._settle_charges(scheduler.end_run(sender, message, now))
-            case BackendPause(backend, seconds, may_restart):
-                scheduler.pause(backend, now + seconds, may_restart, now)
+            case BackendPause():
+                self._pause(message, now)
             case BackendNews():
                 scheduler.merge_news(message, now)
             case Handover():
@@ -238,12 +246,21 @@
         decisions = self._reconcile_runs(sender, handover.runs, now)
         for news in handover.news:
             self._scheduler.merge_news(news, now)
+        for rest in handover.rests:
+            self._pause(rest, now)
         for it in handover.origins:
             origin = StreamOrigin(it.service, it.version)
             self.origins.record(it.stream, origin, now)
         self._deduct_usage(handover.usage, now)
         return self._settle_charges(decisions)
 
+    def _pause(self, pause: BackendPause, now: float) -> None:
+        scheduler, seconds = self._scheduler, pause.seconds
+        if pause.vm:
+            scheduler.rest(pause.backend, pause.vm, seconds, now)
+        else:
+            scheduler.pause(pause.backend, now + seconds, pause.may_restart, now)
+
     def _deduct_usage(self, usage: QuotaUsage, now: float) -> None:
         for account_id, requests, tokens in usage:
             account = self._config.get_account(account_id)
--- a/fireflyquay/dispatch/_scheduler.py
+++ b/fireflyquay/dispatch/_scheduler.py
@@ -19,7 +19,7 @@
 
 from ._backend_beliefs import BackendBeliefs
 from ._backend_load import FAILING_BACKEND_PAUSE_SECONDS, BackendLoad, SlotRequestKey
-from ._control_message import BackendNews, RunEnded
+from ._control_message import BackendNews, BackendPause, RunEnded
 from ._rank_statistics import RankStatistics
 from ._retry_after_schedule import HONORED_TIME_SHARE, RetryAfterSchedule
 from ._slot_messages import Decision, Grant, Refusal, SlotRequest
@@ -35,6 +35,9 @@
 # Time within which a backend server that refused connections has registered its new
 # process, or has lost its registration.
 DOUBT_SECONDS = 4.0
+# Seconds for which a backend server gets nothing from any VM after it has requested a
+# rest from one.
+MAX_SHARED_REST_SECONDS = 1.0
 # Retry-After for a service without backend servers, which may have one by then.
 NO_BACKEND_RETRY_AFTER_SECONDS = 1.0
 
@@ -70,6 +73,7 @@
 
     NO_SLOT_EXPECTED = "no slot is expected within its objective"
     LIMITED = "all backend servers state request limits"
+    RESTING = "all backend servers requested a rest"
     LATE = "it is late and its rank is overloaded"
     WAIT_EXPIRED = "its longest wait is over"
 
@@ -117,6 +121,11 @@
             rate += load.limit.rate * share
         return max(0, waiting - len(self.loads)) / rate
 
+    def estimate_rest(self, vm: Incarnation, now: float) -> float:
+        """Return the seconds until the first backend server takes requests of a VM."""
+        ends = [load.rests.get(vm, 0.0) for load in self.loads.values()]
+        return max(0.0, min(ends) - now)
+
     def compute_median_failure_rate(self) -> float:
         """Return the median failure rate of the backend servers."""
         rates = sorted(load.failure_rate for load in self.loads.values())
@@ -247,6 +256,31 @@
             if may_restart:
                 load.doubted_until = now + DOUBT_SECONDS
 
+    def rest(
+        self, backend: BackendServerId, vm: Incarnation, seconds: float, now: float
+    ) -> None:
+        """Suspend grants on a backend server to one VM, and shortly to all others.
+
+        Others try one after the other, since it may want nothing from any of them.
+        """
+        load = self._find_load(backend)
+        if load is not None:
+            load.rest(vm, now + seconds, now)
+            load.pause(now + min(seconds, MAX_SHARED_REST_SECONDS))
+
+    def list_rests(self, vm: Incarnation, now: float) -> tuple[BackendPause, ...]:
+        """Return the rests that backend servers requested from a VM."""
+        return tuple(
+            BackendPause(load.entry.id, load.rests[vm] - now, False, vm)
+            for load in self._list_loads()
+            if load.is_resting(vm, now)
+        )
+
+    def is_resting(self, backend: BackendServerId, vm: Incarnation, now: float) -> bool:
+        """Return whether a backend server wants nothing from a VM at present."""
+        load = self._find_load(backend)
+        return load is not None and load.is_resting(vm, now)
+
     def merge_news(self, news: BackendNews, now: float) -> bool:
         """Follow what a response states; return whether that is new."""
         load = self._find_load(news.backend)
@@ -412,6 +446,8 @@
         for load in candidates:
             if load.entry.id in request.excluded:
                 continue
+            if load.is_resting(request.owner, now):
+                continue
             if request.version is not None and not load.can_continue(
                 request.version, now
             ):
@@ -478,6 +514,8 @@
             return _RefusalCause.NO_SLOT_EXPECTED
         if state.estimate_limited_wait(waiting, self.limit_share) > max_wait:
             return _RefusalCause.LIMITED
+        if state.estimate_rest(request.owner, now) > max_wait:
+            return _RefusalCause.RESTING
         return None
 
     def _refuse_queued(
@@ -502,7 +540,7 @@
         fingerprint = request.fingerprint
         seconds = state.retry_schedule.schedule_retry(
             fingerprint,
-            backlog,
+            backlog + state.estimate_rest(request.owner, now),
             work,
             request.seconds_to_deadline,
             now,
--- a/fireflyquay/gateway/_backend_paths.py
+++ b/fireflyquay/gateway/_backend_paths.py
@@ -101,12 +101,15 @@
         client: BackendClient,
         backends: BackendRegistry,
         pause: Callable[[BackendServerId], None],
+        is_resting: Callable[[BackendServerId], bool],
         rng: random.Random,
     ) -> None:
         self._client = client
         self._backends = backends
         # Suspends grants on a backend server that is down.
         self._pause = pause
+        # Returns whether a backend server wants nothing from this VM at present.
+        self._is_resting = is_resting
         self._rng = rng
         self._carriers: Carriers | None = None
         # Addresses whose direct paths are down.
@@ -180,7 +183,7 @@
         """Connect directly for another VM; never through a third one."""
         address = (request.host, request.port)
         if not any(
-            self._backends.accepts_requests(entry.id)
+            self._backends.accepts_requests(entry.id) and not self._is_resting(entry.id)
             for entry in self._backends.list_at(address)
         ):
             return TunnelState.DECLINED, None
--- a/fireflyquay/gateway/_dialect.py
+++ b/fireflyquay/gateway/_dialect.py
@@ -78,6 +78,9 @@
     max_rejections: float | None = None
     # Whether the backend server leaves and takes no new requests.
     is_leaving: bool = False
+    # Seconds for which the backend server wants nothing from the VM whose request it
+    # rejects; None if it states none.
+    rest_seconds: float | None = None
     # The headers of these statements as sent; empty without any.
     statements: str = ""
     # Whether a statement is malformed.
--- a/fireflyquay/gateway/_forwarder.py
+++ b/fireflyquay/gateway/_forwarder.py
@@ -332,6 +332,9 @@
             )
         is_rejected = is_declined and stream.status == UNAVAILABLE
         self._record_statements(metadata, is_rejected)
+        if is_rejected and metadata.rest_seconds is not None:
+            rest = metadata.rest_seconds
+            self._slot_client.rest(self._backend.id, rest, stream.carrier)
         if is_declined:
             return self._handle_declined(stream.status)
         if is_success:
@@ -366,6 +369,7 @@
                 "stated": metadata.statements,
                 "limit": metadata.request_limit,
                 "max_rejections": metadata.max_rejections,
+                "rest": metadata.rest_seconds,
             },
         )
 
--- a/fireflyquay/gateway/_gateway.py
+++ b/fireflyquay/gateway/_gateway.py
@@ -125,7 +125,11 @@
             self._coordinator.origins, self.replicas.backends, self._clock
         )
         self.paths = BackendPaths(
-            client, self.replicas.backends, self._slot_client.pause_unreachable, rng
+            client,
+            self.replicas.backends,
+            self._slot_client.pause_unreachable,
+            self._slot_client.is_resting,
+            rng,
         )
         self.fleet = self._make_fleet(rng)
         self.paths.connect(self.fleet)
--- a/fireflyquay/gateway/_ingress.py
+++ b/fireflyquay/gateway/_ingress.py
@@ -245,6 +245,11 @@
             ):
                 self._slot_client.release(slot_request, grant.backend)
                 continue
+            if self._slot_client.is_resting(backend.id):
+                # The coordinator may have missed it.
+                self._slot_client.repeat_rests()
+                self._slot_client.release(slot_request, grant.backend)
+                continue
             await self._recheck_and_claim(call, slot_request, grant)
             call.tried_backends.append(backend.id)
             may_have_run_before, call.may_have_run = call.may_have_run, True
--- a/fireflyquay/gateway/_slot_client.py
+++ b/fireflyquay/gateway/_slot_client.py
@@ -193,6 +193,30 @@
         """Suspend grants on a backend server for the given number of seconds."""
         self._notify(BackendPause(backend, seconds, may_restart))
 
+    def rest(
+        self, backend: BackendServerId, seconds: float, carrier: Incarnation
+    ) -> None:
+        """Send nothing to a backend server for some seconds, as it requested.
+
+        If another VM carried the rejected request, it rests too.
+        """
+        self._notify(BackendPause(backend, seconds, False, self._own))
+        if carrier and self._peers is not None:
+            pause = BackendPause(backend, seconds, False, carrier)
+            self._notify(pause)
+            self._peers.send(carrier, pause)
+
+    def is_resting(self, backend: BackendServerId) -> bool:
+        """Return whether a backend server wants nothing from this VM at present."""
+        now = asyncio.get_running_loop().time()
+        return self._local_coordinator.is_resting(backend, self._own, now)
+
+    def repeat_rests(self) -> None:
+        """Tell the coordinator again from which backend servers this VM rests."""
+        now = asyncio.get_running_loop().time()
+        for rest in self._local_coordinator.list_rests(self._own, now):
+            self._notify(rest)
+
     def pause_unreachable(self, backend: BackendServerId) -> None:
         """Suspend grants on a backend server that accepts no connections."""
         self.pause(backend, UNREACHABLE_PAUSE_SECONDS, True)
@@ -446,6 +470,7 @@
                     self._own
                 )
             ),
+            self._local_coordinator.list_rests(self._own, now),
         )
 
     def _sum_usage(self, now: float, includes_own_grants: bool) -> QuotaUsage:
--- a/fireflyquay/links/_http_client.py
+++ b/fireflyquay/links/_http_client.py
@@ -127,6 +127,7 @@
             self,
             response.headers.raw_items(),
             _ends_with_connection(self._head.method, response.status_code, headers),
+            self._connection.carrier,
         )
 
     async def __aexit__(
@@ -156,7 +157,7 @@
     @property
     def is_direct(self) -> bool:
         """Return whether a connection is open that no other VM carries."""
-        return self._connection is not None and not self._connection.is_tunneled
+        return self._connection is not None and not self._connection.carrier
 
     def interrupt(self) -> None:
         """Break the connection off, so that the exchange fails at once."""
--- a/fireflyquay/links/_http_message.py
+++ b/fireflyquay/links/_http_message.py
@@ -5,7 +5,7 @@
 from collections.abc import AsyncIterator, Sequence
 from dataclasses import dataclass
 
-from fireflyquay.world import Code, FireflyquayError
+from fireflyquay.world import Code, FireflyquayError, Incarnation
 
 MAX_READ_BYTES = 64 * 1024
 
@@ -71,6 +71,8 @@
     # Whether the body has neither a length nor chunks, so that only the end of the
     # connection ends it.
     ends_with_connection: bool = False
+    # VM that carries the connection; empty if it is direct.
+    carrier: Incarnation = Incarnation("")
 
     def __aiter__(self) -> AsyncIterator[bytes]:
         return self.chunks
--- a/fireflyquay/links/_http_pool.py
+++ b/fireflyquay/links/_http_pool.py
@@ -9,6 +9,8 @@
 
 import h11
 
+from fireflyquay.world import Incarnation
+
 from ._http_message import MAX_READ_BYTES, HttpLimits
 from ._http_responder import abort_connection
 from ._monitored_reader import MonitoredReader
@@ -46,9 +48,9 @@
         self._limits = limits
 
     @property
-    def is_tunneled(self) -> bool:
-        """Return whether another VM carries the connection."""
-        return self._reader.is_tunneled
+    def carrier(self) -> Incarnation:
+        """Return the VM that carries the connection; empty if it is direct."""
+        return self._reader.carrier
 
     @property
     def _has_unsent_bytes(self) -> bool:
@@ -108,7 +110,7 @@
 
     def reset_for_next_request(self) -> bool:
         """Prepare for another request; return False if reuse is impossible."""
-        if self.is_tunneled:
+        if self.carrier:
             return False
         if self._http.our_state is not h11.DONE or self._has_unsent_bytes:
             return False
--- a/fireflyquay/links/_monitored_reader.py
+++ b/fireflyquay/links/_monitored_reader.py
@@ -5,6 +5,8 @@
 import asyncio
 from collections.abc import Callable
 
+from fireflyquay.world import Incarnation
+
 # Limit of the stream buffer; asyncio pauses reading above twice this size.
 READ_BUFFER_BYTES = 64 * 1024
 
@@ -22,8 +24,8 @@
         self.closed = asyncio.Event()
         # Called once, when the peer has closed the connection, or it is lost.
         self.on_closed: Callable[[], None] | None = None
-        # Whether another VM carries the connection.
-        self.is_tunneled = False
+        # VM that carries the connection; empty if it is direct.
+        self.carrier = Incarnation("")
         # Number of bytes received so far, including those that were not read.
         self.received_bytes = 0
 
--- a/fireflyquay/links/_peer.py
+++ b/fireflyquay/links/_peer.py
@@ -261,7 +261,7 @@
         """Request a tunnel through another VM; raise OSError if it can't be reached."""
         loop = asyncio.get_running_loop()
         reader = MonitoredReader(loop)
-        reader.is_tunneled = True
+        reader.carrier = vm.incarnation
         transport, protocol = await loop.create_connection(
             lambda: TunnelProtocol(reader, loop), vm.host, vm.peer_port
         )
