Test paths with the backend servers that were reached last

A request that crashed three of five workers reached a fourth one: a VM that judges a crash tests its own paths with two other servers drawn at random, and both may have crashed, too. It then counted as cut off and its word for nothing. It tests the three that it reached last now.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 PYTHON ?= python3
 VENV := .venv
 STAMP := $(VENV)/.installed
+TEST_PROCESSES ?= 3
 
 .PHONY: demo test lint measure soak format
 
@@ -14,7 +15,7 @@
 	PYTHONPATH=platform:. $(VENV)/bin/python -m demo
 
 test: $(STAMP)
-	$(VENV)/bin/python -m pytest
+	$(VENV)/bin/python -m pytest -n $(TEST_PROCESSES)
 
 lint: $(STAMP)
 	$(VENV)/bin/ruff format --check .
--- a/fireflyquay/gateway/_backend_paths.py
+++ b/fireflyquay/gateway/_backend_paths.py
@@ -44,7 +44,7 @@
 # Number of VMs that must fail to connect to a backend server while they reach others.
 MIN_WITNESSES = 2
 # Number of other backend servers that a VM tests its paths with.
-MAX_TESTED_BACKENDS = 2
+MAX_TESTED_BACKENDS = 3
 # Seconds for which a VM that carried nothing isn't asked again.
 CARRIER_PAUSE_SECONDS = 1.0
 # Seconds between tests of the paths that are down, and how many are tested at a time.
@@ -154,6 +154,9 @@
         """Return the loop time of the last bytes from a backend server."""
         return self._heard_at.get(address, -math.inf)
 
+    def _get_contact_at(self, address: Address) -> float:
+        return max(self.get_connected_at(address), self.get_heard_at(address))
+
     def get_connected_at(self, address: Address) -> float:
         """Return the loop time of the last connection that opened directly."""
         return self._connected_at.get(address, -math.inf)
@@ -351,7 +354,9 @@
             return True
         if any(self.get_connected_at(it) >= since for it in others):
             return True
-        tested = self._rng.sample(others, min(len(others), MAX_TESTED_BACKENDS))
+        # Others may have crashed; those that were reached last are likely to be up.
+        others.sort(key=self._get_contact_at, reverse=True)
+        tested = others[:MAX_TESTED_BACKENDS]
         if any(await asyncio.gather(*map(self._test_path, tested))):
             return True
         if not self._is_cut_off:
