--- a/fireflyquay/gateway/_forwarder.py
+++ b/fireflyquay/gateway/_forwarder.py
@@ -322,6 +322,15 @@
     async def _forward_response(self, stream: HttpStream) -> Outcome:
         self._awaiting_since = None
         self._paths.record_contact(self._backend.address)
+        if stream.carrier:
+            LOG.info(
+                "response through another VM",
+                extra={
+                    "id": self._call.metadata.attempt_id,
+                    "backend": self._backend.id,
+                    "carrier": stream.carrier,
+                },
+            )
         metadata = self._exchange.read_response_metadata(stream.headers)
         self.status = stream.status
         is_success = 200 <= stream.status < 300
