List the VMs that may carry a connection only when one is needed

Each new connection to a backend server sorted all VMs by random keys, though nearly all open directly. The order of the ways is unchanged; the cost in a large fleet was not measured.

--- a/fireflyquay/gateway/_backend_paths.py
+++ b/fireflyquay/gateway/_backend_paths.py
@@ -290,14 +290,23 @@
     ) -> tuple[_Attempt | None, Finding]:
         """Try the ways to a backend server one after the other, without long waits."""
         started_at = asyncio.get_running_loop().time()
-        askable = self._list_askable(started_at)
-        carried = [self._make_way(vm, address) for vm in askable[:MAX_CARRIERS]]
         was_down = not self.may_reuse(address)
-        ways = [*carried, try_direct] if was_down else [try_direct, *carried]
+        askable: list[EntryVm] = []
+
+        def iter_ways() -> Iterator[_Way]:
+            if not was_down:
+                yield try_direct
+            # Listing is costly in a large fleet, and most connections open directly.
+            askable.extend(self._list_askable(started_at))
+            for vm in askable[:MAX_CARRIERS]:
+                yield self._make_way(vm, address)
+            if was_down:
+                yield try_direct
+
         race = _Race(self._may_end)
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
-                attempt = await race.run(iter(ways))
+                attempt = await race.run(iter_ways())
         except TimeoutError:
             attempt = None
         for failed in race.failures:
