Wait for the runs of each new follower on brittle servers

Paths draw from a generator of their own now and keep orders; NotRunStatusCheck's mutant and two crashing parts pass unchanged.

A VM that others follow before it follows itself granted without the runs of the others, if the first follower had none to hand over; and a part of a fleet with a fraction of one rejection used a whole one.

--- a/fireflyquay/dispatch/_coordinator.py
+++ b/fireflyquay/dispatch/_coordinator.py
@@ -240,7 +240,7 @@
     def _apply_handover(
         self, sender: Incarnation, handover: Handover, now: float
     ) -> list[Decision]:
-        if handover.runs and sender not in self.followers:
+        if sender not in self.followers:
             self.beliefs.hold_grants(now)
         self.followers.add(sender)
         decisions = self._reconcile_runs(sender, handover.runs, now)
--- a/fireflyquay/dispatch/_occupancy_limit.py
+++ b/fireflyquay/dispatch/_occupancy_limit.py
@@ -146,7 +146,9 @@
         )
         self._settle_grants(now)
         rejected = len(self.list_rejections(now))
-        if rejected + unknown + 1 > max(1.0, self.max_rejections * share):
+        # Another part of the fleet may use the rest; a fraction of one is none.
+        least = 1.0 if share >= 1.0 else 0.0
+        if rejected + unknown + 1 > max(least, self.max_rejections * share):
             return False
         if len(runs) < max(1.0, self.room * share):
             return True
--- a/fireflyquay/gateway/_backend_paths.py
+++ b/fireflyquay/gateway/_backend_paths.py
@@ -112,8 +112,8 @@
         self._is_resting = is_resting
         self._rng = rng
         self._carriers: Carriers | None = None
-        # Addresses whose direct paths are down.
-        self._down: set[Address] = set()
+        # Addresses whose direct paths are down, in the order in which that was found.
+        self._down: dict[Address, None] = {}
         # Loop times of the last connections that opened directly.
         self._connected_at: dict[Address, float] = {}
         self._heard_at: dict[Address, float] = {}
@@ -208,13 +208,13 @@
         """Test the direct paths that are down until cancelled."""
         while True:
             await asyncio.sleep(TEST_INTERVAL_SECONDS)
-            registered = set(self._list_addresses())
-            self._down &= registered
+            registered = dict.fromkeys(self._list_addresses())
+            self._down = {it: None for it in self._down if it in registered}
             now = asyncio.get_running_loop().time()
             for vm in [it for it, until in self._skipped_until.items() if until < now]:
                 del self._skipped_until[vm]
             for known in (self._heard_at, self._connected_at):
-                for address in known.keys() - registered:
+                for address in known.keys() - registered.keys():
                     del known[address]
             # Others may be up, though those that were tested are down.
             tested = list(registered if self._is_cut_off else self._down)
@@ -233,7 +233,7 @@
         now = asyncio.get_running_loop().time()
         self._connected_at[address] = now
         if address in self._down:
-            self._down.remove(address)
+            del self._down[address]
             LOG.info("path to backend server is back", extra=self._describe(address))
         if self._is_cut_off:
             self._is_cut_off = False
@@ -242,7 +242,7 @@
     def _record_down(self, address: Address, cause: str) -> None:
         if address in self._down:
             return
-        self._down.add(address)
+        self._down[address] = None
         extra = {**self._describe(address), "cause": cause}
         LOG.warning("path to backend server is down", extra=extra)
         if self._test_of_others is None or self._test_of_others.done():
@@ -358,7 +358,8 @@
         If it reaches none of those that it tests, it counts as cut off. With no other
         to test, it counts as reaching others.
         """
-        others = [it for it in set(self._list_addresses()) if it != address]
+        registered = dict.fromkeys(self._list_addresses())
+        others = [it for it in registered if it != address]
         if not others:
             return True
         if any(self.get_connected_at(it) >= since for it in others):
@@ -371,7 +372,7 @@
         if not self._is_cut_off:
             self._is_cut_off = True
             LOG.warning("VM is cut off from backend servers", extra={"tested": tested})
-        self._down.update((address, *tested))
+        self._down.update(dict.fromkeys((address, *tested)))
         return False
 
     def _may_end(self, failures: list[_Attempt]) -> bool:
--- a/fireflyquay/gateway/_gateway.py
+++ b/fireflyquay/gateway/_gateway.py
@@ -129,7 +129,8 @@
             self.replicas.backends,
             self._slot_client.pause_unreachable,
             self._slot_client.is_resting,
-            rng,
+            # Apart, so that other draws don't depend on how connections open.
+            random.Random(self.incarnation),
         )
         self.fleet = self._make_fleet(rng)
         self.paths.connect(self.fleet)
