Believe a refusal only if it states which request it refuses

Clients of routes that run at most once were told that their request had not run (503, 429, 421, 408, 400) while a worker ran it: a faulty worker wrote an earlier refusal once more on a kept connection, without its id, and a response without an id was taken for a response to any request.

Cause: `_matches_request` accepted a response without an id wherever it came, and "not run" was believed without an id.

Now a response without an id on a connection that carried another exchange belongs to no request and is skipped, as one with another id is. On a new connection it is the response to this request, but only a response that states the id is believed to say that the request has not run; otherwise the client gets 502. Responses on the project's own interface carry no id, so its requests get new connections.

--- a/fireflyquay/gateway/_dialect.py
+++ b/fireflyquay/gateway/_dialect.py
@@ -143,6 +143,8 @@
     """Translate one request and its response between client and backend server."""
 
     metadata: RequestMetadata
+    # Whether the headers of a response state the attempt that it belongs to.
+    identifies_responses = True
 
     @abstractmethod
     def make_upstream_request(
--- a/fireflyquay/gateway/_forwarder.py
+++ b/fireflyquay/gateway/_forwarder.py
@@ -289,13 +289,25 @@
         )
         return ExchangeOptions(
             max_idle_seconds=max_idle,
+            reuses_connections=self._exchange.identifies_responses,
             matches_request=self._matches_request,
             dialer=self._paths,
         )
 
-    def _matches_request(self, headers: dict[str, str]) -> bool:
-        attempt_id = self._exchange.read_response_metadata(headers).attempt_id
-        return not attempt_id or attempt_id == self._call.metadata.attempt_id
+    def _matches_request(self, headers: dict[str, str], was_used: bool) -> bool:
+        """Return whether a response is to this request.
+
+        One without an id may be another copy of a response to an earlier request on
+        the same connection.
+        """
+        metadata = self._exchange.read_response_metadata(headers)
+        if not metadata.attempt_id:
+            return not was_used
+        return self._is_identified(metadata)
+
+    def _is_identified(self, metadata: ResponseMetadata) -> bool:
+        """Return whether a response states that it is to this request."""
+        return metadata.attempt_id == self._call.metadata.attempt_id
 
     def _handle_failure(self, sentence: str, sent: bool) -> Outcome:
         address = self._backend.address
@@ -334,7 +346,9 @@
         metadata = self._exchange.read_response_metadata(stream.headers)
         self.status = stream.status
         is_success = 200 <= stream.status < 300
-        is_declined = metadata.states_not_run or stream.status == MISDIRECTED
+        is_declined = self._is_identified(metadata) and (
+            metadata.states_not_run or stream.status == MISDIRECTED
+        )
         if is_success and not is_declined and not metadata.is_sealed:
             raise BrokenResponseError(
                 "The response lacks the seal of a backend server."
--- a/fireflyquay/interface/_dialect.py
+++ b/fireflyquay/interface/_dialect.py
@@ -103,6 +103,8 @@
 class ContractExchange(Exchange):
     """Translate one request and its response between client and backend server."""
 
+    identifies_responses = False
+
     def __init__(self, request: HttpRequest, attempt_number: int) -> None:
         self._request = request
         self._attempt_number = attempt_number
--- a/fireflyquay/links/_http_client.py
+++ b/fireflyquay/links/_http_client.py
@@ -41,8 +41,11 @@
     connect_timeout: float | None = None
     # Maximum idle time of a reused connection; None to use the pool's limit.
     max_idle_seconds: float | None = None
-    # Returns whether response headers belong to this request; None to accept all.
-    matches_request: Callable[[dict[str, str]], bool] | None = None
+    # Whether a connection may be used that carried another exchange.
+    reuses_connections: bool = True
+    # Returns whether response headers belong to this request, given whether the
+    # connection carried another exchange before; None to accept all.
+    matches_request: Callable[[dict[str, str], bool], bool] | None = None
     # Opens the connection; None to use the client's own dialer.
     dialer: Dialer | None = None
 
@@ -169,7 +172,7 @@
         """Send the request over a pooled or new connection; return the connection."""
         now = asyncio.get_running_loop().time()
         max_idle_seconds = self._options.max_idle_seconds
-        if self._dialer.may_reuse(self._address):
+        if self._options.reuses_connections and self._dialer.may_reuse(self._address):
             while (
                 pooled := self._pool.acquire(self._address, now, max_idle_seconds)
             ) is not None:
@@ -206,16 +209,16 @@
 
     async def _read_matching_head(self) -> h11.Response:
         """Return the head of this request's response; skip those to other requests."""
+        assert self._connection is not None
+        matches_request = self._options.matches_request
         while True:
             response = await self._read_head()
-            matches_request = self._options.matches_request
             if matches_request is None or matches_request(
-                join_headers(response.headers)
+                join_headers(response.headers), self._connection.was_used
             ):
                 return response
             while isinstance(await self._next_event(), h11.Data):
                 pass
-            assert self._connection is not None
             self._connection.reset_for_next_response(self._head, self._body)
 
     async def _read_head(self) -> h11.Response:
@@ -258,7 +261,8 @@
         connection, self._connection = self._connection, None
         if connection is None:
             return
-        if self._is_complete and connection.reset_for_next_request():
+        may_be_kept = self._is_complete and self._options.reuses_connections
+        if may_be_kept and connection.reset_for_next_request():
             now = asyncio.get_running_loop().time()
             self._pool.release(self._address, connection, now)
             return
--- a/fireflyquay/links/_http_pool.py
+++ b/fireflyquay/links/_http_pool.py
@@ -41,6 +41,8 @@
         )
         # Bytes read from the reader so far.
         self._consumed_bytes = 0
+        # Whether it carried an exchange before the current one.
+        self.was_used = False
         # Event loop time at which the last exchange ended.
         self.idle_since = 0.0
         # Idle timeout that the peer advertised in a Keep-Alive header, if any.
@@ -117,6 +119,7 @@
         if self._http.their_state is not h11.DONE or self._http.trailing_data[0]:
             return False
         self._http.start_next_cycle()
+        self.was_used = True
         return True
 
     def abort(self) -> None:
