Give slots to requests that can be on time before retries that can't

Cause: a client counts its objective from its first attempt, and comes back after the Retry-After of a refusal. The scheduler took each return for a new request with the whole objective before it, so returns held their place among those that can still be on time, and were always queued.

Change: RefusedRequests keeps when the refused requests first arrived and when they are due; a return is matched to its refusal and keeps the objective of its first attempt. Requests of a rank are ordered by their first attempts, on time before late. Returns no longer count as arrivals in the forecast of overload. A late request of an overloaded rank is refused only if the slots that arriving requests leave don't reach it within its longest wait, so that returns are served after a burst.

The test of the reasons of refusals advances one second further: a late request now waits while the next free slot is its own.

--- a/emulator/_sites.py
+++ b/emulator/_sites.py
@@ -60,7 +60,25 @@
     cross_zone_delay=0.0009,
     accounts=16,
 )
-SITES = {site.name: site for site in (BROLGA, TREIPUU, BROLGA_GROWN)}
+TREIPUU_LARGE_KINDS = (
+    Kind("batch-order", LLM, ONCE, 86.4, 0, 1.023, 0.25, 15.3, 7, 2, 6610, 60, 64),
+    Kind("lathe-ask", LLM, RESUMED, 65.6, 1, 0.309, 0.25, 12.4, 2.1, 0.63, 628, 60, 49),
+    Kind("pin-label", LLM, ONCE, 173, 2, 0.411, 0.25, 3.08, 0.25, 0.074, 1800, 60, 4),
+    Kind("timber-book", APP, ONCE, 81.2, 2, 0.209, 0, 1.05, 0.3, 0.09, work=0.045),
+    Kind("order-look", APP, AGAIN, 32.6, 2, 0.208, 0, 1.04, 0.3, 0.09, work=0.045),
+)
+TREIPUU_LARGE = Site(
+    "treipuu-large",
+    TREIPUU_LARGE_KINDS,
+    {LLM: EngineModel(62, 5, 0.00423, 0.00005, 64_200, 1024, 6, 407_491)},
+    {APP: ServiceModel(5, 6)},
+    vms=195,
+    zones=("a", "b", "c", "d", "e"),
+    client_delay=0.003,
+    cross_zone_delay=0.0009,
+    accounts=19,
+)
+SITES = {site.name: site for site in (BROLGA, TREIPUU, BROLGA_GROWN, TREIPUU_LARGE)}
 DAYS = ("quiet", "scale")
 SCALE_DAY_WAVES = (Wave(4.0, 4.0, 1.8), Wave(14.0, 5.0, 2.2))
 
--- a/fireflyquay/dispatch/_coordinator.py
+++ b/fireflyquay/dispatch/_coordinator.py
@@ -223,7 +223,11 @@
                 request.quota_tokens,
             )
             return []
-        return [self._make_quota_refusal(request, shortage)]
+        refusal = self._make_quota_refusal(request, shortage)
+        self._scheduler.refused_requests.record(
+            request.fingerprint, now - request.age, now + refusal.retry_after, now
+        )
+        return [refusal]
 
     def _make_quota_refusal(
         self, request: SlotRequest, shortage: QuotaShortage
--- a/fireflyquay/dispatch/_rank_statistics.py
+++ b/fireflyquay/dispatch/_rank_statistics.py
@@ -8,6 +8,9 @@
 # Window of the grant rate from which waits are forecast: longer than the interval
 # between freed slots, shorter than a burst.
 GRANT_RATE_WINDOW_SECONDS = 1.0
+# Window of the arrival rate from which the grants to late requests are forecast: the
+# end of a burst shows within it.
+ARRIVAL_RATE_WINDOW_SECONDS = 0.5
 # With fewer waiting requests no wait is forecast: too few grants to estimate a rate.
 MIN_WAITING_FOR_FORECAST = 4
 # Decay constant: requests after which a decision has about a third of its weight.
@@ -18,6 +21,9 @@
 # A rank is overloaded if its arrivals exceed its grants by this factor and margin.
 OVERLOAD_FACTOR = 1.15
 OVERLOAD_MARGIN_REQUESTS = 3
+# Time for which a rank has room for late requests after none of the others waited:
+# longer than the intervals at which requests arrive in groups.
+ROOM_MEMORY_SECONDS = 0.25
 # Weight of one run in the moving average of first output delays.
 FIRST_OUTPUT_DELAY_WEIGHT = 0.025
 # Multiple of the average delay within which most first outputs arrive.
@@ -57,10 +63,13 @@
     """
 
     def __init__(self) -> None:
+        # Arrivals include refused requests, but no retries.
         self._forecast_grants = _SlidingWindowCounter(GRANT_RATE_WINDOW_SECONDS)
-        # Events within the overload window; arrivals include refused requests.
+        self._forecast_arrivals = _SlidingWindowCounter(ARRIVAL_RATE_WINDOW_SECONDS)
         self._overload_grants = _SlidingWindowCounter(OVERLOAD_WINDOW_SECONDS)
         self._overload_arrivals = _SlidingWindowCounter(OVERLOAD_WINDOW_SECONDS)
+        # Loop time at which no request waited that could still be on time.
+        self._had_room_at = -math.inf
         # Moving average of the share of requests that were granted a slot.
         self.granted_share = 1.0
         # Moving average of the seconds from a grant to the first output.
@@ -72,6 +81,7 @@
 
     def record_arrival(self, now: float, latency_objective: float = 0.0) -> None:
         """Record the arrival of a request, and its objective unless it is 0."""
+        self._forecast_arrivals.record(now)
         self._overload_arrivals.record(now)
         previous, current = self._shortest_objectives
         if now - self._objectives_since > OBJECTIVE_WINDOW_SECONDS:
@@ -123,6 +133,23 @@
             waiting * GRANT_RATE_WINDOW_SECONDS / (self._forecast_grants.count(now) + 1)
         )
 
+    def record_room(self, now: float) -> None:
+        """Record that no request of the rank waits that can still be on time."""
+        self._had_room_at = now
+
+    def estimate_late_wait(self, waiting: int, now: float) -> float:
+        """Return the forecast seconds until late requests have got slots.
+
+        ``waiting`` is their number with that of all before them. They get the slots
+        that arriving requests leave: all that become free, if none waited recently that
+        could be on time.
+        """
+        rate = self._forecast_grants.count(now) / GRANT_RATE_WINDOW_SECONDS
+        if now - self._had_room_at > ROOM_MEMORY_SECONDS:
+            arrivals = self._forecast_arrivals.count(now)
+            rate -= arrivals / ARRIVAL_RATE_WINDOW_SECONDS
+        return waiting / rate if rate > 0 else math.inf
+
     def is_overloaded(self, now: float) -> bool:
         """Return whether recent arrivals far exceed recent grants."""
         granted = self._overload_grants.count(now)
--- a/fireflyquay/dispatch/_retry_after_schedule.py
+++ b/fireflyquay/dispatch/_retry_after_schedule.py
@@ -3,9 +3,6 @@
 from __future__ import annotations
 
 import random
-from collections import OrderedDict
-
-from fireflyquay.world import Fingerprint
 
 # A client honors a Retry-After of at most this fraction of its remaining time: the
 # limit that the platform states, less a margin for network delay.
@@ -14,9 +11,6 @@
 MIN_RETRY_AFTER_SECONDS = 0.3
 # Share of the honored time over which retries are spread while a rank is overloaded.
 OVERLOAD_SPREAD_SHARE = 0.3
-MAX_REMEMBERED_REFUSALS = 4096
-# Covers the delay before a retry and the time that the retried request waits.
-REFUSAL_MEMORY_SECONDS = 15.0
 
 
 class RetryAfterSchedule:
@@ -30,12 +24,9 @@
         self._rng = rng
         # Loop time from which free capacity is not yet assigned to a retry.
         self._capacity_free_at = 0.0
-        # Loop time of the latest refusal of each request.
-        self._refused_at: OrderedDict[Fingerprint, float] = OrderedDict()
 
     def schedule_retry(
         self,
-        fingerprint: Fingerprint,
         backlog: float,
         work: float,
         seconds_to_deadline: float,
@@ -49,7 +40,6 @@
         is told to retry as late as it will honor.
         """
         if is_overloaded:
-            self._record_refusal(fingerprint, now)
             limit = max(
                 MIN_RETRY_AFTER_SECONDS, HONORED_TIME_SHARE * seconds_to_deadline
             )
@@ -60,16 +50,4 @@
         if seconds > limit:
             seconds = limit
             self._capacity_free_at = min(self._capacity_free_at, now + limit)
-        self._record_refusal(fingerprint, now)
         return seconds
-
-    def _record_refusal(self, fingerprint: Fingerprint, now: float) -> None:
-        self._refused_at[fingerprint] = now
-        self._refused_at.move_to_end(fingerprint)
-        while len(self._refused_at) > MAX_REMEMBERED_REFUSALS:
-            self._refused_at.popitem(last=False)
-
-    def was_refused_recently(self, fingerprint: Fingerprint, now: float) -> bool:
-        """Return whether a request was refused recently."""
-        refused_at = self._refused_at.get(fingerprint)
-        return refused_at is not None and now - refused_at < REFUSAL_MEMORY_SECONDS
--- a/fireflyquay/dispatch/_scheduler.py
+++ b/fireflyquay/dispatch/_scheduler.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from msgspec.structs import replace
+
 from fireflyquay.world import (
     BackendEntry,
     BackendServerId,
@@ -21,6 +23,7 @@
 from ._backend_load import FAILING_BACKEND_PAUSE_SECONDS, BackendLoad, SlotRequestKey
 from ._control_message import BackendNews, BackendPause, RunEnded
 from ._rank_statistics import RankStatistics
+from ._refused_requests import RefusedRequests
 from ._retry_after_schedule import HONORED_TIME_SHARE, RetryAfterSchedule
 from ._slot_messages import Decision, Grant, Refusal, SlotRequest
 from ._slot_queue import QueuedRequest, SlotQueue
@@ -145,6 +148,8 @@
         self._rng = rng
         self._states: dict[ServiceId, _ServiceState] = {}
         self._services_by_backend: dict[BackendServerId, ServiceId] = {}
+        # Also of those that were refused for their client account's limits.
+        self.refused_requests = RefusedRequests()
         # Fraction of the slots of each backend server that this scheduler may grant.
         self.share = 1.0
         # Fraction of each stated request limit that it may grant.
@@ -187,19 +192,36 @@
         if state.is_version_gone(request):
             return [self._make_version_refusal(request)]
         settings = self._settings
+        is_expected = self.refused_requests.was_refused_recently(
+            request.fingerprint, now
+        )
+        arrived_at, is_retry = now - request.age, False
+        first_arrived_at = self.refused_requests.match_retry(request.fingerprint, now)
+        if first_arrived_at is not None:
+            missed = arrived_at - first_arrived_at
+            seconds = request.seconds_to_objective - missed
+            request = replace(request, seconds_to_objective=seconds)
+            arrived_at, is_retry = first_arrived_at, True
         max_wait = min(
             settings.max_give_up_wait_share * request.seconds_to_give_up,
             settings.max_deadline_wait_share * request.seconds_to_deadline,
         )
         statistics = state.ranks[request.rank]
-        statistics.record_arrival(now, request.latency_objective)
+        if not is_retry:
+            statistics.record_arrival(now, request.latency_objective)
         latest_start = now + statistics.compute_on_time_wait(
             request.seconds_to_objective
         )
-        item = QueuedRequest(request, now, now + max_wait, latest_start, weight)
+        item = QueuedRequest(
+            request, now, now + max_wait, latest_start, weight, arrived_at
+        )
         state.queue.add(item)
         decisions = self._assign_slots(state, now)
-        cause = None if item.is_done else self._find_refusal(state, request, now)
+        cause = None
+        # The client of a request that was refused before treats another refusal as
+        # final.
+        if not item.is_done and not is_expected:
+            cause = self._find_refusal(state, request, now)
         if cause is not None:
             state.queue.remove(item.key)
             decisions.append(self._refuse_queued(state, item, cause, now))
@@ -416,13 +438,23 @@
         """Refuse the late requests of overloaded ranks.
 
         Guards against sustained overload: requests still on time take all slots, and
-        late ones would only wait until they are refused.
+        late ones would only wait until they are refused. When a burst is over, those
+        wait that get the slots which arriving requests leave.
         """
         decisions: list[Decision] = []
+        for rank, statistics in state.ranks.items():
+            if not state.queue.count_on_time(rank, now):
+                statistics.record_room(now)
         for rank, items in state.queue.group_late_by_rank(now).items():
-            if not state.ranks[rank].is_overloaded(now):
+            statistics = state.ranks[rank]
+            waiting = state.queue.count_on_time(rank, now)
+            if not statistics.is_overloaded(now):
                 continue
             for item in items:
+                wait = statistics.estimate_late_wait(waiting + 1, now)
+                if now + wait <= item.expires_at:
+                    waiting += 1
+                    continue
                 state.queue.remove(item.key)
                 decisions.append(
                     self._refuse_queued(state, item, _RefusalCause.LATE, now)
@@ -498,14 +530,11 @@
     ) -> _RefusalCause | None:
         """Return why a request can't meet its objective, or None if it may.
 
-        A request that was refused recently is queued regardless, because its client
-        treats a second refusal as final. So is a stream that continues: what its client
-        has would be lost, and the forecast counts slots of other versions.
+        A stream that continues is queued regardless: what its client has would be lost,
+        and the forecast counts slots of other versions.
         """
         if request.version is not None:
             return None
-        if state.retry_schedule.was_refused_recently(request.fingerprint, now):
-            return None
         waiting = state.queue.count_on_time(request.rank, now)
         statistics = state.ranks[request.rank]
         seconds = statistics.limit_to_shortest_objective(request.seconds_to_objective)
@@ -537,15 +566,16 @@
             len(state.queue), state.queue.prompt_tokens, state.queue.output_tokens
         )
         backlog, work = backlog / slots, load.forecast_run(request) / slots
-        fingerprint = request.fingerprint
         seconds = state.retry_schedule.schedule_retry(
-            fingerprint,
             backlog + state.estimate_rest(request.owner, now),
             work,
             request.seconds_to_deadline,
             now,
             statistics.is_overloaded(now),
         )
+        self.refused_requests.record(
+            request.fingerprint, item.arrived_at, now + seconds, now
+        )
         waited = now - item.queued_at
         reason = f"waited {waited:.2f} s among {len(state.queue)}: {cause}"
         return Refusal(request.owner, request.number, Code.OVERLOADED, seconds, reason)
--- a/fireflyquay/dispatch/_slot_messages.py
+++ b/fireflyquay/dispatch/_slot_messages.py
@@ -62,6 +62,11 @@
     # server, was charged to its client account.
     is_charged: bool = False
 
+    @property
+    def age(self) -> float:
+        """Return the seconds since the request arrived, as far as they are known."""
+        return max(0.0, self.latency_objective - self.seconds_to_objective)
+
 
 @dataclass(slots=True)
 class Run:
--- a/fireflyquay/dispatch/_slot_queue.py
+++ b/fireflyquay/dispatch/_slot_queue.py
@@ -35,6 +35,8 @@
     # Weight of the client account within the rank; all accounts with None share one
     # flow of weight 1.
     weight: float | None = None
+    # Loop time of the client's first attempt; 0 if not known.
+    arrived_at: float = 0.0
     # Whether the request was decided or cancelled.
     is_done: bool = False
 
@@ -55,7 +57,10 @@
 
 @dataclass(slots=True)
 class _FlowQueue:
-    """Hold the requests of one flow in order of arrival, late ones separately."""
+    """Hold the requests of one flow, late ones separately.
+
+    Both are in order of the first attempts of their clients.
+    """
 
     on_time: deque[QueuedRequest] = field(default_factory=deque)
     late: deque[QueuedRequest] = field(default_factory=deque)
@@ -67,7 +72,7 @@
         ):
             item = self.on_time.popleft()
             if not item.is_done:
-                self.late.append(item)
+                _insert_by_arrival(self.late, item)
         while self.late and self.late[0].is_done:
             self.late.popleft()
 
@@ -77,6 +82,13 @@
         return not self.on_time and not self.late
 
 
+def _insert_by_arrival(queue: deque[QueuedRequest], item: QueuedRequest) -> None:
+    index = len(queue)
+    while index and queue[index - 1].arrived_at > item.arrived_at:
+        index -= 1
+    queue.insert(index, item)
+
+
 class _RankQueue:
     """Order the requests of one rank by weighted fair queueing."""
 
@@ -100,7 +112,7 @@
                 least, self._normalized_usage.get(item.flow, 0.0)
             )
             self.flows[item.flow] = _FlowQueue()
-        self.flows[item.flow].on_time.append(item)
+        _insert_by_arrival(self.flows[item.flow].on_time, item)
 
     def record_grant(self, item: QueuedRequest) -> None:
         """Add the work of a granted request to the usage of its flow."""
@@ -235,7 +247,7 @@
                 if not item.is_done
             ]
             if late:
-                late_by_rank[rank] = sorted(late, key=lambda item: item.queued_at)
+                late_by_rank[rank] = sorted(late, key=lambda item: item.arrived_at)
         return late_by_rank
 
     def pop_expired(self, now: float) -> list[QueuedRequest]:
--- a/fireflyquay/dispatch/tests/test_coordinator.py
+++ b/fireflyquay/dispatch/tests/test_coordinator.py
@@ -86,7 +86,8 @@
         decisions += coordinator.submit(
             make_request(number, seconds_to_objective=0.4), 0.0
         )
-    decisions += coordinator.advance(0.1) + coordinator.advance(1.0)
+    for at in (0.1, 1.0, 2.0):
+        decisions += coordinator.advance(at)
     reasons = [it.reason for it in decisions if isinstance(it, Refusal)]
     assert len(reasons) == 8
     for cause in ("longest wait is over", "no slot is expected", "it is late"):
--- a/fireflyquay/dispatch/tests/test_queueing.py
+++ b/fireflyquay/dispatch/tests/test_queueing.py
@@ -3,6 +3,7 @@
 import random
 
 from fireflyquay.dispatch._rank_statistics import RankStatistics
+from fireflyquay.dispatch._refused_requests import RefusedRequests
 from fireflyquay.dispatch._retry_after_schedule import RetryAfterSchedule
 from fireflyquay.dispatch._slot_queue import QueuedRequest, SlotQueue
 from fireflyquay.dispatch._time_per_unit_estimator import TimePerUnitEstimator
@@ -65,9 +66,7 @@
 
 def test_retries_are_spread_after_backlog():
     schedule = RetryAfterSchedule(random.Random(1))
-    delays = [
-        schedule.schedule_retry(f"f{n}", 1.0, 0.1, 30.0, now=0.0) for n in range(5)
-    ]
+    delays = [schedule.schedule_retry(1.0, 0.1, 30.0, now=0.0) for n in range(5)]
     assert delays == sorted(delays)
     assert delays[0] > 1.0
     assert all(
@@ -77,30 +76,39 @@
 
 def test_retry_after_stays_within_honored_time():
     schedule = RetryAfterSchedule(random.Random(1))
-    delays = [
-        schedule.schedule_retry(f"f{n}", 20.0, 5.0, 6.0, now=0.0) for n in range(9)
-    ]
+    delays = [schedule.schedule_retry(20.0, 5.0, 6.0, now=0.0) for n in range(9)]
     assert max(delays) <= 2.0
 
 
 def test_retries_are_late_and_spread_under_overload():
     schedule = RetryAfterSchedule(random.Random(1))
     delays = [
-        schedule.schedule_retry(f"f{n}", 0.0, 0.001, 9.0, now=0.0, is_overloaded=True)
+        schedule.schedule_retry(0.0, 0.001, 9.0, now=0.0, is_overloaded=True)
         for n in range(50)
     ]
     # Clients honor a Retry-After of up to a third of their remaining time, 3 s here.
     assert 2.0 < min(delays) and max(delays) <= 3.0
     assert max(delays) - min(delays) > 0.5
-    assert schedule.was_refused_recently("f1", 2.0)
 
 
 def test_refusal_is_remembered_for_limited_time():
-    schedule = RetryAfterSchedule(random.Random(1))
-    schedule.schedule_retry("f1", 1.0, 0.1, 30.0, now=0.0)
-    assert schedule.was_refused_recently("f1", 2.0)
-    assert not schedule.was_refused_recently("f2", 2.0)
-    assert not schedule.was_refused_recently("f1", 60.0)
+    refused = RefusedRequests()
+    refused.record("f1", 0.0, 1.0, now=0.0)
+    assert refused.was_refused_recently("f1", 2.0)
+    assert not refused.was_refused_recently("f2", 2.0)
+    assert not refused.was_refused_recently("f1", 60.0)
+    assert refused.match_retry("f1", 60.0) is None
+
+
+def test_each_refusal_is_matched_by_one_retry_that_is_due():
+    refused = RefusedRequests()
+    refused.record("f1", 0.1, 1.0, now=0.2)
+    refused.record("f1", 0.3, 1.5, now=0.4)
+    assert refused.match_retry("f1", 0.6) is None
+    assert refused.match_retry("f1", 1.0) == 0.1
+    assert refused.match_retry("f1", 1.2) is None
+    assert refused.match_retry("f1", 1.6) == 0.3
+    assert not refused.was_refused_recently("f1", 1.6)
 
 
 def test_rate_estimate_weights_large_work_more():
