Count what a client has left of its time when it resumes a stream

Cause: a VM that knows nothing of a stream lets it go on only if all backend servers have run one version for twice the longest timeout of a stream, 31 s there; the processes were 29.8 s old. These clients send no Resumes, so no VM can be asked.

Change: a stream can't have lasted the part of its client's time that is left, so the version has to be proven for that much less.

--- a/fireflyquay/gateway/_stream_locator.py
+++ b/fireflyquay/gateway/_stream_locator.py
@@ -104,11 +104,15 @@
             lookup.set_result(origin)
 
     def _has_one_version(self, call: Call) -> bool:
-        """Return whether a stream of the call's route can't have begun elsewhere."""
+        """Return whether a stream of the call's route can't have begun elsewhere.
+
+        What the client has left of its time the stream can't have lasted yet.
+        """
         shares = call.admission.route.shares
+        seconds_left = call.metadata.client_timeout or 0.0
         return len(shares) == 1 and self._backends.had_one_version(
             shares[0].service,
-            self._origins.lifetime,
+            max(0.0, self._origins.lifetime - seconds_left),
             self._clock.read(),
             self._clock.read_unix_ms(),
         )
