End the examinations and connections of a gateway with it

What was seen: test_cut_off_vms_serve_as_often_as_others failed once beside load with two unraisable "Event loop is closed".

Cause: a gateway that ended cancelled its own tasks, but neither the examinations of paths, nor the test of other backend servers, nor the checks of broken connections. They went on, and connections that they opened were put into the pool after it had been closed, where nobody closed them; their writers outlived the event loop.

Change: the forwarder and the paths end their tasks with the gateway, and a closed pool closes what is released to it.

A planned stop can't lose an answer by it, as it waits for all requests in progress, and a request waits for its check.

--- a/fireflyquay/gateway/_backend_paths.py
+++ b/fireflyquay/gateway/_backend_paths.py
@@ -204,6 +204,15 @@
             return TunnelState.SERVER_UNREACHABLE, None
         return attempt.state, attempt.connection
 
+    async def close(self) -> None:
+        """Cancel the examinations in progress."""
+        tasks = list(self._examinations.values())
+        if self._test_of_others is not None:
+            tasks.append(self._test_of_others)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
     async def test_paths(self) -> None:
         """Test the direct paths that are down until cancelled."""
         while True:
--- a/fireflyquay/gateway/_forwarder.py
+++ b/fireflyquay/gateway/_forwarder.py
@@ -103,6 +103,13 @@
             if call.crash_check is None:
                 attempt.release(failed)
 
+    async def close(self) -> None:
+        """Cancel the crash checks in progress."""
+        tasks = tuple(self._crash_checks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
     def _start_crash_check(self, attempt: _Attempt) -> asyncio.Task[None]:
         """Find out why a connection broke, then release the slot."""
         task = asyncio.get_running_loop().create_task(attempt.check_crash())
--- a/fireflyquay/gateway/_gateway.py
+++ b/fireflyquay/gateway/_gateway.py
@@ -141,6 +141,9 @@
         own = self.fleet.get_own_vm()
         listing = VmListing(own.host, own.peer_port, own.zone, own.region)
         self._discovery = Discovery(source, listing, self.fleet)
+        self._forwarder = Forwarder(
+            client, self.paths, self._slot_client, self._quarantine, self.metrics
+        )
         self._ingress = Ingress(
             self.incarnation,
             ZoneId(vm.zone),
@@ -148,9 +151,7 @@
             self.replicas,
             self._clock,
             self._slot_client,
-            Forwarder(
-                client, self.paths, self._slot_client, self._quarantine, self.metrics
-            ),
+            self._forwarder,
             self.paths,
             self._quarantine,
             self._stream_locator,
@@ -407,6 +408,8 @@
         )
         for server in servers:
             await server.close(0)
+        await self._forwarder.close()
+        await self.paths.close()
         await self.fleet.close()
         await self._client.close()
 
--- a/fireflyquay/links/_http_pool.py
+++ b/fireflyquay/links/_http_pool.py
@@ -163,6 +163,7 @@
     def __init__(self, idle_timeout_seconds: float) -> None:
         self._idle_timeout_seconds = idle_timeout_seconds
         self._idle_connections: dict[Address, deque[ClientConnection]] = {}
+        self._is_closed = False
 
     def acquire(
         self, address: Address, now: float, max_idle_seconds: float | None = None
@@ -192,7 +193,13 @@
     def release(
         self, address: Address, connection: ClientConnection, now: float
     ) -> None:
-        """Add a connection to the pool; close the oldest beyond the limits."""
+        """Add a connection to the pool; close the oldest beyond the limits.
+
+        A closed pool keeps none: an exchange may end after it was closed.
+        """
+        if self._is_closed:
+            connection.abort()
+            return
         connection.idle_since = now
         connections = self._idle_connections.setdefault(address, deque())
         connections.append(connection)
@@ -204,7 +211,8 @@
             connections.popleft().abort()
 
     def close(self) -> None:
-        """Close all idle connections."""
+        """Close all idle connections, and those that are added from now on."""
+        self._is_closed = True
         for connections in self._idle_connections.values():
             for connection in connections:
                 connection.abort()
