--- a/fireflyquay/dispatch/tests/test_queueing.py
+++ b/fireflyquay/dispatch/tests/test_queueing.py
@@ -111,6 +111,27 @@
     assert not refused.was_refused_recently("f1", 1.6)
 
 
+def test_retries_of_a_large_fleet_are_recognized_in_a_burst():
+    refused = RefusedRequests()
+    refusals = [(f"f{n}", n / 1500) for n in range(9000)]
+    for fingerprint, at in refusals:
+        refused.record(fingerprint, at, at + 5.0, at)
+    assert all(
+        refused.match_retry(fingerprint, at + 5.0) == at for fingerprint, at in refusals
+    )
+
+
+def test_refusals_that_no_retry_follows_are_forgotten():
+    refused = RefusedRequests()
+    for number in range(1000):
+        refused.record(f"f{number}", 0.0, 1.0, now=0.0)
+    refused.record("f", 20.0, 21.0, now=20.0)
+    assert len(refused) == 1
+    for number in range(40_000):
+        refused.record(f"g{number}", 20.0, 21.0, now=20.0)
+    assert len(refused) < 33_000
+
+
 def test_rate_estimate_weights_large_work_more():
     estimator = TimePerUnitEstimator(0.001, 1000)
     for _ in range(20):
