--- a/fireflyquay/dispatch/_scheduler.py
+++ b/fireflyquay/dispatch/_scheduler.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-from collections import defaultdict
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from enum import StrEnum
@@ -22,11 +21,11 @@
 from ._backend_beliefs import BackendBeliefs
 from ._backend_load import FAILING_BACKEND_PAUSE_SECONDS, BackendLoad, SlotRequestKey
 from ._control_message import BackendNews, BackendPause, RunEnded
-from ._rank_statistics import RankStatistics
 from ._refused_requests import RefusedRequests
-from ._retry_after_schedule import HONORED_TIME_SHARE, RetryAfterSchedule
+from ._retry_after_schedule import HONORED_TIME_SHARE
+from ._service_state import ServiceState
 from ._slot_messages import Decision, Grant, Refusal, SlotRequest
-from ._slot_queue import QueuedRequest, SlotQueue
+from ._slot_queue import QueuedRequest
 from ._stream_origins import StreamOrigin, StreamOrigins
 
 # Time within which a grant reaches the requesting VM, even if a lost packet delays it
@@ -81,60 +80,6 @@
     WAIT_EXPIRED = "its longest wait is over"
 
 
-class _ServiceState:
-    """Hold the backend servers, queue and statistics of one service."""
-
-    def __init__(self, rng: random.Random) -> None:
-        self.retry_schedule = RetryAfterSchedule(rng)
-        self.ranks: defaultdict[tuple[int, int], RankStatistics] = defaultdict(
-            RankStatistics
-        )
-        self.loads: dict[BackendServerId, BackendLoad] = {}
-        self.queue = SlotQueue()
-        # Whether a software version may have left while streams wait for it.
-        self.has_lost_backends = False
-
-    def is_version_gone(self, request: SlotRequest) -> bool:
-        """Return whether no backend server is left at which a stream may continue."""
-        return request.version is not None and not any(
-            load.entry.version == request.version
-            and load.entry.id not in request.excluded
-            for load in self.loads.values()
-        )
-
-    def find_starved_rank(self, min_grant_share: float) -> tuple[int, int] | None:
-        """Return the rank whose granted share is far below the best one's, if any."""
-        if len(self.ranks) < 2:
-            return None
-        best = max(statistics.granted_share for statistics in self.ranks.values())
-        rank = min(self.ranks, key=lambda rank: self.ranks[rank].granted_share)
-        if self.ranks[rank].granted_share < min_grant_share * best:
-            return rank
-        return None
-
-    def estimate_limited_wait(self, waiting: int, share: float) -> float:
-        """Return the seconds until so many requests are granted at the stated limits.
-
-        Returns 0 if any backend server states no limit.
-        """
-        rate = 0.0
-        for load in self.loads.values():
-            if load.limit is None:
-                return 0.0
-            rate += load.limit.rate * share
-        return max(0, waiting - len(self.loads)) / rate
-
-    def estimate_rest(self, vm: Incarnation, now: float) -> float:
-        """Return the seconds until the first backend server takes requests of a VM."""
-        ends = [load.rests.get(vm, 0.0) for load in self.loads.values()]
-        return max(0.0, min(ends) - now)
-
-    def compute_median_failure_rate(self) -> float:
-        """Return the median failure rate of the backend servers."""
-        rates = sorted(load.failure_rate for load in self.loads.values())
-        return rates[(len(rates) - 1) // 2]
-
-
 class SlotScheduler:
     """Assign slots on backend servers to the requests of several entry VMs.
 
@@ -146,9 +91,9 @@
     def __init__(self, settings: SlotSchedulerSettings, rng: random.Random) -> None:
         self._settings = settings
         self._rng = rng
-        self._states: dict[ServiceId, _ServiceState] = {}
+        self._states: dict[ServiceId, ServiceState] = {}
         self._services_by_backend: dict[BackendServerId, ServiceId] = {}
-        # Also of those that were refused for their client account's limits.
+        # Includes those that were refused for the quota of their client account.
         self.refused_requests = RefusedRequests()
         # Fraction of the slots of each backend server that this scheduler may grant.
         self.share = 1.0
@@ -167,7 +112,7 @@
             state.loads.pop(backend_id, None)
             state.has_lost_backends = True
         for backend_id, entry in entries_by_id.items():
-            state = self._states.setdefault(entry.service, _ServiceState(self._rng))
+            state = self._states.setdefault(entry.service, ServiceState(self._rng))
             load = state.loads.get(backend_id)
             if load is None or load.entry.born_ms != entry.born_ms:
                 others = [it.entry for it in state.loads.values()]
@@ -192,26 +137,21 @@
         if state.is_version_gone(request):
             return [self._make_version_refusal(request)]
         settings = self._settings
-        is_expected = self.refused_requests.was_refused_recently(
+        was_refused = self.refused_requests.was_refused_recently(
             request.fingerprint, now
         )
-        arrived_at, is_retry = now - request.age, False
-        first_arrived_at = self.refused_requests.match_retry(request.fingerprint, now)
-        if first_arrived_at is not None:
-            missed = arrived_at - first_arrived_at
-            seconds = request.seconds_to_objective - missed
-            request = replace(request, seconds_to_objective=seconds)
-            arrived_at, is_retry = first_arrived_at, True
+        request, first_arrived_at = self._recognize_retry(request, now)
         max_wait = min(
             settings.max_give_up_wait_share * request.seconds_to_give_up,
             settings.max_deadline_wait_share * request.seconds_to_deadline,
         )
         statistics = state.ranks[request.rank]
-        if not is_retry:
+        if first_arrived_at is None:
             statistics.record_arrival(now, request.latency_objective)
         latest_start = now + statistics.compute_on_time_wait(
             request.seconds_to_objective
         )
+        arrived_at = now - request.age if first_arrived_at is None else first_arrived_at
         item = QueuedRequest(
             request, now, now + max_wait, latest_start, weight, arrived_at
         )
@@ -220,13 +160,27 @@
         cause = None
         # The client of a request that was refused before treats another refusal as
         # final.
-        if not item.is_done and not is_expected:
+        if not item.is_done and not was_refused:
             cause = self._find_refusal(state, request, now)
         if cause is not None:
             state.queue.remove(item.key)
             decisions.append(self._refuse_queued(state, item, cause, now))
         return decisions
 
+    def _recognize_retry(
+        self, request: SlotRequest, now: float
+    ) -> tuple[SlotRequest, float | None]:
+        """Return the request with what its client has left of its objective.
+
+        Also returns the loop time of the client's first attempt if this is a retry.
+        """
+        first_arrived_at = self.refused_requests.match_retry(request.fingerprint, now)
+        if first_arrived_at is None:
+            return request, None
+        missed = now - request.age - first_arrived_at
+        seconds = request.seconds_to_objective - missed
+        return replace(request, seconds_to_objective=seconds), first_arrived_at
+
     def cancel(self, key: SlotRequestKey, now: float) -> list[Decision]:
         """Cancel a waiting or running request."""
         for state in self._states.values():
@@ -387,7 +341,7 @@
         service = self._services_by_backend.get(backend)
         return None if service is None else self._states[service].loads.get(backend)
 
-    def _assign_slots(self, state: _ServiceState, now: float) -> list[Decision]:
+    def _assign_slots(self, state: ServiceState, now: float) -> list[Decision]:
         if not state.queue:
             return []
         if not state.loads:
@@ -422,7 +376,7 @@
             )
         return decisions
 
-    def _refuse_gone_versions(self, state: _ServiceState) -> list[Decision]:
+    def _refuse_gone_versions(self, state: ServiceState) -> list[Decision]:
         """Refuse the streams whose software version has left."""
         if not state.has_lost_backends:
             return []
@@ -434,7 +388,7 @@
                 decisions.append(self._make_version_refusal(item.request))
         return decisions
 
-    def _refuse_late(self, state: _ServiceState, now: float) -> list[Decision]:
+    def _refuse_late(self, state: ServiceState, now: float) -> list[Decision]:
         """Refuse the late requests of overloaded ranks.
 
         Guards against sustained overload: requests still on time take all slots, and
@@ -500,7 +454,7 @@
         return None if is_late and waited < max_wait else best
 
     def _make_grant(
-        self, state: _ServiceState, load: BackendLoad, item: QueuedRequest, now: float
+        self, state: ServiceState, load: BackendLoad, item: QueuedRequest, now: float
     ) -> Grant:
         request = item.request
         forecast = load.forecast_first_output(request, now)
@@ -526,7 +480,7 @@
             self.origins.record(request.stream, origin, now, request.owner)
 
     def _find_refusal(
-        self, state: _ServiceState, request: SlotRequest, now: float
+        self, state: ServiceState, request: SlotRequest, now: float
     ) -> _RefusalCause | None:
         """Return why a request can't meet its objective, or None if it may.
 
@@ -549,7 +503,7 @@
 
     def _refuse_queued(
         self,
-        state: _ServiceState,
+        state: ServiceState,
         item: QueuedRequest,
         cause: _RefusalCause,
         now: float,
