Let the soak replace one build by another, VM by VM

An upgrade runs two builds side by side, and no run of ours did.

The seeds draw the same faults as without it.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -11,6 +11,9 @@
 import random
 import sys
 import time
+from pathlib import Path
+
+from fleetwire.tests.fleet import REPOSITORY_ROOT
 
 from ._soak_run import run_soak
 
@@ -39,6 +42,12 @@
     )
     parser.add_argument("--gateways", type=int, default=DEFAULT_GATEWAY_COUNT)
     parser.add_argument("--mutant", default="", help="name of a mutant in soak.mutants")
+    parser.add_argument(
+        "--production",
+        type=Path,
+        default=REPOSITORY_ROOT,
+        help="checkout of the build that the gateways start with",
+    )
     arguments = parser.parse_args()
     seed = arguments.first
     if seed is None:
@@ -47,7 +56,13 @@
     failed = seed_count = 0
     while seed_count < arguments.seeds or time.monotonic() < ends_at:
         result = asyncio.run(
-            run_soak(seed, arguments.seconds, arguments.gateways, arguments.mutant)
+            run_soak(
+                seed,
+                arguments.seconds,
+                arguments.gateways,
+                arguments.mutant,
+                production=arguments.production.resolve(),
+            )
         )
         print(
             f"seed {seed}: {result.request_count} requests, "
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -7,6 +7,7 @@
 import signal
 from collections.abc import Awaitable, Callable
 
+from fleetwire.tests.fleet import REPOSITORY_ROOT, GatewayProcess
 from fleetwire.tests.store_standin import StoreFault
 from fleetwire.tests.worker_responses import Behavior
 
@@ -75,6 +76,8 @@
         """Start faults for some seconds, then wait until all have ended."""
         loop = asyncio.get_running_loop()
         end = loop.time() + seconds
+        if self._fleet.needs_upgrade:
+            self._tasks.add(loop.create_task(self._upgrade_in_turn(seconds)))
         while loop.time() < end:
             fault = self._rng.choice(self._faults)
             self._history.count_fault(fault.__name__)
@@ -102,7 +105,17 @@
 
     async def stop_gateway(self) -> None:
         """Stop a gateway gracefully and restart it."""
-        gateway = self._rng.choice(self._fleet.gateways)
+        await self._stop_and_restart(self._rng.choice(self._fleet.gateways))
+
+    async def _upgrade_in_turn(self, seconds: float) -> None:
+        """Replace the build of one gateway after the other, evenly over some time."""
+        pause = seconds / (len(self._fleet.gateways) + 1)
+        for gateway in self._fleet.gateways:
+            await asyncio.sleep(pause)
+            gateway.checkout = REPOSITORY_ROOT
+            await self._stop_and_restart(gateway)
+
+    async def _stop_and_restart(self, gateway: GatewayProcess) -> None:
         with self._history.record_fault_interval(gateway.host):
             # Another fault may replace the process during the wait; the new one did
             # not get the signal.
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 from fleetwire.tests.cluster import make_config_spec, make_settings
-from fleetwire.tests.fleet import GatewayProcess, write_toml
+from fleetwire.tests.fleet import REPOSITORY_ROOT, GatewayProcess, write_toml
 from fleetwire.tests.store_standin import StoreStandIn
 from fleetwire.tests.worker_standin import WorkerStandIn
 
@@ -23,9 +23,16 @@
 class Fleet:
     """Run gateway processes, stand-ins and relays."""
 
-    def __init__(self, gateway_count: int, mutant: str = "") -> None:
+    def __init__(
+        self,
+        gateway_count: int,
+        mutant: str = "",
+        production: Path = REPOSITORY_ROOT,
+    ) -> None:
         self._gateway_count = gateway_count
         self._mutant = mutant
+        # Checkout of the build that the gateways run until they are upgraded.
+        self._production = production
         self._directory = tempfile.TemporaryDirectory(prefix="fireflyquay-soak-")
         self.store = StoreStandIn()
         self.workers: list[WorkerStandIn] = []
@@ -96,6 +103,11 @@
             await gateway.kill()
             await gateway.start()
 
+    @property
+    def needs_upgrade(self) -> bool:
+        """Return whether the gateways start with another build."""
+        return self._production != REPOSITORY_ROOT
+
     async def close(self) -> None:
         """Stop all gateways, stand-ins and relays."""
         for gateway in self.gateways:
@@ -117,6 +129,6 @@
         settings = make_settings(host, self.ports, relay.port, stop_grace=3.0)
         path = Path(self._directory.name) / f"{number}.toml"
         path.write_text(write_toml(settings))
-        gateway = GatewayProcess(path, host, self._mutant)
+        gateway = GatewayProcess(path, host, self._mutant, self._production)
         self.gateways.append(gateway)
         await gateway.start()
--- a/soak/_soak_run.py
+++ b/soak/_soak_run.py
@@ -6,10 +6,12 @@
 import random
 from collections.abc import Coroutine
 from dataclasses import dataclass
+from pathlib import Path
 from typing import Any
 
 from fleetwire.tests.client import Client, ClientRequest
 from fleetwire.tests.cluster import HOST
+from fleetwire.tests.fleet import REPOSITORY_ROOT
 
 from ._faults import FaultInjector
 from ._fleet import Fleet
@@ -47,13 +49,16 @@
     gateway_count: int,
     mutant: str = "",
     draws_later_faults: bool = True,
+    production: Path = REPOSITORY_ROOT,
 ) -> SoakResult:
     """Run a fleet under faults drawn from a seed and return the result.
 
-    Seeds from before some faults were added draw as they did without them.
+    Seeds from before some faults were added draw as they did without them. The
+    gateways start with the build in the folder ``production`` and are replaced by
+    this one in turn if it is another.
     """
     rng = random.Random(seed)
-    fleet, history = Fleet(gateway_count, mutant), SoakHistory()
+    fleet, history = Fleet(gateway_count, mutant, production), SoakHistory()
     try:
         await fleet.start(plain_count=3, engine_count=3)
         traffic = TrafficGenerator(fleet, history, rng)
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import random
+from pathlib import Path
 from types import SimpleNamespace
 
 import pytest
+from fleetwire.tests.fleet import REPOSITORY_ROOT
 
 from emulator import run_virtual
 from soak._faults import FaultInjector
@@ -65,3 +67,37 @@
         return history.find_violations([])
 
     assert run_virtual(run()) == []
+
+
+def test_upgrade_replaces_each_gateway_in_turn():
+    async def run():
+        started = []
+
+        async def restart_gateway(gateway):
+            started.append((gateway.host, gateway.checkout))
+
+        async def wait():
+            pass
+
+        gateways = [
+            SimpleNamespace(
+                host=host,
+                process=SimpleNamespace(wait=wait),
+                checkout=Path("production"),
+                events=[],
+                signal=lambda _: None,
+            )
+            for host in ("127.0.0.1", "127.0.0.2")
+        ]
+        fleet = SimpleNamespace(
+            gateways=gateways, restart_gateway=restart_gateway, needs_upgrade=True
+        )
+        injector = FaultInjector(fleet, SoakHistory(), random.Random(1))
+        injector._faults = [wait]
+        await injector.run(6.0)
+        return started
+
+    assert run_virtual(run()) == [
+        ("127.0.0.1", REPOSITORY_ROOT),
+        ("127.0.0.2", REPOSITORY_ROOT),
+    ]
