Bound the memory that the bodies of requests take at once

Each body was within its own limit, and nothing bounded their sum, so a few more would have ended the process, and with it all requests in progress.

The server reserves the stated length of a body, or what has arrived of a chunked one, until its handler ends.

--- a/fireflyquay/links/_http_connection.py
+++ b/fireflyquay/links/_http_connection.py
@@ -13,6 +13,7 @@
 
 from fireflyquay.world import Code, Verdict
 
+from ._body_budget import BodyBudget, BodyReservation
 from ._http_message import (
     MAX_READ_BYTES,
     CallerDisconnectedError,
@@ -28,6 +29,9 @@
 # Time during which input is read and discarded after an error response. Closing earlier
 # would reset the connection before a client that is still sending reads the response.
 LINGERING_CLOSE_SECONDS = 1.0
+# Retry-After of a request whose body does not fit into the memory for bodies: about the
+# time that a large body takes to arrive and to be sent on.
+FULL_RETRY_AFTER_SECONDS = 1.0
 
 
 class HttpErrorBody(msgspec.Struct, frozen=True):
@@ -39,7 +43,7 @@
 
 
 class HttpRequestError(Exception):
-    """Report a request that is rejected with a 4xx status."""
+    """Report a request that is rejected before a handler gets it."""
 
     def __init__(
         self,
@@ -47,21 +51,39 @@
         code: Code,
         sentence: str,
         verdict: Verdict = Verdict.NOT_RUN,
+        headers: Mapping[str, str] = MappingProxyType({}),
     ) -> None:
         super().__init__(sentence)
         self.status = status
         self.error_body = HttpErrorBody(code, verdict, sentence)
+        self.headers = headers
 
 
-def _make_timeout_error(headers: dict[str, str]) -> HttpRequestError:
-    """Return the error for a slow request, which may have run if it was sent before."""
+def _find_verdict(headers: dict[str, str]) -> Verdict:
+    """Return whether a request that no handler got may have run.
+
+    It may if it was sent before.
+    """
     is_first_send = headers.get("fireflyquay-send-count") == "1"
-    verdict = Verdict.NOT_RUN if is_first_send else Verdict.MAY_HAVE_RUN
+    return Verdict.NOT_RUN if is_first_send else Verdict.MAY_HAVE_RUN
+
+
+def _make_timeout_error(headers: dict[str, str]) -> HttpRequestError:
     return HttpRequestError(
         408,
         Code.BAD_REQUEST,
         "The request came too slowly.",
-        verdict,
+        _find_verdict(headers),
+    )
+
+
+def _make_full_error(headers: dict[str, str]) -> HttpRequestError:
+    return HttpRequestError(
+        503,
+        Code.OVERLOADED,
+        "The bodies of other requests take the memory for bodies.",
+        _find_verdict(headers),
+        {"retry-after": f"{FULL_RETRY_AFTER_SECONDS:.2f}"},
     )
 
 
@@ -93,12 +115,15 @@
         handler: Callable[[HttpRequest, HttpResponder], Awaitable[None]],
         limits: HttpLimits,
         is_server_closing: Callable[[], bool],
+        body_budget: BodyBudget,
     ) -> None:
         self._reader = reader
         self._writer = writer
         self._handler = handler
         self._limits = limits
         self._is_server_closing = is_server_closing
+        # For the body of the request in progress.
+        self._reservation = BodyReservation(body_budget)
         self._http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
         )
@@ -128,6 +153,8 @@
         except Exception:
             LOG.exception("Unexpected error on an HTTP connection.")
             self.abort()
+        finally:
+            self._reservation.release()
 
     async def _serve_request(self) -> bool:
         """Serve one request; return whether another may follow."""
@@ -142,6 +169,7 @@
         if request is None:
             return False
         await self._run_handler(request)
+        self._reservation.release()
         self._has_exchange_in_progress = False
         return self._reset_for_next_request()
 
@@ -186,19 +214,24 @@
         )
 
     async def _read_body(self, headers: dict[str, str]) -> bytes:
-        self._check_body_size(int(headers.get("content-length", "0")))
+        self._check_body_size(int(headers.get("content-length", "0")), headers)
         body = bytearray()
         while True:
             event = await self._next_event()
             if not isinstance(event, h11.Data):
                 return bytes(body)
             body += event.data
-            self._check_body_size(len(body))
+            self._check_body_size(len(body), headers)
 
-    def _check_body_size(self, body_bytes: int) -> None:
+    def _check_body_size(self, body_bytes: int, headers: dict[str, str]) -> None:
         if body_bytes > self._limits.max_body_bytes:
             sentence = f"The body is over {self._limits.max_body_bytes} bytes."
             raise HttpRequestError(413, Code.BODY_TOO_LARGE, sentence)
+        if not self._reservation.try_grow(body_bytes):
+            LOG.warning(
+                "request refused for its body", extra={"body_bytes": body_bytes}
+            )
+            raise _make_full_error(headers)
 
     async def _next_event(self) -> object:
         while True:
@@ -240,7 +273,10 @@
     async def _reject_request(self, error: HttpRequestError) -> None:
         responder = self._make_responder(False)
         await self._send_error(
-            responder, error.status, error.error_body, {"connection": "close"}
+            responder,
+            error.status,
+            error.error_body,
+            {"connection": "close", **error.headers},
         )
         await self._discard_input()
 
--- a/fireflyquay/links/_http_server.py
+++ b/fireflyquay/links/_http_server.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Awaitable, Callable
 
+from ._body_budget import BodyBudget
 from ._http_connection import ServerConnection
 from ._http_message import HttpLimits, HttpRequest
 from ._http_responder import HttpResponder, abort_connection
@@ -19,9 +21,15 @@
 class HttpServer:
     """Accept connections and pass each request to a handler."""
 
-    def __init__(self, handler: Handler, limits: HttpLimits) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        limits: HttpLimits,
+        max_buffered_body_bytes: float = math.inf,
+    ) -> None:
         self._handler = handler
         self._limits = limits
+        self._body_budget = BodyBudget(max_buffered_body_bytes)
         self._server: asyncio.Server | None = None
         self._connections: dict[asyncio.Task[None], ServerConnection] = {}
         # Whether connections are closed after their current response.
@@ -33,6 +41,11 @@
         """Return the limits that apply to new connections."""
         return self._limits
 
+    @property
+    def buffered_body_bytes(self) -> int:
+        """Return the bytes reserved for the bodies of requests in progress."""
+        return self._body_budget.reserved_bytes
+
     def set_limits(self, limits: HttpLimits) -> None:
         """Set the limits that apply to new connections."""
         self._limits = limits
@@ -88,7 +101,12 @@
             return
         enable_dead_peer_detection(writer)
         connection = ServerConnection(
-            reader, writer, self._handler, self._limits, lambda: self._is_closing
+            reader,
+            writer,
+            self._handler,
+            self._limits,
+            lambda: self._is_closing,
+            self._body_budget,
         )
         task = asyncio.get_running_loop().create_task(connection.serve())
         self._connections[task] = connection
