Charge what a test leaves behind to that test

Each test now ends with a collection, so that a leak fails its own test; objects from before the first test are frozen, to keep it short.

--- a/conftest.py
+++ b/conftest.py
@@ -1,5 +1,6 @@
 """Test settings; tests listed in KNOWN-RED.txt are expected to fail."""
 
+import gc
 from pathlib import Path
 
 import pytest
@@ -33,6 +34,18 @@
             item.add_marker(pytest.mark.xfail(reason="KNOWN-RED.txt", strict=False))
 
 
+def pytest_collection_finish():
+    gc.freeze()
+
+
+@pytest.hookimpl(wrapper=True)
+def pytest_runtest_call():
+    # What a test leaves behind fails this test, not the one in which it is collected.
+    result = yield
+    gc.collect()
+    return result
+
+
 def pytest_terminal_summary(terminalreporter):
     for name in read_known_red():
         terminalreporter.write_line(f"known red: {name}")
