Log each stream that a client resumes, and how its version is known

"stream located" was written only if a VM knew the origin or asked for it. A stream that went on because only one version seemed to have served left no line, so a log could not tell whether streams were joined by a false proof of a single version, or from an origin that was wrong. It is written in each case now, with what told the version (known_by) and the age of the registry used, and replaces "asked_others". The test failed before: '' == 'only one version served'. No decision changes.

--- a/fireflyquay/gateway/_stream_locator.py
+++ b/fireflyquay/gateway/_stream_locator.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import math
+from enum import StrEnum
 
 import logbook
 
@@ -32,6 +34,15 @@
 UNKNOWN_STREAM_RETRY_AFTER_SECONDS = 0.3
 
 
+class _OriginSource(StrEnum):
+    """Name what tells at which software version a stream may continue."""
+
+    OWN_RECORD = "own record"
+    OTHER_VM = "another VM"
+    SINGLE_VERSION = "only one version served"
+    NONE = "nobody"
+
+
 class StreamLocator:
     """Find where a stream began that a client resumes.
 
@@ -57,22 +68,14 @@
     async def locate(self, call: Call) -> None:
         """Bind a call that resumes a stream to its origin; raise RejectionError."""
         stream = call.metadata.resumed_attempt_id
-        origin = self._origins.find(stream)
+        origin, source = self._origins.find(stream), _OriginSource.OWN_RECORD
         if origin is None and self._has_one_version(call):
+            self._log_located(call, None, _OriginSource.SINGLE_VERSION)
             return
-        is_remote = origin is None
-        if origin is None and stream:
-            origin = await self._ask_peers(stream)
-        LOG.info(
-            "stream located",
-            extra={
-                "id": call.metadata.attempt_id,
-                "stream": stream,
-                "service": None if origin is None else origin.service,
-                "version": None if origin is None else origin.version,
-                "asked_others": is_remote,
-            },
-        )
+        if origin is None:
+            origin = await self._ask_peers(stream) if stream else None
+            source = _OriginSource.OTHER_VM if origin else _OriginSource.NONE
+        self._log_located(call, origin, source)
         if origin is None:
             raise RejectionError(
                 Code.UNKNOWN_STREAM,
@@ -103,6 +106,22 @@
         if lookup is not None and not lookup.done():
             lookup.set_result(origin)
 
+    def _log_located(
+        self, call: Call, origin: StreamOrigin | None, source: _OriginSource
+    ) -> None:
+        age = self._backends.freshness.compute_age(self._clock.read())
+        LOG.info(
+            "stream located",
+            extra={
+                "id": call.metadata.attempt_id,
+                "stream": call.metadata.resumed_attempt_id,
+                "service": None if origin is None else origin.service,
+                "version": None if origin is None else origin.version,
+                "known_by": source.value,
+                "registry_age": round(age, 2) if math.isfinite(age) else None,
+            },
+        )
+
     def _has_one_version(self, call: Call) -> bool:
         """Return whether a stream of the call's route can't have begun elsewhere.
 
