Tell at a stop which connections and bytes were not sent

Operators saw `"event":"stopped","cut_off":0` for a stop that cut off three responses: the count is of handlers that run, and a handler ends while the end of its response is still in the write buffer. A sound stop leaves the same line behind.

`stopped` now tells the clients' connections that an exchange or unsent bytes keep busy, and the bytes that they have not acknowledged, those of the kernel included.

--- a/fireflyquay/gateway/_gateway.py
+++ b/fireflyquay/gateway/_gateway.py
@@ -369,12 +369,14 @@
                 if not self._ingress.in_progress and not self.fleet.carried_count:
                     break
             await asyncio.sleep(STOP_POLL_INTERVAL_SECONDS)
-        cut_off = self._ingress.in_progress + self.fleet.carried_count
+        cut_off = {
+            "cut_off": self._ingress.in_progress + self.fleet.carried_count,
+            "connections": self._client_server.count_busy_connections(),
+            "unsent_bytes": self._client_server.count_unsent_bytes(),
+        }
         await self._shut_down()
-        LOG.info(
-            "stopped",
-            extra={"cut_off": cut_off, "taken": round(loop.time() - started_at, 2)},
-        )
+        taken = round(loop.time() - started_at, 2)
+        LOG.info("stopped", extra={**cut_off, "taken": taken})
 
     async def abort(self) -> None:
         """Close at once and abort the requests in progress."""
--- a/fireflyquay/links/_http_connection.py
+++ b/fireflyquay/links/_http_connection.py
@@ -14,6 +14,7 @@
 from fireflyquay.world import Code, Verdict
 
 from ._body_budget import BodyBudget, BodyReservation
+from ._graceful_close import count_unsent_bytes
 from ._http_message import (
     MAX_READ_BYTES,
     CallerDisconnectedError,
@@ -130,6 +131,15 @@
         self._has_exchange_in_progress = False
         writer.transport.set_write_buffer_limits(high=limits.write_buffer_bytes)
 
+    @property
+    def is_busy(self) -> bool:
+        """Return whether an exchange is in progress or its response not yet sent."""
+        return self._has_exchange_in_progress or self.count_unsent_bytes() > 0
+
+    def count_unsent_bytes(self) -> int:
+        """Return the number of bytes that the client has not received."""
+        return count_unsent_bytes(self._writer)
+
     def abort(self) -> None:
         """Reset the connection and discard unsent bytes."""
         abort_connection(self._writer)
--- a/fireflyquay/links/_http_server.py
+++ b/fireflyquay/links/_http_server.py
@@ -50,6 +50,15 @@
         """Set the limits that apply to new connections."""
         self._limits = limits
 
+    def count_busy_connections(self) -> int:
+        """Return the number of connections that a close would cut off."""
+        return sum(connection.is_busy for connection in self._connections.values())
+
+    def count_unsent_bytes(self) -> int:
+        """Return the number of bytes that clients have not received."""
+        connections = self._connections.values()
+        return sum(connection.count_unsent_bytes() for connection in connections)
+
     def stop_accepting(self) -> None:
         """Stop listening, and reset connections that are still pending."""
         self._resets_new_connections = True
