Bind a resumed stream to the one version that serves

Callers saw a stream that began at one software version go on at another one (rule ORDER): it was resumed at a gateway that was cut off from the others while a worker of a new version joined.

Cause: where nobody could tell at which version a stream began, and only one had served, the locator let the request pass without binding it to that version. The proof held when the request arrived. The request then waited for a slot, a worker of a new version registered meanwhile, and the free slots there were granted to it. The same held for each retry within the response before its first event.

Ruled out: a missing origin of streams that the others know.

--- a/fireflyquay/dispatch/_backend_registry.py
+++ b/fireflyquay/dispatch/_backend_registry.py
@@ -114,6 +114,10 @@
         """Return all registered backend servers."""
         return list(self._entries.values())
 
+    def list_versions(self, service: ServiceId) -> set[SoftwareVersion]:
+        """Return the software versions of a service's registered backend servers."""
+        return {it.version for it in self._entries.values() if it.service == service}
+
     def had_one_version(
         self, service: ServiceId, seconds: float, now: float, unix_ms: float
     ) -> bool:
--- a/fireflyquay/gateway/_stream_locator.py
+++ b/fireflyquay/gateway/_stream_locator.py
@@ -69,9 +69,9 @@
         """Bind a call that resumes a stream to its origin; raise RejectionError."""
         stream = call.metadata.resumed_attempt_id
         origin, source = self._origins.find(stream), _OriginSource.OWN_RECORD
-        if origin is None and self._has_one_version(call):
-            self._log_located(call, None, _OriginSource.SINGLE_VERSION)
-            return
+        if origin is None:
+            origin = self._find_only_origin(call)
+            source = _OriginSource.SINGLE_VERSION
         if origin is None:
             origin = await self._ask_peers(stream) if stream else None
             source = _OriginSource.OTHER_VM if origin else _OriginSource.NONE
@@ -122,19 +122,25 @@
             },
         )
 
-    def _has_one_version(self, call: Call) -> bool:
-        """Return whether a stream of the call's route can't have begun elsewhere.
+    def _find_only_origin(self, call: Call) -> StreamOrigin | None:
+        """Return where a stream of the call's route must have begun, if that is sure.
 
         What the client has left of its time the stream can't have lasted yet.
         """
         shares = call.admission.route.shares
+        if len(shares) != 1:
+            return None
+        service = shares[0].service
+        versions = self._backends.list_versions(service)
         seconds_left = call.metadata.client_timeout or 0.0
-        return len(shares) == 1 and self._backends.had_one_version(
-            shares[0].service,
+        if len(versions) != 1 or not self._backends.had_one_version(
+            service,
             max(0.0, self._origins.lifetime - seconds_left),
             self._clock.read(),
             self._clock.read_unix_ms(),
-        )
+        ):
+            return None
+        return StreamOrigin(service, versions.pop())
 
     async def _ask_peers(self, stream: AttemptId) -> StreamOrigin | None:
         """Ask the coordinator, then all others; return None if nobody knows."""
--- a/fireflyquay/links/__init__.py
+++ b/fireflyquay/links/__init__.py
@@ -22,7 +22,15 @@
 from ._http_server import Handler, HttpServer
 from ._http_statuses import get_http_status
 from ._json_log import JsonLineHandler
-from ._peer import Envelope, Link, LinkFactory, PeerAddress, PeerLink, PeerTraffic
+from ._peer import (
+    Envelope,
+    Link,
+    LinkFactory,
+    MessageCallback,
+    PeerAddress,
+    PeerLink,
+    PeerTraffic,
+)
 from ._sse import SseEvent, SseParser, encode_sse
 from ._store import HttpStore, HttpVmList, Store, VmList
 from ._tunnel import Connection, TunnelOpener, TunnelRequest, TunnelState
@@ -64,6 +72,7 @@
     "LinkFactory",
     "Handler",
     "BackendClient",
+    "MessageCallback",
     "PeerAddress",
     "PeerLink",
     "PeerTraffic",
