Count responses as in progress until their clients have received them

Callers saw: after a SIGTERM, responses ended 20 to 50 KB early, though most of the grace period was left; without framing they looked whole. Requests to the product's own pages, and tunnels for other gateways, were cut too.

Cause: "done" was said when bytes were handed over, not when they had left. `Gateway.stop` counted handlers of clients' requests. A handler ends with up to 64 KB in the write buffer, and the close that followed discarded them. As the transport was closing already, that abort ended the connection in good order instead of resetting it. The same counts: tunnels (a carrier forgot one with its last frames in the write buffer), pages of the product (never counted), answers of the readiness, directory and metrics servers (aborted), requests that are still being read.

Now a connection is in progress until its client has acknowledged everything: it is closed for sending, and its input is read and discarded until the client closes, or for 1 s after the last acknowledgement, since closing with unread input resets it and the client may lose what it has not read. Where no response announced the end, input is left unread, so that the reset tells the client that its next request was not read. A stop waits for all connections and tunnels; at the end of the grace period it resets them, unless the kernel has the whole response, which it sends on. A write waits as long as its client receives anything within the idle timeout, instead of ending at a fixed time. Where the kernel doesn't tell what is unacknowledged, the write buffer alone counts.

Ruled out: waiting for the write buffers alone.

--- a/fireflyquay/gateway/_gateway.py
+++ b/fireflyquay/gateway/_gateway.py
@@ -366,7 +366,8 @@
         while loop.time() < deadline:
             if loop.time() - started_at > ACCEPT_WHILE_STOPPING_SECONDS:
                 self._client_server.stop_accepting()
-                if not self._ingress.in_progress and not self.fleet.carried_count:
+                self._client_server.stop_keep_alive()
+                if not self._client_server.connection_count + self.fleet.carried_count:
                     break
             await asyncio.sleep(STOP_POLL_INTERVAL_SECONDS)
         cut_off = {
@@ -374,14 +375,14 @@
             "connections": self._client_server.count_busy_connections(),
             "unsent_bytes": self._client_server.count_unsent_bytes(),
         }
-        await self._shut_down()
+        await self._shut_down(deadline)
         taken = round(loop.time() - started_at, 2)
         LOG.info("stopped", extra={**cut_off, "taken": taken})
 
     async def abort(self) -> None:
         """Close at once and abort the requests in progress."""
         self._stopping = True
-        await self._shut_down()
+        await self._shut_down(asyncio.get_running_loop().time())
 
     def reload(self, settings: GatewaySettings) -> None:
         """Apply the bound for revoked keys; log other changes as needing a restart."""
@@ -403,7 +404,8 @@
             extra={"revoke": promises.revoke, "need_restart": need_restart},
         )
 
-    async def _shut_down(self) -> None:
+    async def _shut_down(self, deadline: float) -> None:
+        """Close, and abort the exchanges that last beyond the deadline."""
         tasks = tuple(self._tasks)
         for task in tasks:
             task.cancel()
@@ -414,8 +416,8 @@
             self._directory_server,
             self._metrics_server,
         )
-        for server in servers:
-            await server.close(0)
+        grace_seconds = max(0.0, deadline - asyncio.get_running_loop().time())
+        await asyncio.gather(*(server.close(grace_seconds) for server in servers))
         await self._forwarder.close()
         await self.paths.close()
         await self.fleet.close()
--- a/fireflyquay/links/_graceful_close.py
+++ b/fireflyquay/links/_graceful_close.py
@@ -1,13 +1,23 @@
-"""Unsent bytes of connections."""
+"""Closing of connections once the peer has received what was sent."""
 
 from __future__ import annotations
 
 import asyncio
 import fcntl
+import os
+import socket
 import struct
 import termios
 
+from ._http_message import MAX_READ_BYTES
+
 _COUNT = struct.Struct("i")
+# Interval between checks whether the peer has acknowledged what was sent.
+ACKNOWLEDGEMENT_POLL_SECONDS = 0.02
+# Time during which input is still read and discarded after everything was received.
+# Closing earlier would reset the connection before a client that is still sending
+# reads the response.
+LINGERING_CLOSE_SECONDS = 1.0
 
 
 def count_unsent_bytes(writer: asyncio.StreamWriter) -> int:
@@ -24,3 +34,91 @@
     except OSError:
         return buffered_bytes
     return buffered_bytes + _COUNT.unpack(answer)[0]
+
+
+async def drain(writer: asyncio.StreamWriter, max_stall_seconds: float) -> None:
+    """Wait until the write buffer is drained.
+
+    Raises TimeoutError if the peer receives nothing for the given time.
+    """
+    while True:
+        unsent_bytes = count_unsent_bytes(writer)
+        try:
+            async with asyncio.timeout(max_stall_seconds):
+                await writer.drain()
+                return
+        except TimeoutError:
+            if count_unsent_bytes(writer) >= unsent_bytes:
+                raise
+
+
+async def close_gracefully(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    max_stall_seconds: float,
+    discards_input: bool,
+) -> None:
+    """Close a connection once the peer has received everything.
+
+    Closing with unread input resets a connection, and the peer may lose what it has not
+    read. Unless input is discarded, it is left unread, so that the reset tells a peer
+    that its next request was not read. Raises OSError if the connection is lost, or if
+    the peer receives nothing for the given time.
+    """
+    writer.transport.set_write_buffer_limits(high=0)
+    await drain(writer, max_stall_seconds)
+    is_peer_open = discards_input and not reader.at_eof()
+    if is_peer_open or count_unsent_bytes(writer):
+        if not discards_input:
+            writer.transport.pause_reading()
+        writer.write_eof()
+        await _wait_for_acknowledgement(
+            reader, writer, max_stall_seconds, discards_input
+        )
+    writer.close()
+    await writer.wait_closed()
+
+
+async def _wait_for_acknowledgement(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    max_stall_seconds: float,
+    discards_input: bool,
+) -> None:
+    loop = asyncio.get_running_loop()
+    unsent_bytes, progress_at = count_unsent_bytes(writer), loop.time()
+    while not writer.transport.is_closing():
+        is_peer_open = discards_input and not reader.at_eof()
+        if is_peer_open:
+            await _discard_input(reader)
+        else:
+            await asyncio.sleep(ACKNOWLEDGEMENT_POLL_SECONDS)
+        _check_connection(writer)
+        previous_bytes, unsent_bytes = unsent_bytes, count_unsent_bytes(writer)
+        if unsent_bytes < previous_bytes:
+            progress_at = loop.time()
+        stalled_seconds = loop.time() - progress_at
+        if unsent_bytes and stalled_seconds >= max_stall_seconds:
+            raise TimeoutError
+        if not unsent_bytes and (
+            not is_peer_open or stalled_seconds >= LINGERING_CLOSE_SECONDS
+        ):
+            return
+
+
+async def _discard_input(reader: asyncio.StreamReader) -> None:
+    try:
+        async with asyncio.timeout(ACKNOWLEDGEMENT_POLL_SECONDS):
+            await reader.read(MAX_READ_BYTES)
+    except TimeoutError:
+        return
+
+
+def _check_connection(writer: asyncio.StreamWriter) -> None:
+    """Raise OSError if the connection was lost, which only a read would notice."""
+    sock = writer.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return
+    error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    if error:
+        raise OSError(error, os.strerror(error))
--- a/fireflyquay/links/_http_connection.py
+++ b/fireflyquay/links/_http_connection.py
@@ -14,7 +14,7 @@
 from fireflyquay.world import Code, Verdict
 
 from ._body_budget import BodyBudget, BodyReservation
-from ._graceful_close import count_unsent_bytes
+from ._graceful_close import close_gracefully, count_unsent_bytes
 from ._http_message import (
     MAX_READ_BYTES,
     CallerDisconnectedError,
@@ -27,9 +27,6 @@
 
 LOG = logbook.Logger("http")
 
-# Time during which input is read and discarded after an error response. Closing earlier
-# would reset the connection before a client that is still sending reads the response.
-LINGERING_CLOSE_SECONDS = 1.0
 # Retry-After of a request whose body does not fit into the memory for bodies: about the
 # time that a large body takes to arrive and to be sent on.
 FULL_RETRY_AFTER_SECONDS = 1.0
@@ -129,6 +126,10 @@
             h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
         )
         self._has_exchange_in_progress = False
+        # Whether it is closed as soon as the client has the last response.
+        self._is_closing = False
+        # Limits the wait for a request while it lasts.
+        self._idle_wait: asyncio.Timeout | None = None
         writer.transport.set_write_buffer_limits(high=limits.write_buffer_bytes)
 
     @property
@@ -141,13 +142,20 @@
         return count_unsent_bytes(self._writer)
 
     def abort(self) -> None:
-        """Reset the connection and discard unsent bytes."""
-        abort_connection(self._writer)
+        """Reset the connection, unless the kernel has the whole response."""
+        if self._is_closing and not self._writer.transport.get_write_buffer_size():
+            self._writer.close()
+        else:
+            abort_connection(self._writer)
 
     def close_if_idle(self) -> None:
         """Close the connection unless it has an exchange in progress."""
-        if not self._has_exchange_in_progress:
+        if self._has_exchange_in_progress or self._is_closing:
+            return
+        if not self.count_unsent_bytes():
             self._writer.close()
+        elif self._idle_wait is not None:
+            self._idle_wait.reschedule(asyncio.get_running_loop().time())
 
     async def serve(self) -> None:
         """Serve requests until either side closes the connection."""
@@ -188,10 +196,12 @@
         if self._http.trailing_data[0]:
             return True
         try:
-            async with asyncio.timeout(self._limits.idle_timeout):
+            async with asyncio.timeout(self._limits.idle_timeout) as self._idle_wait:
                 data = await self._reader.read(MAX_READ_BYTES)
         except TimeoutError:
             return False
+        finally:
+            self._idle_wait = None
         if not data:
             return False
         self._http.receive_data(data)
@@ -288,7 +298,6 @@
             error.error_body,
             {"connection": "close", **error.headers},
         )
-        await self._discard_input()
 
     async def _send_error(
         self,
@@ -300,16 +309,6 @@
         headers = {"content-type": "application/json", **extra_headers}
         await responder.send(status, headers, msgspec.json.encode(error_body))
 
-    async def _discard_input(self) -> None:
-        if self._writer.can_write_eof():
-            self._writer.write_eof()
-        try:
-            async with asyncio.timeout(LINGERING_CLOSE_SECONDS):
-                while await self._reader.read(MAX_READ_BYTES):
-                    pass
-        except TimeoutError:
-            return
-
     def _make_responder(self, is_head_request: bool) -> HttpResponder:
         return HttpResponder(
             self._http,
@@ -332,9 +331,11 @@
         return True
 
     async def _close(self) -> None:
-        self._writer.close()
-        try:
-            async with asyncio.timeout(self._limits.idle_timeout):
-                await self._writer.wait_closed()
-        except TimeoutError:
-            self.abort()
+        self._is_closing = True
+        await close_gracefully(
+            self._reader,
+            self._writer,
+            self._limits.idle_timeout,
+            # Otherwise the client was not told that the connection ends.
+            self._http.our_state is h11.MUST_CLOSE,
+        )
--- a/fireflyquay/links/_http_responder.py
+++ b/fireflyquay/links/_http_responder.py
@@ -9,6 +9,7 @@
 
 import h11
 
+from ._graceful_close import drain
 from ._http_message import CallerDisconnectedError, HttpLimits, RawHeaders
 
 # SO_LINGER with timeout 0: close() resets the connection, so that the peer does not
@@ -26,17 +27,18 @@
 
 def abort_connection(writer: asyncio.StreamWriter) -> None:
     """Reset a connection and discard unsent bytes."""
-    sock = writer.get_extra_info("socket")
-    if sock is not None and not writer.transport.is_closing():
+    sock, transport = writer.get_extra_info("socket"), writer.transport
+    has_unsent_bytes = transport.get_write_buffer_size() > 0
+    if sock is not None and (has_unsent_bytes or not transport.is_closing()):
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
-    writer.transport.abort()
+    transport.abort()
 
 
 class HttpResponder:
     """Send one response, whole or in parts.
 
-    Sending raises CallerDisconnectedError if the connection is closed, or if the
-    write buffer is not drained within the idle timeout.
+    Sending raises CallerDisconnectedError if the connection is closed, or if the client
+    receives nothing for the idle timeout while the write buffer is full.
     """
 
     def __init__(
@@ -129,8 +131,7 @@
         if unsent_bytes <= self._limits.write_buffer_bytes:
             return
         try:
-            async with asyncio.timeout(self._limits.idle_timeout):
-                await self._writer.drain()
+            await drain(self._writer, self._limits.idle_timeout)
         except (TimeoutError, ConnectionError):
             abort_connection(self._writer)
             raise CallerDisconnectedError from None
--- a/fireflyquay/links/_http_server.py
+++ b/fireflyquay/links/_http_server.py
@@ -50,6 +50,11 @@
         """Set the limits that apply to new connections."""
         self._limits = limits
 
+    @property
+    def connection_count(self) -> int:
+        """Return the number of open connections."""
+        return len(self._connections)
+
     def count_busy_connections(self) -> int:
         """Return the number of connections that a close would cut off."""
         return sum(connection.is_busy for connection in self._connections.values())
--- a/fireflyquay/links/_tunnel.py
+++ b/fireflyquay/links/_tunnel.py
@@ -13,6 +13,7 @@
 
 from fireflyquay.membership import Message
 
+from ._graceful_close import close_gracefully
 from ._http_responder import abort_connection
 from ._monitored_reader import MonitoredReader
 
@@ -21,6 +22,9 @@
 # Maximum number of tunnels that a VM carries, each with two descriptors: a quarter of
 # those of a small VM.
 MAX_CARRIED_TUNNELS = 500
+# Maximum seconds for which the VM at the other end may receive nothing of what ends the
+# tunnel.
+MAX_STALL_SECONDS = 60.0
 
 Connection = tuple[MonitoredReader, asyncio.StreamWriter]
 
@@ -133,21 +137,37 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        """Open a tunnel for another VM and forward its bytes until either end."""
-        state, connection = TunnelState.DECLINED, None
+        """Open a tunnel for another VM and forward its bytes until either end.
+
+        Returns when the other VM has received them.
+        """
         self.count += 1
         try:
-            if self.opener is not None and self.count <= MAX_CARRIED_TUNNELS:
-                state, connection = await self.opener(request)
-            writer.write(encode_frame(bytes([state])))
-            if connection is not None:
-                await _forward_both_ways(reader, writer, connection)
-            else:
-                await writer.drain()
+            await self._forward(request, reader, writer)
+            await close_gracefully(
+                reader, writer, MAX_STALL_SECONDS, discards_input=True
+            )
+        except TimeoutError:
+            abort_connection(writer)
         finally:
             self.count -= 1
-            if connection is not None:
-                abort_connection(connection[1])
+
+    async def _forward(
+        self,
+        request: TunnelRequest,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        state, connection = TunnelState.DECLINED, None
+        if self.opener is not None and self.count <= MAX_CARRIED_TUNNELS:
+            state, connection = await self.opener(request)
+        writer.write(encode_frame(bytes([state])))
+        if connection is None:
+            return
+        try:
+            await _forward_both_ways(reader, writer, connection)
+        finally:
+            abort_connection(connection[1])
 
 
 async def _forward_both_ways(
--- a/fireflyquay/links/tests/test_http_server.py
+++ b/fireflyquay/links/tests/test_http_server.py
@@ -20,6 +20,7 @@
     idle_timeout=1.0,
     write_buffer_bytes=4096,
 )
+SIZED_BYTES = 200_000
 
 
 class ServerHarness:
@@ -48,6 +49,8 @@
             case "/wait":
                 await responder.disconnected.wait()
                 self.client_disconnected.set()
+            case "/sized":
+                await responder.send(200, {}, b"x" * SIZED_BYTES)
             case "/slow":
                 await asyncio.sleep(0.2)
                 await responder.send(200, {}, b"slow")
@@ -310,3 +313,24 @@
         assert (await harness.exchange(data)).startswith(b"HTTP/1.1 200 ")
 
     run_with_server(scenario)
+
+
+def test_close_waits_until_the_client_has_received_the_response():
+    async def scenario(harness):
+        with socket.socket() as client:
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+            client.setblocking(False)
+            loop = asyncio.get_running_loop()
+            await loop.sock_connect(client, ("127.0.0.1", harness.port))
+            await loop.sock_sendall(client, GET_REQUEST % b"/sized")
+            await asyncio.sleep(0.1)
+            closing = asyncio.create_task(harness.server.close(5))
+            await asyncio.sleep(0.3)
+            assert not closing.done()
+            data = b""
+            while part := await loop.sock_recv(client, 4096):
+                data += part
+            assert data.endswith(b"x" * SIZED_BYTES)
+            await closing
+
+    run_with_server(scenario)
--- a/fireflyquay/links/tests/test_peer.py
+++ b/fireflyquay/links/tests/test_peer.py
@@ -1,17 +1,22 @@
 """Messages between entry VMs over the loopback interface."""
 
 import asyncio
+import socket
 
 import logbook
 import msgspec
 from hypothesis import given, settings, strategies as st
 
 from fireflyquay.dispatch import ControlMessage, Queued
-from fireflyquay.links import Envelope, PeerLink
+from fireflyquay.links import Envelope, PeerLink, TunnelRequest, TunnelState
+from fireflyquay.links._monitored_reader import MonitoredReader
 from fireflyquay.world import EntryVm, Incarnation, RegionId, ZoneId
 
 HOST = "127.0.0.1"
 WAIT_SECONDS = 5.0
+TUNNELLED_BYTES = 4_000_000
+READ_BYTES = 32 * 1024
+SEND_BUFFER_BYTES = 16 * 1024
 
 
 def make_link(name, received):
@@ -206,3 +211,54 @@
         await link.close()
 
     asyncio.run(run())
+
+
+async def end_carrier_at_once():
+    """Return what arrives through a tunnel whose VM ends when it carries none."""
+
+    async def respond(_, writer):
+        writer.write(b"x" * TUNNELLED_BYTES)
+        await writer.drain()
+        writer.close()
+
+    async def dial(_):
+        reader = MonitoredReader(asyncio.get_running_loop())
+        protocol = asyncio.StreamReaderProtocol(reader)
+        transport, _ = await asyncio.get_running_loop().create_connection(
+            lambda: protocol, *server.sockets[0].getsockname()
+        )
+        loop = asyncio.get_running_loop()
+        writer = asyncio.StreamWriter(transport, protocol, reader, loop)
+        return TunnelState.OPEN, (reader, writer)
+
+    async def receive(reader):
+        received = 0
+        while data := await reader.read(READ_BYTES):
+            received += len(data)
+            await asyncio.sleep(0.01)
+        return received
+
+    first, second = make_link("one", []), make_link("two", [])
+    server = await asyncio.start_server(respond, HOST, 0)
+    second.carrier.opener = dial
+    vm = make_vm("two", await second.start(HOST, 0))
+    [listener] = second._server.sockets
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+    request = TunnelRequest("a", 1)
+    _, (reader, writer) = await first.open_tunnel(vm, request)
+    receiving = asyncio.create_task(receive(reader))
+    await wait_for(lambda: second.carrier.count)
+    [carrying_writer] = second._accepted_connections
+    while second.carrier.count:
+        await asyncio.sleep(0)
+    carrying_writer.transport.abort()
+    received = await receiving
+    writer.close()
+    await first.close()
+    await second.close()
+    server.close()
+    return received
+
+
+def test_tunnel_is_carried_until_its_last_bytes_have_arrived():
+    assert asyncio.run(end_carrier_at_once()) == TUNNELLED_BYTES
