Answer requests that were read as their connection closes

Clients would see a kept connection closed in good order although the gateway had read their whole request: at a planned stop, and at the idle timeout. A client may not send such a request again unless it may run twice; one that was left unread is reset, and may.

Cause: "idle" was decided by the task that serves the connection, which runs an iteration of the event loop after the bytes arrived. A timeout or a stop in between closed the connection with the request in the buffer. A request that had arrived behind one in progress was dropped at a stop too.

A connection now counts as idle only if its buffer is empty, and the response to a request is announced as the last one only if no further one has arrived. Nothing can arrive between that check and the close, since both are in one step of the loop.

Failed before: test_request_that_was_read_as_its_connection_closes_is_answered[2] (`assert b'/crossing' in b"('/first', {}, b'')"`), test_request_that_was_read_at_the_idle_timeout_is_answered (`in b''`), test_request_that_follows_a_response_from_before_the_stop_is_answered (only `slow` was answered).

--- a/fireflyquay/links/_http_connection.py
+++ b/fireflyquay/links/_http_connection.py
@@ -149,9 +149,11 @@
             abort_connection(self._writer)
 
     def close_if_idle(self) -> None:
-        """Close the connection unless it has an exchange in progress."""
+        """Close the connection unless an exchange is in progress or has arrived."""
         if self._has_exchange_in_progress or self._is_closing:
             return
+        if self._reader.has_unread_bytes:
+            return
         if not self.count_unsent_bytes():
             self._writer.close()
         elif self._idle_wait is not None:
@@ -199,7 +201,10 @@
             async with asyncio.timeout(self._limits.idle_timeout) as self._idle_wait:
                 data = await self._reader.read(MAX_READ_BYTES)
         except TimeoutError:
-            return False
+            if not self._reader.has_unread_bytes:
+                return False
+            # It arrived as the time was up.
+            data = await self._reader.read(MAX_READ_BYTES)
         finally:
             self._idle_wait = None
         if not data:
@@ -315,21 +320,30 @@
             self._writer,
             self._limits,
             self._reader.closed,
-            self._is_server_closing,
+            self._is_ending,
             is_head_request,
         )
 
     def _reset_for_next_request(self) -> bool:
         """Prepare for another request; return False if reuse is impossible."""
-        if self._is_server_closing() or self._writer.transport.is_closing():
+        if self._writer.transport.is_closing():
             return False
         if self._http.our_state is not h11.DONE:
             return False
         if self._http.their_state is not h11.DONE:
             return False
+        if self._is_ending():
+            return False
         self._http.start_next_cycle()
         return True
 
+    def _is_ending(self) -> bool:
+        """Return whether the server closes and has received no further request."""
+        has_next_request = (
+            bool(self._http.trailing_data[0]) or self._reader.has_unread_bytes
+        )
+        return self._is_server_closing() and not has_next_request
+
     async def _close(self) -> None:
         self._is_closing = True
         await close_gracefully(
--- a/fireflyquay/links/_monitored_reader.py
+++ b/fireflyquay/links/_monitored_reader.py
@@ -29,6 +29,11 @@
         # Number of bytes received so far, including those that were not read.
         self.received_bytes = 0
 
+    @property
+    def has_unread_bytes(self) -> bool:
+        """Return whether bytes were received that have not been read."""
+        return bool(self._buffer)
+
     def feed_data(self, data: bytes) -> None:
         """Count and buffer received bytes."""
         self.received_bytes += len(data)
--- a/fireflyquay/links/tests/test_http_server.py
+++ b/fireflyquay/links/tests/test_http_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import socket
+import time
 from dataclasses import replace
 
 import pytest
@@ -315,6 +316,54 @@
     run_with_server(scenario)
 
 
+@pytest.mark.parametrize("iterations", range(6))
+def test_request_that_was_read_as_its_connection_closes_is_answered(iterations):
+    async def scenario(harness):
+        reader, writer = await harness.connect()
+        writer.write(GET_REQUEST % b"/first")
+        await reader.readuntil(b"\r\n\r\n")
+        await asyncio.sleep(0.05)
+        writer.write(GET_REQUEST % b"/crossing")
+        for _ in range(iterations):
+            await asyncio.sleep(0)
+        harness.server.stop_keep_alive()
+        try:
+            data = await reader.read()
+        except ConnectionResetError:
+            # It was left unread: the client may send it elsewhere.
+            return
+        assert b"/crossing" in data
+
+    run_with_server(scenario)
+
+
+def test_request_that_was_read_at_the_idle_timeout_is_answered():
+    async def scenario(harness):
+        reader, writer = await harness.connect()
+        await asyncio.sleep(0.05)
+        writer.write(GET_REQUEST % b"/crossing")
+        # The event loop meets the request and the timeout in one iteration.
+        time.sleep(LIMITS.idle_timeout)
+        assert b"/crossing" in await reader.read(4096)
+        writer.close()
+
+    run_with_server(scenario)
+
+
+def test_request_that_follows_a_response_from_before_the_stop_is_answered():
+    async def scenario(harness):
+        reader, writer = await harness.connect()
+        writer.write(GET_REQUEST % b"/slow" + GET_REQUEST % b"/next")
+        await asyncio.sleep(0.05)
+        harness.server.stop_keep_alive()
+        data = await reader.read()
+        assert b"slow" in data
+        assert b"/next" in data
+        writer.close()
+
+    run_with_server(scenario)
+
+
 def test_close_waits_until_the_client_has_received_the_response():
     async def scenario(harness):
         with socket.socket() as client:
