Keep signals that arrive while a process starts

Operators saw: a SIGHUP, and a SIGTERM, in the first 0.2 s or so of a process ended it at once, without a log line.

Cause: signals had their default action until the event loop ran, after all imports. The start script and the command line now block them before the imports that take time, and `run_gateway` admits them when its handlers are set: a SIGHUP then reloads the settings, a SIGTERM stops the gateway in good order. Other commands admit them before they run.

What stays: until the interpreter runs the first line of the script, a signal ends the process; nothing within it can change that.

--- a/fireflyquay/__main__.py
+++ b/fireflyquay/__main__.py
@@ -2,7 +2,16 @@
 
 import sys
 
-from fireflyquay.daemons import main
+from fireflyquay.signals import defer_signals
+
+
+def run() -> int:
+    """Run one command; signals wait until it can handle them."""
+    defer_signals()
+    from fireflyquay.daemons import main
+
+    return main()
+
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run())
--- a/fireflyquay/daemons/_cli.py
+++ b/fireflyquay/daemons/_cli.py
@@ -8,6 +8,7 @@
 import sys
 from collections.abc import Sequence
 
+from fireflyquay.signals import admit_signals
 from fireflyquay.world import FireflyquayError
 
 from ._backend_commands import add_backend_commands
@@ -36,6 +37,8 @@
         arguments = make_parser().parse_args(argv)
     except SystemExit as stop:
         return stop.code if isinstance(stop.code, int) else ExitCode.USAGE
+    if not arguments.handles_signals:
+        admit_signals()
     try:
         return asyncio.run(run_command(make_context(arguments)))
     except KeyboardInterrupt:
@@ -62,6 +65,7 @@
     )
     version = importlib.metadata.version("fireflyquay")
     parser.add_argument("--version", action="version", version=version)
+    parser.set_defaults(handles_signals=False)
     commands = parser.add_subparsers(dest="command", required=True)
     add_entry_commands(commands)
     add_contract_commands(commands)
--- a/fireflyquay/daemons/_entry_commands.py
+++ b/fireflyquay/daemons/_entry_commands.py
@@ -20,7 +20,7 @@
     entry.add_argument(
         "--config", required=True, metavar="FILE", help="settings file in TOML"
     )
-    entry.set_defaults(run=run_daemon, json=False)
+    entry.set_defaults(run=run_daemon, json=False, handles_signals=True)
     config = commands.add_parser("config", help="check settings files")
     actions = config.add_subparsers(dest="action", required=True)
     check = actions.add_parser("check", help="print all faults of a settings file")
--- a/fireflyquay/gateway/_daemon.py
+++ b/fireflyquay/gateway/_daemon.py
@@ -9,6 +9,7 @@
 
 import logbook
 
+from fireflyquay.signals import admit_signals
 from fireflyquay.world import FireflyquayError
 
 from ._gateway import Gateway
@@ -35,6 +36,7 @@
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, request_stop)
     loop.add_signal_handler(signal.SIGHUP, reload.set)
+    admit_signals()
     await gateway.start()
     watch_task = loop.create_task(_watch_settings(gateway, path, load, reload))
     await stop.wait()
