Reset the connections of responses without framing if a gateway is killed

Clients of a killed gateway had status 200, the seal, a part of the body and an orderly end of the connection, for each response that neither a length nor chunks frame: the kernel closes the connections of a process that ends in good order.

Class: a response whose end is told by the end of a connection. It took plain bodies, and also streams and bodies in chunks that are passed on to HTTP/1.0 clients, on new and on kept connections. Tunnels were sound: their frames tell the end of the backend server's connection from their own.

While such a response is under way its connection now lingers for 0 s, so that the kernel resets it when the process ends, however it ends. That is taken back when the response is whole and the kernel has all of it, which then sends the rest and an orderly end.

Weighed: chunks for HTTP/1.1 clients. They show a kill as well, but not to HTTP/1.0 clients; and they would end a body that the backend server may have broken off with a claim of our own that it is whole (docs/incidents/broken-off-responses.md), which test_response_without_framing_is_not_given_any guards against. What the reset can't show is a loss of power: then the client sees no end at all.

Failed before: 14 of the 20 cases of test_response_of_a_killed_gateway_does_not_look_whole, which kills a process (`True != False`: no framing, all; chunks and events to HTTP/1.0 clients). The 6 cases of test_response_through_a_tunnel_looks_whole_only_if_it_is held before.

--- a/fireflyquay/links/__init__.py
+++ b/fireflyquay/links/__init__.py
@@ -1,5 +1,6 @@
 """HTTP server and client, store client, connections between VMs, and JSON logs."""
 
+from ._connection_reset import abort_connection
 from ._http_client import (
     BackendClient,
     BackendExchange,
@@ -18,7 +19,7 @@
     join_headers,
 )
 from ._http_pool import Address, Dialer, TcpDialer
-from ._http_responder import HttpResponder, abort_connection
+from ._http_responder import HttpResponder
 from ._http_server import Handler, HttpServer
 from ._http_statuses import get_http_status
 from ._json_log import JsonLineHandler
--- a/fireflyquay/links/_graceful_close.py
+++ b/fireflyquay/links/_graceful_close.py
@@ -9,6 +9,7 @@
 import struct
 import termios
 
+from ._connection_reset import set_reset_on_close
 from ._http_message import MAX_READ_BYTES
 
 _COUNT = struct.Struct("i")
@@ -67,6 +68,9 @@
     """
     writer.transport.set_write_buffer_limits(high=0)
     await drain(writer, max_stall_seconds)
+    if not writer.transport.is_closing():
+        # From here on, the kernel sends the rest.
+        set_reset_on_close(writer, False)
     is_peer_open = discards_input and not reader.at_eof()
     if is_peer_open or count_unsent_bytes(writer):
         if not discards_input:
--- a/fireflyquay/links/_http_connection.py
+++ b/fireflyquay/links/_http_connection.py
@@ -14,6 +14,7 @@
 from fireflyquay.world import Code, Verdict
 
 from ._body_budget import BodyBudget, BodyReservation
+from ._connection_reset import abort_connection
 from ._graceful_close import close_gracefully, count_unsent_bytes
 from ._http_message import (
     MAX_READ_BYTES,
@@ -22,7 +23,7 @@
     HttpRequest,
     join_headers,
 )
-from ._http_responder import HttpResponder, abort_connection
+from ._http_responder import HttpResponder
 from ._monitored_reader import MonitoredReader
 
 LOG = logbook.Logger("http")
--- a/fireflyquay/links/_http_pool.py
+++ b/fireflyquay/links/_http_pool.py
@@ -11,8 +11,8 @@
 
 from fireflyquay.world import Incarnation
 
+from ._connection_reset import abort_connection
 from ._http_message import MAX_READ_BYTES, HttpLimits
-from ._http_responder import abort_connection
 from ._monitored_reader import MonitoredReader
 from ._sockets import enable_dead_peer_detection
 
--- a/fireflyquay/links/_http_responder.py
+++ b/fireflyquay/links/_http_responder.py
@@ -3,20 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-import socket
-import struct
 from collections.abc import Callable, Mapping
 
 import h11
 
+from ._connection_reset import abort_connection, set_reset_on_close
 from ._graceful_close import drain
 from ._http_message import CallerDisconnectedError, HttpLimits, RawHeaders
 
-# SO_LINGER with timeout 0: close() resets the connection, so that the peer does not
-# take a truncated message for a complete one.
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-
-
 Headers = Mapping[str, str] | RawHeaders
 
 
@@ -25,15 +19,6 @@
     return list(headers.items() if isinstance(headers, Mapping) else headers)
 
 
-def abort_connection(writer: asyncio.StreamWriter) -> None:
-    """Reset a connection and discard unsent bytes."""
-    sock, transport = writer.get_extra_info("socket"), writer.transport
-    has_unsent_bytes = transport.get_write_buffer_size() > 0
-    if sock is not None and (has_unsent_bytes or not transport.is_closing()):
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
-    transport.abort()
-
-
 class HttpResponder:
     """Send one response, whole or in parts.
 
@@ -112,8 +97,17 @@
         if ends_with_connection:
             # h11 uses chunks unless the peer's version lacks them.
             self._http.their_http_version = b"1.0"
+        if self._is_ended_by_connection(head):
+            # Otherwise, if this process is killed, the response seems to end there.
+            set_reset_on_close(self._writer, True)
         return self._http.send(head)
 
+    def _is_ended_by_connection(self, head: h11.Response) -> bool:
+        """Return whether only the end of the connection ends the body."""
+        has_length = any(name == b"content-length" for name, _ in head.headers)
+        may_be_chunked = (self._http.their_http_version or b"") >= b"1.1"
+        return not may_be_chunked and not has_length
+
     def _encode_chunk(self, chunk: bytes) -> bytes:
         if not chunk or self._is_head_request:
             return b""
--- a/fireflyquay/links/_http_server.py
+++ b/fireflyquay/links/_http_server.py
@@ -7,9 +7,10 @@
 from collections.abc import Awaitable, Callable
 
 from ._body_budget import BodyBudget
+from ._connection_reset import abort_connection
 from ._http_connection import ServerConnection
 from ._http_message import HttpLimits, HttpRequest
-from ._http_responder import HttpResponder, abort_connection
+from ._http_responder import HttpResponder
 from ._monitored_reader import MonitoredReader
 from ._sockets import enable_dead_peer_detection
 
--- a/fireflyquay/links/_tunnel.py
+++ b/fireflyquay/links/_tunnel.py
@@ -13,8 +13,8 @@
 
 from fireflyquay.membership import Message
 
+from ._connection_reset import abort_connection
 from ._graceful_close import close_gracefully
-from ._http_responder import abort_connection
 from ._monitored_reader import MonitoredReader
 
 FRAME_HEADER_BYTES = 4
