Prove a single version by a record, not by absence from the registry

Cause: BackendRegistry.had_one_version. A VM that had just started took it for proven that one version served if all registered servers are of one version and older than a stream may last. It can't see what has left: absence was taken for proof. The same holds for a VM whose registry was not confirmed for seconds, in which a version may have joined and left.

Change: what a VM did not observe itself, a record in the store must prove. It tells when each version was last seen in a list, since when that is observed and when it was last confirmed. A version that joins is recorded before its first slot; until then its servers are listed as leaving. Writes are made under the record's revision and only add, so that late, lost and repeated ones do no harm. A registry that was not confirmed for 2 s begins its observation anew.

--- a/emulator/_store.py
+++ b/emulator/_store.py
@@ -6,10 +6,12 @@
 import random
 from collections.abc import Callable
 
+from fireflyquay.dispatch import VersionRecord
 from fireflyquay.gateway import (
     BackendsSnapshot,
     ConfigSnapshot,
     FleetSource,
+    StoredVersions,
     VmRegistration,
 )
 from fireflyquay.links import HttpFailure
@@ -30,6 +32,7 @@
         self.config: FleetConfig | None = None
         self.backends: dict[str, BackendEntry] = {}
         self.vms: dict[str, VmRegistration] = {}
+        self.versions = StoredVersions(VersionRecord(), 0, 0)
         # Hosts whose calls fail.
         self.refused_hosts: set[str] = set()
         # Whether all calls fail.
@@ -60,6 +63,8 @@
 class EmulatedSource(FleetSource):
     """Give one gateway access to the emulated store."""
 
+    keeps_versions = True
+
     def __init__(
         self, store: EmulatedStore, host: str, is_reachable: Callable[[], bool]
     ) -> None:
@@ -100,6 +105,22 @@
             del self._store.vms[registration.name]
             self._store.increment_revision()
 
+    async def read_versions(self) -> StoredVersions:
+        """Return the record of software versions."""
+        await self._call_store()
+        return self._store.versions
+
+    async def write_versions(
+        self, record: VersionRecord, revision: int
+    ) -> StoredVersions | None:
+        """Replace the record; return None if its revision is another by now."""
+        await self._call_store()
+        if self._store.versions.revision != revision:
+            return None
+        new = StoredVersions(record, self._store.increment_revision(), 0)
+        self._store.versions = new
+        return new
+
     async def _call_store(self) -> None:
         if not self._is_reachable():
             await asyncio.sleep(TIMEOUT_SECONDS)
--- a/fireflyquay/dispatch/__init__.py
+++ b/fireflyquay/dispatch/__init__.py
@@ -39,6 +39,7 @@
 from ._scheduler import SlotScheduler, SlotSchedulerSettings
 from ._slot_messages import Decision, Grant, Refusal, SlotRequest
 from ._stream_origins import StreamOrigin, StreamOrigins
+from ._version_record import VersionKey, VersionReading, VersionRecord
 
 __all__ = [
     "ActiveRun",
@@ -82,4 +83,7 @@
     "SlotSchedulerSettings",
     "StreamOrigin",
     "StreamOrigins",
+    "VersionKey",
+    "VersionReading",
+    "VersionRecord",
 ]
--- a/fireflyquay/dispatch/_backend_registry.py
+++ b/fireflyquay/dispatch/_backend_registry.py
@@ -12,16 +12,18 @@
     BackendPhase,
     BackendServerId,
     ServiceId,
-    SoftwareVersion,
 )
 
 from ._freshness import Freshness
+from ._version_record import VersionKey, VersionReading
 
 # The platform guarantees that a live backend server registers again within this time
 # after an outage of the store.
 REREGISTRATION_SECONDS = 2.0
 # Age of the registry from which it may lack a version that streams have begun at.
 MAX_VERSIONS_AGE_SECONDS = 1.0
+# Seconds without a confirmation in which a version may have joined and left unnoticed.
+MAX_OBSERVATION_GAP_SECONDS = 2.0
 # Seconds for which versions that are no longer registered are remembered.
 VERSION_MEMORY_SECONDS = 600.0
 # Number of processes that are remembered as leaving: more than a large fleet replaces
@@ -39,11 +41,13 @@
         self._retained_until: dict[BackendServerId, float] = {}
         self._digest: int | None = None
         # Time at which each version was last registered, for those that no longer are.
-        self._left_at: dict[tuple[ServiceId, SoftwareVersion], float] = {}
+        self._left_at: dict[VersionKey, float] = {}
         # Processes that stated that they leave, by the start of each.
         self._leaving: dict[BackendServerId, int] = {}
-        # Time of the first list.
-        self._known_since: float | None = None
+        # Time since which the registry has been confirmed without a gap.
+        self._observed_since: float | None = None
+        # The last reading of the store's record of software versions.
+        self._version_reading: VersionReading | None = None
         self.freshness = Freshness(0, float("-inf"))
 
     def replace_all(
@@ -69,6 +73,7 @@
             }
         changes = self._retain_missing(entries_by_id, freshness, after_outage)
         changes += _describe_changes(self._entries, entries_by_id)
+        self._observe(freshness.confirmed_at)
         self._record_versions(entries_by_id, freshness.confirmed_at)
         self._entries = entries_by_id
         self._digest = None
@@ -86,6 +91,7 @@
     def mark_confirmed(self, freshness: Freshness) -> None:
         """Record a confirmation of the entries unless a later one is known."""
         if freshness.confirmed_at > self.freshness.confirmed_at:
+            self._observe(freshness.confirmed_at)
             revision = max(freshness.revision, self.freshness.revision)
             self.freshness = Freshness(revision, freshness.confirmed_at)
 
@@ -118,13 +124,31 @@
         """Return the software versions of a service's registered backend servers."""
         return {it.version for it in self._entries.values() if it.service == service}
 
+    def list_ready_versions(self) -> set[VersionKey]:
+        """Return the versions of the backend servers that accept requests."""
+        return {
+            (it.service, it.version)
+            for it in self._entries.values()
+            if it.phase is BackendPhase.READY
+        }
+
+    def apply_version_reading(self, reading: VersionReading) -> None:
+        """Use a reading of the store's record of software versions."""
+        self._version_reading = reading
+
+    @property
+    def is_record_current(self) -> bool:
+        """Return whether all since the last reading of the record was observed."""
+        since, reading = self._observed_since, self._version_reading
+        return since is None or (reading is not None and reading.sent_at >= since)
+
     def had_one_version(
         self, service: ServiceId, seconds: float, now: float, unix_ms: float
     ) -> bool:
         """Return whether a service surely ran one software version for some seconds.
 
-        A registry that was first read more recently proves it only if all backend
-        servers are older than that.
+        What this VM did not observe itself, the store's record must prove: the absence
+        of a version from the registry proves nothing of the time before.
         """
         since = now - seconds
         if self.freshness.compute_age(now) > MAX_VERSIONS_AGE_SECONDS:
@@ -138,16 +162,26 @@
         }
         if len(versions) != 1:
             return False
-        if self._known_since is not None and self._known_since <= since:
+        if self._observed_since is not None and self._observed_since <= since:
             return True
-        oldest_ms = unix_ms - seconds * MILLISECONDS_PER_SECOND
-        return bool(entries) and all(0 < it.born_ms < oldest_ms for it in entries)
+        reading, since_ms = (
+            self._version_reading,
+            unix_ms - seconds * MILLISECONDS_PER_SECOND,
+        )
+        return (
+            reading is not None
+            and self.is_record_current
+            and reading.proves_one_version(service, versions.pop(), since_ms)
+        )
+
+    def _observe(self, now: float) -> None:
+        gap = now - self.freshness.confirmed_at
+        if gap > MAX_OBSERVATION_GAP_SECONDS or self._observed_since is None:
+            self._observed_since = now
 
     def _record_versions(
         self, new: dict[BackendServerId, BackendEntry], now: float
     ) -> None:
-        if self._known_since is None:
-            self._known_since = now
         present = {(it.service, it.version) for it in new.values()}
         for entry in self._entries.values():
             self._left_at[entry.service, entry.version] = now
--- a/fireflyquay/dispatch/tests/test_software_versions.py
+++ b/fireflyquay/dispatch/tests/test_software_versions.py
@@ -17,6 +17,8 @@
     SlotSchedulerSettings,
     StreamOrigin,
     StreamOrigins,
+    VersionReading,
+    VersionRecord,
 )
 from fireflyquay.world import AttemptId, BackendServerId, Code, SoftwareVersion
 
@@ -33,6 +35,7 @@
 OLD, NEW = SoftwareVersion("v1"), SoftwareVersion("v2")
 STREAM = AttemptId("stream")
 LIFETIME = 30.0
+NOW_MS = 200_000.0
 
 
 def make_server(name, version, slots=1, **options):
@@ -137,14 +140,25 @@
     assert not origins.list_owned(OWN_VM)
 
 
-def make_registry(*lists):
-    """Return a registry that read each list at its time."""
+def make_registry(*lists, until=100.0):
+    """Return a registry that read each list at its time, and was confirmed between."""
     registry = BackendRegistry()
     for revision, (at, entries) in enumerate(lists, 1):
+        if revision > 1:
+            confirm(registry, at)
         registry.replace_all(entries, Freshness(revision, at))
+    confirm(registry, until)
     return registry
 
 
+def confirm(registry, until):
+    """Confirm a registry each second."""
+    at = registry.freshness.confirmed_at
+    while at < until:
+        at = min(until, at + 1.0)
+        registry.mark_confirmed(Freshness(0, at))
+
+
 @pytest.mark.parametrize(
     ("lists", "expected"),
     [
@@ -160,20 +174,76 @@
 )
 def test_service_had_one_version(lists, expected):
     registry = make_registry(*lists)
-    registry.mark_confirmed(Freshness(9, 100.0))
     assert registry.had_one_version(SERVICE, LIFETIME, 100.0, 200_000.0) is expected
 
 
 def test_outdated_registry_proves_no_single_version():
-    registry = make_registry((0.0, [make_server("e1", OLD)]))
+    registry = make_registry((0.0, [make_server("e1", OLD)]), until=50.0)
+    assert not registry.had_one_version(SERVICE, LIFETIME, 100.0, 200_000.0)
+
+
+def test_version_that_joins_and_leaves_while_the_registry_is_old_is_not_passed_over():
+    registry = make_registry((0.0, [make_server("e1", OLD)]), until=77.0)
+    registry.mark_confirmed(Freshness(0, 80.0))
+    confirm(registry, 100.0)
     assert not registry.had_one_version(SERVICE, LIFETIME, 100.0, 200_000.0)
+    confirm(registry, 110.0)
+    assert registry.had_one_version(SERVICE, LIFETIME, 110.0, 210_000.0)
+
 
+def test_new_registry_proves_no_single_version_by_the_age_of_its_servers():
+    registry = make_registry((100.0, [make_server("e1", OLD, born_ms=1)]))
+    assert not registry.had_one_version(SERVICE, LIFETIME, 100.0, NOW_MS)
 
-def test_new_registry_proves_a_single_version_only_of_old_servers():
-    def has_one_version(born_ms):
-        registry = make_registry((100.0, [make_server("e1", OLD, born_ms=born_ms)]))
-        return registry.had_one_version(SERVICE, LIFETIME, 100.0, 200_000.0)
 
-    assert has_one_version(100_000)
-    assert not has_one_version(190_000)
-    assert not has_one_version(0)
+def make_reading(
+    seen_ms, since_ms=1, confirmed_ms=NOW_MS, restores=(0, 0), sent_at=100.0
+):
+    record = VersionRecord(since_ms, int(confirmed_ms), restores[0], {SERVICE: seen_ms})
+    return VersionReading(record, 7, restores[1], sent_at, NOW_MS)
+
+
+@pytest.mark.parametrize(
+    ("reading", "expected"),
+    [
+        (make_reading({OLD: NOW_MS}), True),
+        # Another version may have been granted slots since the stream began.
+        (make_reading({OLD: NOW_MS, NEW: NOW_MS - 90_000}), False),
+        (make_reading({OLD: NOW_MS, NEW: NOW_MS - 120_000}), True),
+        # The version itself is not recorded.
+        (make_reading({NEW: 1}), False),
+        (make_reading({}), False),
+        # The record began too late, or was not confirmed for long.
+        (make_reading({OLD: NOW_MS}, since_ms=NOW_MS - 33_000), False),
+        (make_reading({OLD: NOW_MS}, since_ms=NOW_MS - 37_000), True),
+        (make_reading({OLD: NOW_MS}, confirmed_ms=NOW_MS - 31_000), False),
+        # The store came back from a copy, which may be older than the last write.
+        (make_reading({OLD: NOW_MS}, restores=(0, 1)), False),
+        # The record was read before the registry, which may lack versions between.
+        (make_reading({OLD: NOW_MS}, sent_at=99.0), False),
+    ],
+)
+def test_new_registry_proves_a_single_version_by_the_record(reading, expected):
+    registry = make_registry((100.0, [make_server("e1", OLD)]))
+    registry.apply_version_reading(reading)
+    assert registry.had_one_version(SERVICE, LIFETIME, 100.0, NOW_MS) is expected
+
+
+def test_record_does_not_hide_a_version_that_is_registered():
+    entries = [make_server("e1", OLD), make_server("e2", NEW)]
+    registry = make_registry((100.0, entries))
+    registry.apply_version_reading(make_reading({OLD: NOW_MS}))
+    assert not registry.had_one_version(SERVICE, LIFETIME, 100.0, NOW_MS)
+
+
+def test_record_that_was_not_confirmed_for_long_begins_anew():
+    record = VersionRecord().merge([(SERVICE, OLD)], 0, 10_000)
+    assert record.since_ms == 10_000
+    record = record.merge([(SERVICE, NEW)], 0, 40_000)
+    assert record.since_ms == 10_000
+    assert record.seen_ms == {SERVICE: {OLD: 10_000, NEW: 40_000}}
+    assert record.holds((SERVICE, OLD), 40_000)
+    assert not record.holds((SERVICE, OLD), 41_000)
+    assert record.merge([], 0, 71_000).since_ms == 71_000
+    assert record.merge([], 1, 41_000).since_ms == 41_000
+    assert record.merge([], 0, 700_000).seen_ms == {}
--- a/fireflyquay/gateway/__init__.py
+++ b/fireflyquay/gateway/__init__.py
@@ -18,6 +18,7 @@
     RequestMetadata,
     Response,
     ResponseMetadata,
+    StoredVersions,
     UpstreamRequest,
     VmRegistration,
 )
@@ -46,6 +47,7 @@
     "Exchange",
     "Failure",
     "FleetSource",
+    "StoredVersions",
     "Gateway",
     "GatewaySettings",
     "HeaderPairs",
--- a/fireflyquay/gateway/_dialect.py
+++ b/fireflyquay/gateway/_dialect.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from fireflyquay.dispatch import VersionRecord
 from fireflyquay.links import HttpRequest, RawHeaders
 from fireflyquay.world import (
     AttemptId,
@@ -250,9 +251,24 @@
     revision: int
 
 
+@dataclass(frozen=True, slots=True)
+class StoredVersions:
+    """Hold the record of software versions as stored."""
+
+    # Empty if none is stored, or one that can't be decoded.
+    record: VersionRecord
+    # Store revision of its last change; 0 if none is stored.
+    revision: int
+    # Number of times that the store was restored from a copy.
+    restore_count: int
+
+
 class FleetSource(ABC):
     """Access the platform's store; methods raise HttpFailure if the store fails."""
 
+    # Whether the store takes a record of software versions.
+    keeps_versions = False
+
     @abstractmethod
     async def read_config(self) -> ConfigSnapshot:
         """Return the latest configuration."""
@@ -272,3 +288,13 @@
     @abstractmethod
     async def remove_vm(self, registration: VmRegistration) -> None:
         """Remove a registration unless it has changed since it was listed."""
+
+    async def read_versions(self) -> StoredVersions:
+        """Return the record of software versions."""
+        raise NotImplementedError
+
+    async def write_versions(
+        self, record: VersionRecord, revision: int
+    ) -> StoredVersions | None:
+        """Replace the record; return None if its revision is another by now."""
+        raise NotImplementedError
--- a/fireflyquay/gateway/_state_replicas.py
+++ b/fireflyquay/gateway/_state_replicas.py
@@ -9,10 +9,11 @@
 
 from fireflyquay.dispatch import BackendRegistry, ConfigReplica, Freshness
 from fireflyquay.links import HttpFailure
-from fireflyquay.world import BackendServerId
+from fireflyquay.world import BackendServerId, RepeatRule
 
 from ._clock import AgeClock
 from ._dialect import FleetSource
+from ._version_keeper import VersionKeeper
 
 LOG = logbook.Logger("beliefs")
 
@@ -46,6 +47,13 @@
         self._read_period = read_period
         # Returns whether this VM reads at every interval, on behalf of the other VMs.
         self._polls_for_fleet = polls_for_fleet
+        self._versions = VersionKeeper(
+            source,
+            self.backends,
+            clock,
+            self._has_resumable_streams,
+            polls_for_fleet,
+        )
         self._is_store_available = True
         # Set when another VM has a newer configuration.
         self._config_requested = asyncio.Event()
@@ -82,7 +90,10 @@
     async def poll_backends(self) -> None:
         """Keep the replica of the registry current until cancelled."""
         await self._poll(
-            self._read_backends, lambda: self.backends.freshness, asyncio.Event()
+            self._read_backends,
+            lambda: self.backends.freshness,
+            asyncio.Event(),
+            lambda: self._versions.is_due,
         )
 
     async def _poll(
@@ -90,11 +101,12 @@
         read: Callable[[], Awaitable[None]],
         get_freshness: Callable[[], Freshness],
         requested: asyncio.Event,
+        is_due: Callable[[], bool] = lambda: False,
     ) -> None:
         retry_delay = INITIAL_RETRY_SECONDS
         while True:
             age = get_freshness().compute_age(self._clock.read())
-            is_outdated = age > OWN_READ_AGE_SECONDS
+            is_outdated = age > OWN_READ_AGE_SECONDS or is_due()
             if self._polls_for_fleet() or is_outdated or requested.is_set():
                 requested.clear()
                 if await self._try_read(read):
@@ -147,21 +159,29 @@
             snapshot.restore_count
         ):
             self._recovering_until = self._clock.read() + OUTAGE_SECONDS
+        entries = await self._versions.admit(snapshot)
         freshness = Freshness(snapshot.revision, sent_at)
         is_recovering = self._clock.read() < self._recovering_until
-        changes = self.backends.replace_all(snapshot.entries, freshness, is_recovering)
+        changes = self.backends.replace_all(entries, freshness, is_recovering)
         if snapshot.unreadable != self._unreadable:
             self._unreadable = snapshot.unreadable
             LOG.warning(
                 "registrations unreadable", extra={"names": snapshot.unreadable}
             )
-        if not changes:
-            return
-        LOG.info(
-            "backend servers changed",
-            extra={"revision": snapshot.revision, "changes": changes},
+        if changes:
+            LOG.info(
+                "backend servers changed",
+                extra={"revision": snapshot.revision, "changes": changes},
+            )
+            self.on_change()
+        await self._versions.confirm(snapshot)
+
+    def _has_resumable_streams(self) -> bool:
+        """Return whether clients may resume streams, as far as is known."""
+        config = self.config.config
+        return config is None or any(
+            route.repeat_rule is RepeatRule.RESUMABLE for route in config.routes
         )
-        self.on_change()
 
     def _was_restored(self, restore_count: int) -> bool:
         """Return whether the store was restored from a copy since the last read."""
