Prove that one version serves by a read sent after the client resumed

Callers saw streams that had begun at workers of a new version, through other gateways, go on at a worker of the old one (rule ORDER). The gateway at which they were resumed had been cut off from the others and from the store, or had stood still, for less than a second.

Cause: a registry counted as proof that one version serves if it had been confirmed within the last second. A version that joined after that confirmation may already have begun streams at gateways that read it earlier.

The locator now waits for a confirmation whose read was sent after the request arrived: the version at which a stream began is registered before its client can resume it. The read is requested only if nobody answers within 0.1 s, requests that wait share it, and a gateway sends at most one each 0.1 s; a confirmation by another gateway serves as well. If none comes within 0.6 s, the stream is refused as unknown, as before.

Evidence: test_stream_of_a_version_that_a_gateway_has_not_seen_goes_on_ at_no_other, cut off and frozen; before, three of three runs of each fail, four or five of twelve streams crossed: "assert not [['v2', 'v2', 'v2', 'v1', 'v1', 'v1', ...], ...]". After, three of three hold.

Ruled out: a shorter bound on the age. Any age leaves a time in which another gateway knows more.

--- a/fireflyquay/dispatch/_backend_registry.py
+++ b/fireflyquay/dispatch/_backend_registry.py
@@ -12,6 +12,7 @@
     BackendPhase,
     BackendServerId,
     ServiceId,
+    SoftwareVersion,
 )
 
 from ._freshness import Freshness
--- a/fireflyquay/gateway/_gateway.py
+++ b/fireflyquay/gateway/_gateway.py
@@ -126,7 +126,10 @@
         self._slot_client = SlotClient(self.incarnation, self._coordinator)
         self._quarantine = Quarantine(self._clock, rng)
         self._stream_locator = StreamLocator(
-            self._coordinator.origins, self.replicas.backends, self._clock
+            self._coordinator.origins,
+            self.replicas.backends,
+            self.replicas.confirm_backends,
+            self._clock,
         )
         self.paths = BackendPaths(
             client,
--- a/fireflyquay/gateway/_state_replicas.py
+++ b/fireflyquay/gateway/_state_replicas.py
@@ -28,6 +28,9 @@
 # relying on confirmations by other VMs, which arrive several times a second.
 OWN_READ_AGE_SECONDS = 1.2
 AGE_CHECK_INTERVAL_SECONDS = 0.1
+# Seconds between reads that are requested before the next one is due: many streams that
+# are resumed at the same time share a read.
+MIN_READ_INTERVAL_SECONDS = 0.1
 
 
 class StateReplicas:
@@ -57,6 +60,13 @@
         self._is_store_available = True
         # Set when another VM has a newer configuration.
         self._config_requested = asyncio.Event()
+        # Set when a request needs a more recent confirmation of the registry.
+        self._backends_requested = asyncio.Event()
+        # Time on the age clock at which the read of the registry in progress was sent;
+        # infinitely long ago if there is none.
+        self._backends_read_at = float("-inf")
+        # Set at the end of that read, or of the next one.
+        self._backends_read_ended = asyncio.Event()
         # Time on the age clock until which registrations may be missing after outages.
         self._recovering_until = float("-inf")
         # Restores of the store as of the last read; None before the first.
@@ -77,6 +87,17 @@
             self._config_requested.set()
         return self._is_store_available
 
+    async def confirm_backends(self, since: float) -> None:
+        """Wait until a read sent since a time on the age clock confirms the registry.
+
+        Never returns while the store can't be read.
+        """
+        while self.backends.freshness.confirmed_at < since:
+            if self._backends_read_at < since:
+                self._backends_requested.set()
+            # Another VM may confirm it meanwhile.
+            await _wait(self._backends_read_ended, AGE_CHECK_INTERVAL_SECONDS)
+
     def compute_config_age(self) -> float:
         """Return the seconds since the configuration was last confirmed current."""
         return self.config.compute_age(self._clock.read())
@@ -92,7 +113,7 @@
         await self._poll(
             self._read_backends,
             lambda: self.backends.freshness,
-            asyncio.Event(),
+            self._backends_requested,
             lambda: self._versions.is_due,
         )
 
@@ -111,16 +132,14 @@
                 requested.clear()
                 if await self._try_read(read):
                     retry_delay = INITIAL_RETRY_SECONDS
-                    await asyncio.sleep(self._read_period)
+                    min_interval = min(MIN_READ_INTERVAL_SECONDS, self._read_period)
+                    await asyncio.sleep(min_interval)
+                    await _wait(requested, self._read_period - min_interval)
                 else:
                     await asyncio.sleep(retry_delay)
                     retry_delay = min(2 * retry_delay, MAX_RETRY_SECONDS)
                 continue
-            try:
-                async with asyncio.timeout(AGE_CHECK_INTERVAL_SECONDS):
-                    await requested.wait()
-            except TimeoutError:
-                continue
+            await _wait(requested, AGE_CHECK_INTERVAL_SECONDS)
 
     async def _try_read(self, read: Callable[[], Awaitable[None]]) -> bool:
         """Read once and return whether the store responded."""
@@ -152,8 +171,16 @@
         self.on_change()
 
     async def _read_backends(self) -> None:
-        sent_at = self._clock.read()
-        snapshot = await self._source.list_backends()
+        sent_at = self._backends_read_at = self._clock.read()
+        try:
+            snapshot = await self._source.list_backends()
+        finally:
+            self._backends_read_at = float("-inf")
+            ended, self._backends_read_ended = (
+                self._backends_read_ended,
+                asyncio.Event(),
+            )
+            ended.set()
         was_down = sent_at - self.backends.freshness.confirmed_at > OUTAGE_SECONDS
         if (was_down and self.backends.freshness.revision) or self._was_restored(
             snapshot.restore_count
@@ -200,3 +227,12 @@
             LOG.info("store regained", extra={"config_age": age})
             return
         LOG.warning("store lost", extra={"config_age": age, "cause": sentence})
+
+
+async def _wait(event: asyncio.Event, seconds: float) -> None:
+    """Wait for an event for some seconds at most."""
+    try:
+        async with asyncio.timeout(seconds):
+            await event.wait()
+    except TimeoutError:
+        return
--- a/fireflyquay/gateway/_stream_locator.py
+++ b/fireflyquay/gateway/_stream_locator.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import math
+from collections.abc import Awaitable, Callable
 from enum import StrEnum
 
 import logbook
@@ -15,7 +16,7 @@
     StreamOrigin,
     StreamOrigins,
 )
-from fireflyquay.world import AttemptId, Code, Incarnation
+from fireflyquay.world import AttemptId, Code, Incarnation, ServiceId
 
 from ._admission import RejectionError
 from ._call import Call
@@ -52,10 +53,16 @@
     """
 
     def __init__(
-        self, origins: StreamOrigins, backends: BackendRegistry, clock: AgeClock
+        self,
+        origins: StreamOrigins,
+        backends: BackendRegistry,
+        confirm_backends: Callable[[float], Awaitable[None]],
+        clock: AgeClock,
     ) -> None:
         self._origins = origins
         self._backends = backends
+        # Returns once the registry is confirmed by a read sent since a time.
+        self._confirm_backends = confirm_backends
         self._clock = clock
         self._peers: Peers | None = None
         # Lookups in progress by stream; set to the origin once it is known.
@@ -67,14 +74,11 @@
 
     async def locate(self, call: Call) -> None:
         """Bind a call that resumes a stream to its origin; raise RejectionError."""
+        since = self._clock.read()
         stream = call.metadata.resumed_attempt_id
         origin, source = self._origins.find(stream), _OriginSource.OWN_RECORD
         if origin is None:
-            origin = self._find_only_origin(call)
-            source = _OriginSource.SINGLE_VERSION
-        if origin is None:
-            origin = await self._ask_peers(stream) if stream else None
-            source = _OriginSource.OTHER_VM if origin else _OriginSource.NONE
+            origin, source = await self._search(call, stream, since)
         self._log_located(call, origin, source)
         if origin is None:
             raise RejectionError(
@@ -122,15 +126,47 @@
             },
         )
 
-    def _find_only_origin(self, call: Call) -> StreamOrigin | None:
+    async def _search(
+        self, call: Call, stream: AttemptId, since: float
+    ) -> tuple[StreamOrigin | None, _OriginSource]:
+        """Return the origin that others know or that is proven, whichever is first."""
+        searches = (
+            (self._ask_peers(stream), _OriginSource.OTHER_VM),
+            (self._prove_only_origin(call, since), _OriginSource.SINGLE_VERSION),
+        )
+        tasks = [asyncio.ensure_future(_label(*it)) for it in searches]
+        try:
+            for task in asyncio.as_completed(tasks, timeout=MAX_LOOKUP_SECONDS):
+                origin, source = await task
+                if origin is not None:
+                    return origin, source
+        except TimeoutError:
+            pass
+        finally:
+            for task in tasks:
+                task.cancel()
+        return None, _OriginSource.NONE
+
+    async def _prove_only_origin(self, call: Call, since: float) -> StreamOrigin | None:
         """Return where a stream of the call's route must have begun, if that is sure.
 
-        What the client has left of its time the stream can't have lasted yet.
+        Only a registry that is confirmed after the client resumed holds the version at
+        which the stream began: other VMs may know that version earlier than this one.
         """
         shares = call.admission.route.shares
-        if len(shares) != 1:
+        if len(shares) != 1 or len(self._backends.list_versions(shares[0].service)) > 1:
             return None
-        service = shares[0].service
+        if self._has_others():
+            # One of them mostly knows, which saves a read.
+            await asyncio.sleep(LOOKUP_INTERVAL_SECONDS)
+        await self._confirm_backends(since)
+        return self._find_only_origin(call, shares[0].service)
+
+    def _find_only_origin(self, call: Call, service: ServiceId) -> StreamOrigin | None:
+        """Return where a stream of a service must have begun, by what is registered.
+
+        What the client has left of its time the stream can't have lasted yet.
+        """
         versions = self._backends.list_versions(service)
         seconds_left = call.metadata.client_timeout or 0.0
         if len(versions) != 1 or not self._backends.had_one_version(
@@ -142,26 +178,34 @@
             return None
         return StreamOrigin(service, versions.pop())
 
+    def _has_others(self) -> bool:
+        return self._peers is not None and bool(self._peers.list_others())
+
     async def _ask_peers(self, stream: AttemptId) -> StreamOrigin | None:
         """Ask the coordinator, then all others; return None if nobody knows."""
-        if self._peers is None:
+        if self._peers is None or not stream:
             return None
         loop = asyncio.get_running_loop()
         lookup = self._lookups.get(stream)
         if lookup is None:
             lookup = self._lookups[stream] = loop.create_future()
         targets = [self._peers.choose_coordinator()]
-        ends_at = loop.time() + MAX_LOOKUP_SECONDS
         try:
-            while loop.time() < ends_at:
+            while True:
                 for target in targets:
                     if target != self._peers.get_own_vm().incarnation:
                         self._peers.send(target, OriginRequest(stream))
                 await asyncio.wait((lookup,), timeout=LOOKUP_INTERVAL_SECONDS)
-                if lookup.done():
-                    return lookup.result()
+                origin = self._origins.find(stream)
+                if origin is not None:
+                    return origin
                 targets = list(self._peers.list_others())
         finally:
             if self._lookups.get(stream) is lookup:
                 del self._lookups[stream]
-        return None
+
+
+async def _label(
+    search: Awaitable[StreamOrigin | None], source: _OriginSource
+) -> tuple[StreamOrigin | None, _OriginSource]:
+    return await search, source
