--- a/fireflyquay/world/__init__.py
+++ b/fireflyquay/world/__init__.py
@@ -1,6 +1,6 @@
 """Types that all packages share: VMs, backend servers, contracts and requests."""
 
-from ._backend_entry import BackendEntry, BackendPhase
+from ._backend_entry import BackendEntry, BackendPhase, is_unicast_address
 from ._backend_server import BackendKind, BackendRecord, BackendServer, BackendState
 from ._codes import Code, FireflyquayError
 from ._contract import (
@@ -95,6 +95,7 @@
     "VmListing",
     "VmListingState",
     "ZoneId",
+    "is_unicast_address",
     "is_valid_request_key",
     "SoftwareVersion",
     "SuspectId",
