Fail to connect, not with an internal error, at what is no address

What callers saw: 500 `INTERNAL` for a request that is granted a slot at a backend server with such a host, also where another VM passed the entry on; an examination or a test of paths that ends with an exception, which restarts the task that tests all paths.

Cause: connecting raises `UnicodeError`, `ValueError` or `OverflowError` for a host or port that can't be an address, and callers expect `OSError`. Only the link to peers knew.

Evidence: `test_address_that_is_none_fails_the_request_as_not_sent` failed for 5 of 5 addresses with "label empty or too long", "label too long", "embedded null character" and "connect(): port must be 0-65535" (twice).

Why it works: all three places that connect convert these errors into OSError, which says that nothing was sent; the request goes on elsewhere.

--- a/fireflyquay/links/_http_pool.py
+++ b/fireflyquay/links/_http_pool.py
@@ -14,7 +14,7 @@
 from ._connection_reset import abort_connection
 from ._http_message import MAX_READ_BYTES, HttpLimits
 from ._monitored_reader import MonitoredReader
-from ._sockets import enable_dead_peer_detection
+from ._sockets import convert_address_errors, enable_dead_peer_detection
 
 Address = tuple[str, int]
 
@@ -151,7 +151,8 @@
         loop = asyncio.get_running_loop()
         reader = MonitoredReader(loop)
         protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
-        transport, _ = await loop.create_connection(lambda: protocol, *address)
+        with convert_address_errors():
+            transport, _ = await loop.create_connection(lambda: protocol, *address)
         writer = asyncio.StreamWriter(transport, protocol, reader, loop)
         enable_dead_peer_detection(writer)
         return reader, writer
--- a/fireflyquay/links/_peer.py
+++ b/fireflyquay/links/_peer.py
@@ -14,7 +14,7 @@
 from fireflyquay.world import DECODE_ERRORS, EntryVm, Incarnation
 
 from ._monitored_reader import MonitoredReader
-from ._sockets import enable_dead_peer_detection
+from ._sockets import convert_address_errors, enable_dead_peer_detection
 from ._tunnel import (
     FRAME_HEADER_BYTES,
     Connection,
@@ -113,9 +113,7 @@
             await self._wakeup.wait()
             try:
                 await self._send_while_connected()
-            except (OSError, TimeoutError, ValueError, OverflowError) as error:
-                # Peers may report an invalid host or port, for which connecting raises
-                # ValueError or OverflowError.
+            except (OSError, TimeoutError) as error:
                 self._drop_queued(repr(error))
                 self._wakeup.clear()
                 await asyncio.sleep(RECONNECT_DELAY_SECONDS)
@@ -124,9 +122,11 @@
         # Not asyncio.wait_for, which may lose a cancellation that arrives just as the
         # connection opens.
         async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
-            reader, writer = await asyncio.open_connection(
-                self._address.host, self._address.port
-            )
+            # Peers may report an invalid host or port.
+            with convert_address_errors():
+                reader, writer = await asyncio.open_connection(
+                    self._address.host, self._address.port
+                )
         enable_dead_peer_detection(writer)
         # Peers send nothing on this connection: the read completes when it is closed.
         end_of_input = asyncio.ensure_future(reader.read(1))
@@ -262,9 +262,10 @@
         loop = asyncio.get_running_loop()
         reader = MonitoredReader(loop)
         reader.carrier = vm.incarnation
-        transport, protocol = await loop.create_connection(
-            lambda: TunnelProtocol(reader, loop), vm.host, vm.peer_port
-        )
+        with convert_address_errors():
+            transport, protocol = await loop.create_connection(
+                lambda: TunnelProtocol(reader, loop), vm.host, vm.peer_port
+            )
         writer = asyncio.StreamWriter(transport, protocol, reader, loop)
         try:
             enable_dead_peer_detection(writer)
--- a/fireflyquay/links/_sockets.py
+++ b/fireflyquay/links/_sockets.py
@@ -1,9 +1,11 @@
-"""Socket options that detect unresponsive peers."""
+"""Socket options that detect unresponsive peers, and errors of addresses."""
 
 from __future__ import annotations
 
 import asyncio
 import socket
+from collections.abc import Iterator
+from contextlib import contextmanager
 
 # Allows for several retransmissions: TCP resends a lost packet within a few hundred
 # milliseconds.
@@ -27,3 +29,12 @@
     sock.setsockopt(
         socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS
     )
+
+
+@contextmanager
+def convert_address_errors() -> Iterator[None]:
+    """Raise OSError for a host or port that can't be an address."""
+    try:
+        yield
+    except (ValueError, OverflowError) as error:
+        raise OSError(f"invalid address: {error}") from error
--- a/fireflyquay/links/tests/test_http_client.py
+++ b/fireflyquay/links/tests/test_http_client.py
@@ -192,3 +192,19 @@
     with pytest.raises(HttpFailure) as caught:
         HttpClient(LIMITS).stream(HOST, 1, "GET", target, {}, b"", 1.0)
     assert not caught.value.sent
+
+
+@pytest.mark.parametrize(
+    "address", [("a..b", 80), ("x" * 64, 80), ("\x00", 80), (HOST, 70000), (HOST, -1)]
+)
+def test_address_that_is_none_fails_the_request_as_not_sent(address):
+    async def scenario():
+        client = HttpClient(LIMITS)
+        assert not await client.can_connect(address, 1.0)
+        with pytest.raises(HttpFailure) as failure:
+            async with client.forward(address, "GET", "/", [("Host", "h")], b"", 1.0):
+                pass
+        assert not failure.value.sent
+        await client.close()
+
+    asyncio.run(scenario())
