Keep discovering VMs beside a registration that can't be removed

What operators saw: once another writer has left a registration under a name that the store refuses in a path (of 100,000 letters), the removal of lost VMs stops there, and a coordinator sends no more requests to join: parts of a fleet that lost each other don't find each other again. The log says "VMs not listed" every eight seconds.

Cause: one failed removal ended the whole refresh.

--- a/fireflyquay/gateway/_discovery.py
+++ b/fireflyquay/gateway/_discovery.py
@@ -9,7 +9,7 @@
 import logbook
 
 from fireflyquay.links import HttpFailure
-from fireflyquay.world import VmListing
+from fireflyquay.world import MAX_NAME_CHARS, VmListing
 
 from ._dialect import FleetSource, VmRegistration
 
@@ -130,6 +130,16 @@
                 registration.name, now
             )
             if now - absent_since >= REGISTRATION_EXPIRY_SECONDS:
-                LOG.info("registration removed", extra={"vm": registration.name})
-                await self._source.remove_vm(registration)
+                await self._remove(registration)
         self._absent_since = absent
+
+    async def _remove(self, registration: VmRegistration) -> None:
+        name = registration.name[:MAX_NAME_CHARS]
+        try:
+            await self._source.remove_vm(registration)
+        except HttpFailure as failure:
+            # Another program may have written it under a name that the store refuses.
+            extra = {"vm": name, "cause": failure.sentence[:MAX_NAME_CHARS]}
+            LOG.warning("registration not removed", extra=extra)
+        else:
+            LOG.info("registration removed", extra={"vm": name})
--- a/fireflyquay/world/__init__.py
+++ b/fireflyquay/world/__init__.py
@@ -1,6 +1,11 @@
 """Types that all packages share: VMs, backend servers, contracts and requests."""
 
-from ._backend_entry import BackendEntry, BackendPhase, is_unicast_address
+from ._backend_entry import (
+    MAX_NAME_CHARS,
+    BackendEntry,
+    BackendPhase,
+    is_unicast_address,
+)
 from ._backend_server import BackendKind, BackendRecord, BackendServer, BackendState
 from ._codes import Code, FireflyquayError
 from ._contract import (
@@ -49,6 +54,7 @@
 
 __all__ = [
     "MAX_COUNT",
+    "MAX_NAME_CHARS",
     "MAX_PORT",
     "DECODE_ERRORS",
     "parse_count",
