Grant nothing at backend servers without slots

What callers saw: with backend servers of no slots alone, the first request is granted, and the refusal of the next ends with `ZeroDivisionError`, which ends the coordinator's task for all services (it restarts after half a second) or the request itself with 500. Beside others, one request at a time runs on a backend server without slots.

Cause: the least of one run for shares of a fleet also applied to no slots; the backlog was divided by the sum of slots. Files of operators need a slot; stored records of other writers, and messages of other VMs, may state none.

Evidence: `test_backend_servers_without_slots_get_no_requests` failed for 0 and -1 slots ("{'s1', 's2'} == {'s1'}"); a trial of three requests with such a backend server alone raised "float division by zero" in `advance`.

Why it works: the scheduler leaves out backend servers without slots, so that the sum of slots is above 0 wherever a load exists: rooms are 1 or more, limits usable for 0.01 slots or more, shares above 0. Requests are refused with `NO_BACKEND_SERVER` if there is no other.

--- a/fireflyquay/dispatch/_scheduler.py
+++ b/fireflyquay/dispatch/_scheduler.py
@@ -105,8 +105,8 @@
         self.beliefs = BackendBeliefs(rng)
 
     def set_backends(self, entries: Iterable[BackendEntry]) -> None:
-        """Replace the backend servers that may receive requests."""
-        entries_by_id = {entry.id: entry for entry in entries}
+        """Replace the backend servers that may receive requests, if they have slots."""
+        entries_by_id = {entry.id: entry for entry in entries if entry.slots > 0}
         for backend_id in self._services_by_backend.keys() - entries_by_id.keys():
             state = self._states[self._services_by_backend.pop(backend_id)]
             state.loads.pop(backend_id, None)
--- a/fireflyquay/dispatch/tests/test_coordinator.py
+++ b/fireflyquay/dispatch/tests/test_coordinator.py
@@ -99,6 +99,21 @@
     assert refusal.code is Code.NO_BACKEND_SERVER
 
 
+@pytest.mark.parametrize("slots", [0, -1])
+def test_backend_servers_without_slots_get_no_requests(slots):
+    coordinator = make_coordinator()
+    coordinator.set_backends(
+        [make_backend_entry("s1"), make_backend_entry("s2", slots)]
+    )
+    grants = [coordinator.submit(make_request(number), 0.0) for number in range(4)]
+    assert {it.backend for decisions in grants for it in decisions} == {"s1"}
+    coordinator.set_backends([make_backend_entry("s2", slots)])
+    (refusal,) = coordinator.submit(make_request(9), 0.1)
+    assert refusal.code is Code.NO_BACKEND_SERVER
+    decisions = coordinator.advance(9.0)
+    assert {it.code for it in decisions} == {Code.NO_BACKEND_SERVER}
+
+
 def test_waiting_requests_are_refused_when_the_last_backend_server_leaves():
     coordinator = make_coordinator()
     coordinator.set_backends([make_backend_entry("s1", slots=1)])
