Read lists of the own store and of VMs item by item

What callers saw: one object with a path, value or version of another type in the store of the project's own interface, or one VM of another form on the platform's list, hides all others: contracts and backend servers are no longer followed, and a VM that starts is never ready.

Cause: each list was decoded as a whole.

Evidence: `test_odd_listed_object_does_not_hide_others` failed in 10 of 10 cases ("'StoreFailure' object has no attribute 'values'", or the odd one was listed), `test_odd_listed_vm_does_not_hide_others` in 5 of 5 ("holds no list of VMs").

Why it works: items are decoded one by one; those that can't be are left out, counted and logged. Versions and revisions stay within what messages between VMs can hold.

--- a/fireflyquay/links/_store.py
+++ b/fireflyquay/links/_store.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from typing import TypeVar
+from collections.abc import Iterable
+from typing import Annotated, TypeVar
 from urllib.parse import quote, urlencode
 
+import logbook
 import msgspec
+from msgspec import Meta
 
 from fireflyquay.contracts import (
     StoreConflict,
@@ -22,6 +25,8 @@
 )
 from fireflyquay.world import (
     DECODE_ERRORS,
+    MAX_COUNT,
+    MAX_NAME_CHARS,
     Code,
     FireflyquayError,
     VmListing,
@@ -34,6 +39,9 @@
 REVISION_HEADER = "x-store-revision"
 
 T = TypeVar("T")
+LOG = logbook.Logger("store")
+# Revisions and versions within the range that messages between VMs can encode.
+_Revision = Annotated[int, Meta(ge=0, le=MAX_COUNT)]
 
 
 class StoreListItem(msgspec.Struct, frozen=True):
@@ -41,15 +49,15 @@
 
     path: str
     value: bytes
-    version: int
-    revision: int
+    version: _Revision
+    revision: _Revision
 
 
 class StoreListBody(msgspec.Struct, frozen=True):
     """Hold the response body of a list request."""
 
-    items: list[StoreListItem]
-    revision: int
+    items: list[msgspec.Raw]
+    revision: _Revision
 
 
 class StoreWriteBody(msgspec.Struct, frozen=True):
@@ -146,9 +154,10 @@
         body = _decode_body(response, StoreListBody) if response.status == 200 else None
         if body is None:
             return failure
+        items = _decode_items(body.items, StoreListItem, prefix)
         values = (
             StoredValue(item.path, item.value, item.version, item.revision)
-            for item in body.items
+            for item in items
         )
         return StoreListResult(tuple(values), body.revision)
 
@@ -184,13 +193,13 @@
         )
         vms = None
         if response.status == 200:
-            vms = _decode_body(response, tuple[VmListing, ...])
+            vms = _decode_body(response, tuple[msgspec.Raw, ...])
         if vms is None:
             raise FireflyquayError(
                 Code.STORE_UNAVAILABLE,
                 f"The response with status {response.status} holds no list of VMs.",
             )
-        return vms
+        return tuple(_decode_items(vms, VmListing, "/vms"))
 
 
 def _make_target(path: str) -> str:
@@ -202,3 +211,19 @@
         return msgspec.json.decode(response.body, type=body_type)
     except DECODE_ERRORS:
         return None
+
+
+def _decode_items(
+    items: Iterable[msgspec.Raw], item_type: type[T], resource: str
+) -> list[T]:
+    """Decode the items of a list; skip and log those that are invalid."""
+    decoded, causes = [], []
+    for item in items:
+        try:
+            decoded.append(msgspec.json.decode(item, type=item_type))
+        except DECODE_ERRORS as error:
+            causes.append(str(error)[:MAX_NAME_CHARS])
+    if causes:
+        extra = {"resource": resource, "count": len(causes), "cause": causes[0]}
+        LOG.warning("listed items unreadable", extra=extra)
+    return decoded
