Use no stored record whose values are out of range

What callers saw: a record that another writer left below `backends/` with a port of 70,000, no slots or a number above 64 bits, or a contract with a share of 0, negative limits or such a number, is put in force. Requests at such a backend server end with 500; a number above 64 bits ends the task that reads the list, or the connection on which another VM asks for the configuration, and it does so again at each try.

Cause: records were checked when operators change them, not when they are read. Nor was the path compared with the name in the record, so that one record could stand for another customer or backend server.

Evidence: `test_odd_backend_records_hide_no_sound_ones` failed ("field='port', value=0"), `test_odd_contracts_change_no_sound_ones` with "OverflowError: can't serialize ints < -2**63 or > 2**64 - 1" and for shares and limits out of range.

Why it works: the source uses a record only if it is valid and stands at its path; others are unreadable, and logged as such; the last readable version of a contract stays in force, as before.

--- a/fireflyquay/contracts/__init__.py
+++ b/fireflyquay/contracts/__init__.py
@@ -12,6 +12,7 @@
     CONTRACT_CODEC,
     CONTRACTS_PREFIX,
     RecordCodec,
+    validate_contract,
 )
 from ._store_request import (
     StoreConflict,
@@ -46,4 +47,5 @@
     "build_next_backend_record",
     "build_next_contract_record",
     "includes_change",
+    "validate_contract",
 ]
--- a/fireflyquay/contracts/_record_codec.py
+++ b/fireflyquay/contracts/_record_codec.py
@@ -9,6 +9,7 @@
 
 from fireflyquay.world import (
     DECODE_ERRORS,
+    MAX_COUNT,
     BackendRecord,
     BackendServer,
     Code,
@@ -64,10 +65,11 @@
     """Raise FireflyquayError if a contract has an invalid value."""
     limits = contract.limits
     numbers = (limits.requests_per_second, limits.tokens_per_second, contract.share)
-    if not all(math.isfinite(n) and n >= 0 for n in numbers) or limits.in_flight < 0:
+    is_finite = all(math.isfinite(n) and n >= 0 for n in numbers)
+    if not is_finite or not 0 <= limits.in_flight <= MAX_COUNT:
         raise FireflyquayError(
             Code.BAD_CONTRACT,
-            "The limits must be finite and at least 0, and the share must be finite "
+            "The limits must be at least 0 and finite, and the share must be finite "
             f"and above 0; they are {limits} and {contract.share}.",
         )
     if contract.share == 0:
--- a/fireflyquay/interface/_contract_source.py
+++ b/fireflyquay/interface/_contract_source.py
@@ -14,6 +14,7 @@
     StoredValue,
     StoreList,
     StoreListResult,
+    validate_contract,
 )
 from fireflyquay.gateway import (
     BackendsSnapshot,
@@ -23,6 +24,7 @@
 )
 from fireflyquay.links import HttpFailure, Store, VmList
 from fireflyquay.world import (
+    MAX_NAME_CHARS,
     BackendEntry,
     BackendPhase,
     BackendRecord,
@@ -94,11 +96,12 @@
         entries: list[BackendEntry] = []
         unreadable: list[BackendServerId] = []
         for value in listing.values:
-            try:
-                entries.append(convert_backend(BACKEND_CODEC.decode(value.value)))
-            except FireflyquayError:
-                name = value.path.removeprefix(BACKENDS_PREFIX)
-                unreadable.append(BackendServerId(name))
+            name = BackendServerId(value.path.removeprefix(BACKENDS_PREFIX))
+            entry = _decode_backend(name, value.value)
+            if entry is None:
+                unreadable.append(BackendServerId(name[:MAX_NAME_CHARS]))
+            else:
+                entries.append(entry)
         return BackendsSnapshot(tuple(entries), listing.revision, tuple(unreadable))
 
     async def register_vm(self, listing: VmListing) -> None:
@@ -121,7 +124,9 @@
 
     def _update_contract(self, value: StoredValue) -> None:
         try:
-            self._contracts[value.path] = CONTRACT_CODEC.decode(value.value).contract
+            contract = CONTRACT_CODEC.decode(value.value).contract
+            _check_contract(value.path, contract)
+            self._contracts[value.path] = contract
         except FireflyquayError as error:
             if self._logged_versions.get(value.path) == value.version:
                 return
@@ -129,9 +134,9 @@
             LOG.warning(
                 "contract unreadable",
                 extra={
-                    "path": value.path,
+                    "path": value.path[:MAX_NAME_CHARS],
                     "version": value.version,
-                    "cause": error.sentence,
+                    "cause": error.sentence[:MAX_NAME_CHARS],
                 },
             )
 
@@ -180,6 +185,23 @@
     )
 
 
+def _check_contract(path: str, contract: Contract) -> None:
+    """Raise FireflyquayError unless a contract is valid and stands at its path."""
+    validate_contract(contract)
+    if path != f"{CONTRACTS_PREFIX}{contract.customer}":
+        sentence = "The contract names another customer than its path."
+        raise FireflyquayError(Code.BAD_CONTRACT, sentence)
+
+
+def _decode_backend(name: BackendServerId, value: bytes) -> BackendEntry | None:
+    """Decode the record of a backend server; return None if it is invalid."""
+    try:
+        entry = convert_backend(BACKEND_CODEC.decode(value))
+    except FireflyquayError:
+        return None
+    return entry if entry.id == name and entry.is_valid else None
+
+
 def _make_route(kind: KindSettings) -> Route:
     rule = RepeatRule.IDEMPOTENT if kind.idempotent else RepeatRule.AT_MOST_ONCE
     return Route(
