Send no request to a worker that stands at the address of a gateway

What callers saw: 401 `UNKNOWN_API_KEY` for proper requests, 502 and 504, once an entry names the address at which a gateway takes clients: the gateway sends the request on to itself or another one, without the client's key, and returns the refusal as the worker's answer. No client repeats a request after 401.

Evidence: `test_worker_at_the_address_of_a_gateway_gets_no_requests` failed for the gateway's own address and for another's ("{200, 401} == {200}").

Why it works: backend servers at an address where a live VM listens, for clients or for other VMs, are not granted. It is checked when workers change and when a VM joins. What was ruled out: to answer 421 to requests that bear `X-Expect-Instance`, since a client may send that too.

--- a/fireflyquay/gateway/_fleet.py
+++ b/fireflyquay/gateway/_fleet.py
@@ -182,6 +182,11 @@
         vms = [record.vm for record in self._membership.live()]
         return {(vm.host, vm.peer_port) for vm in vms}
 
+    def list_served_addresses(self) -> set[tuple[str, int]]:
+        """Return the addresses that live VMs listen on, including this one's."""
+        vms = [record.vm for record in self._membership.live()]
+        return {(vm.host, port) for vm in vms for port in (vm.http_port, vm.peer_port)}
+
     def send_join_requests(self, listings: Sequence[VmListing]) -> None:
         """Send join requests to registered VMs and seeds, which may no longer run."""
         now = asyncio.get_running_loop().time()
@@ -318,6 +323,7 @@
             )
             if kind is ChangeKind.JOINED:
                 self._quarantine.send_evidence(incarnation)
+                self._on_replicas_change()
             if kind is ChangeKind.LOST:
                 self._lost_at[record.vm.host, record.vm.peer_port] = now
                 self._replica_sync.remove_vm(incarnation)
--- a/fireflyquay/gateway/_gateway.py
+++ b/fireflyquay/gateway/_gateway.py
@@ -437,10 +437,13 @@
 
     def _apply_replicas(self) -> None:
         registry = self.replicas.backends
+        # A registration may be wrong; a VM would take requests for new ones.
+        served_by_vms = self.fleet.list_served_addresses()
         ready = [
             entry
             for entry in registry.list_backends()
             if registry.accepts_requests(entry.id)
+            and entry.address not in served_by_vms
         ]
         self._coordinator.set_backends(ready)
         config = self.replicas.config.config
