Rebuild token buckets from the whole window at a hand-over

Cause: state that is born full at a hand-over. The buckets of a VM are full when it begins to coordinate. Reported was the usage of 4 s, less what the rate refills in 4 s, so that a burst older than 4 s was granted again; what killed VMs had used was reported by nobody; and the level was clipped to the share of the first tenths of a second, so that an account within its quota was refused.

Each VM now reports what each coordinator granted it in the whole window, in steps of 0.1 s. The coordinator tells its followers four times a second, with its responses to their probes, which buckets lack how much, so that any survivor knows what VMs used that ended. The successor replays the charges from each known start and takes the lowest level: docs/design/limits.md says why that keeps the rule and refuses nobody within a quota. A VM that starts knows no usage: it starts with a third of what the tolerance leaves beside the allowance until it hears more or the window has passed.

Ruled out: a longer report alone (usage of killed VMs is missing, and followers that go back and forth are charged twice); a ledger alone (0.25 s old).

Messages: Handover and ProbeResponse gain a field with a default. The build before reads them, and its hand-over is charged as before.

--- a/fireflyquay/dispatch/__init__.py
+++ b/fireflyquay/dispatch/__init__.py
@@ -19,8 +19,8 @@
     OriginRequest,
     OriginResponse,
     Probe,
+    ProbeResponse,
     Queued,
-    QuotaUsage,
     Rejection,
     ReplicaSyncMessage,
     RunEnded,
@@ -33,12 +33,14 @@
     list_suspects,
 )
 from ._freshness import Freshness
-from ._quota_limiter import REPORTED_USAGE_SECONDS, QuotaLimiter
+from ._quota_limiter import QUOTA_WINDOW_SECONDS, QuotaLimiter, QuotaMargin
 from ._replica_sync import ReplicaSync
 from ._retry_budget import RetryBudget
 from ._scheduler import SlotScheduler, SlotSchedulerSettings
 from ._slot_messages import Decision, Grant, Refusal, SlotRequest
 from ._stream_origins import StreamOrigin, StreamOrigins
+from ._usage_log import UsageLog
+from ._usage_messages import CoordinatorUsage, GrantedUsage, Ledger, UsageHistory
 from ._version_record import VersionKey, VersionReading, VersionRecord
 
 __all__ = [
@@ -67,10 +69,16 @@
     "OriginRequest",
     "OriginResponse",
     "Probe",
+    "ProbeResponse",
     "Queued",
     "QuotaLimiter",
-    "QuotaUsage",
-    "REPORTED_USAGE_SECONDS",
+    "QuotaMargin",
+    "QUOTA_WINDOW_SECONDS",
+    "CoordinatorUsage",
+    "GrantedUsage",
+    "Ledger",
+    "UsageHistory",
+    "UsageLog",
     "Refusal",
     "ReplicaSync",
     "ReplicaSyncMessage",
--- a/fireflyquay/dispatch/_control_message.py
+++ b/fireflyquay/dispatch/_control_message.py
@@ -22,6 +22,7 @@
 )
 
 from ._slot_messages import Grant, Refusal, SlotRequest
+from ._usage_messages import Ledger, UsageHistory
 
 
 class Queued(Message):
@@ -168,6 +169,8 @@
     origins: tuple[OriginResponse, ...] = ()
     # Pauses that backend servers requested from the sender.
     rests: tuple[BackendPause, ...] = ()
+    # What the sender knows of recent usage; None from a VM that keeps no history.
+    history: UsageHistory | None = None
 
 
 class ActiveRunsReport(Message, tag="Holding"):
@@ -202,6 +205,8 @@
     backends_age: float
     # VMs that accept no requests at present.
     unready: tuple[Incarnation, ...]
+    # What is left of limits, if the receiver follows the sender.
+    ledger: Ledger | None = None
 
 
 class ConfigRequest(Message, tag="WantConfig"):
--- a/fireflyquay/dispatch/_quota_limiter.py
+++ b/fireflyquay/dispatch/_quota_limiter.py
@@ -3,68 +3,33 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 from dataclasses import dataclass
 
-from fireflyquay.world import ClientAccount, ClientAccountId, Quota, QuotaUnit
+from fireflyquay.world import (
+    ClientAccount,
+    ClientAccountId,
+    Incarnation,
+    Quota,
+    QuotaUnit,
+)
 
-# Time that the reports of recent usage cover: about that in which a quota refills its
-# burst.
-REPORTED_USAGE_SECONDS = 4.0
-# Decay constant of the largest recent request of a bucket.
-LARGEST_REQUEST_DECAY_SECONDS = 10.0
-
-
-@dataclass(slots=True)
-class _Bucket:
-    """Hold the state of one token bucket.
+from ._token_bucket import Charge, Level, TokenBucket
+from ._usage_messages import (
+    CoordinatorUsage,
+    Ledger,
+    QuotaDeficit,
+    UsageHistory,
+)
 
-    Guards against refusing large requests beyond the quota: units of the allowance
-    are reserved for the largest recent request, since small ones would use up the
-    bucket before it ever covers a large one.
-    """
+# Default length of the window in which quotas are counted.
+QUOTA_WINDOW_SECONDS = 8.0
+# Time that reports cover which have no history, as older builds send them.
+REPORTED_USAGE_SECONDS = 4.0
+# Times that all VMs may be killed in a window before their usage exceeds a quota.
+UNKNOWN_STARTS_PER_WINDOW = 3
 
-    # Units available; negative after a deduction of more.
-    level: float
-    refilled_at: float
-    # Units per second, and the capacity in units.
-    rate: float
-    burst: float
-    # Units of the burst that exceed the quota.
-    allowance: float
-    # Decaying maximum of the units that requests asked for.
-    largest_request: float = 0.0
-    # Units that handovers reported, and the time of the first of them.
-    reported: float = 0.0
-    reported_since: float = -math.inf
-
-    def refill(self, rate: float, burst: float, allowance: float, now: float) -> None:
-        """Add the units accrued since the last refill."""
-        elapsed = max(0.0, now - self.refilled_at)
-        self.level = min(burst, self.level + elapsed * rate)
-        self.largest_request *= math.exp(-elapsed / LARGEST_REQUEST_DECAY_SECONDS)
-        self.refilled_at = now
-        self.rate, self.burst, self.allowance = rate, burst, allowance
-
-    def deduct_reported(self, units: float, quota_rate: float, now: float) -> None:
-        """Deduct units that other coordinators granted.
-
-        All reports together are credited with what the quota refills in the time that
-        they cover, whatever part each of them has.
-        """
-        if now - self.reported_since > REPORTED_USAGE_SECONDS:
-            self.reported, self.reported_since = 0.0, now
-        refilled = quota_rate * REPORTED_USAGE_SECONDS
-        before = max(0.0, self.reported - refilled)
-        self.reported += units
-        self.level -= max(0.0, self.reported - refilled) - before
-
-    def compute_wait(self, units: float) -> float:
-        """Return the seconds until enough units are available."""
-        self.largest_request = max(self.largest_request, units)
-        reserved = min(self.largest_request, self.allowance)
-        # A request larger than the bucket is admitted once the bucket is full.
-        shortage = min(max(units, reserved), self.burst) - self.level
-        return shortage / self.rate if shortage > 0 else 0.0
+FindAccount = Callable[[ClientAccountId], ClientAccount | None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,21 +40,65 @@
     seconds: float
 
 
+@dataclass(frozen=True, slots=True)
+class QuotaMargin:
+    """Hold by how much usage may exceed a quota: a ratio of it, and further units."""
+
+    ratio: float = 0.0
+    units: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class _ReportedUsage:
+    """Hold what other coordinators granted one VM about the same time."""
+
+    account: ClientAccountId
+    granted_at: float
+    requests: float
+    tokens: float
+
+
+@dataclass(frozen=True, slots=True)
+class _KnownLedger:
+    made_at: float
+    deficits: dict[tuple[ClientAccountId, QuotaUnit], float]
+
+
 class QuotaLimiter:
     """Charge requests to the token buckets of their client accounts.
 
     Guards against a client account that sends many times its usual load: requests
     beyond its quota are refused before they take slots from others.
+
+    Guards against a burst from each of several coordinators, one after the other: the
+    buckets are rebuilt from what other VMs report for the whole window. After a start,
+    usage is unknown, and buckets start with a part of what is reserved for this.
     """
 
     def __init__(
-        self, rate_allowance: float = 0.0, burst_allowance: float = 0.0
+        self,
+        allowance: QuotaMargin | None = None,
+        reserve: QuotaMargin | None = None,
+        window_seconds: float = QUOTA_WINDOW_SECONDS,
     ) -> None:
-        # Allowance above each quota: a fraction added to its rate, and units added to
-        # its burst.
-        self._rate_allowance = rate_allowance
-        self._burst_allowance = burst_allowance
-        self._buckets: dict[tuple[ClientAccountId, QuotaUnit], _Bucket] = {}
+        # Granted above each quota: a ratio of its rate, and units of its burst.
+        self._allowance = allowance or QuotaMargin()
+        # Tolerated beyond the allowance, for what no VM knows.
+        self._reserve = reserve or QuotaMargin()
+        self.window_seconds = window_seconds
+        self._buckets: dict[tuple[ClientAccountId, QuotaUnit], TokenBucket] = {}
+        # Time since which the usage of the whole fleet is known.
+        self._known_since = -math.inf
+        self._reports: dict[Incarnation, list[_ReportedUsage]] = {}
+        # The latest ledger of each other coordinator.
+        self._ledgers: dict[Incarnation, _KnownLedger] = {}
+        # Counts reports and other changes of what is known.
+        self._revision = 0
+
+    def mark_unknown(self, now: float) -> None:
+        """Assume nothing about the usage before the given time."""
+        self._known_since = now
+        self._revision += 1
 
     def charge(
         self, account: ClientAccount, tokens: float, share: float, now: float
@@ -98,7 +107,7 @@
 
         ``share`` is the fraction of each quota that this VM may grant.
         """
-        charges: list[tuple[_Bucket, float]] = []
+        charges: list[tuple[TokenBucket, float]] = []
         for quota in account.quotas:
             if quota.rate <= 0:
                 continue
@@ -109,7 +118,7 @@
                 return QuotaShortage(quota.unit, seconds)
             charges.append((bucket, units))
         for bucket, units in charges:
-            bucket.level -= units
+            bucket.charge(units)
         return None
 
     def refund(self, account: ClientAccountId, tokens: float) -> None:
@@ -117,33 +126,183 @@
         for unit in QuotaUnit:
             bucket = self._buckets.get((account, unit))
             if bucket is not None:
-                units = _count_units(unit, 1, tokens)
-                bucket.level = min(bucket.burst, bucket.level + units)
+                bucket.charge(-_count_units(unit, 1, tokens))
 
-    def deduct_reported(
-        self, account: ClientAccount, requests: int, tokens: float, now: float
+    def record_usage(
+        self,
+        vm: Incarnation,
+        granted: tuple[CoordinatorUsage, ...],
+        own: Incarnation,
+        now: float,
     ) -> None:
-        """Deduct the usage of one VM that other coordinators granted it recently."""
-        for quota in account.quotas:
-            if quota.rate <= 0:
-                continue
-            units = _count_units(quota.unit, requests, tokens)
-            bucket = self._refill_bucket(account.id, quota, 1.0, now)
-            bucket.deduct_reported(units, quota.rate, now)
+        """Record all that other coordinators than this VM granted a VM recently."""
+        self._record_report(
+            vm,
+            [
+                _ReportedUsage(it.account, now - it.age_seconds, it.requests, it.tokens)
+                for granter in granted
+                if granter.coordinator != own
+                for it in granter.usage
+            ],
+            now,
+        )
+
+    def record_sums(
+        self,
+        vm: Incarnation,
+        sums: tuple[tuple[ClientAccountId, int, float], ...],
+        now: float,
+    ) -> None:
+        """Record sums of the usage of a VM that reports no history.
+
+        All sums together are credited with what the quota refills in the time that
+        they cover, but not with the allowance.
+        """
+        factor = 1 + self._allowance.ratio
+        granted_at = now - REPORTED_USAGE_SECONDS
+        reports = [
+            _ReportedUsage(account, granted_at, factor * requests, factor * tokens)
+            for account, requests, tokens in sums
+        ]
+        self._record_report(vm, reports, now)
+
+    def adopt_ledger(self, ledger: Ledger, own: Incarnation, now: float) -> None:
+        """Remember what another coordinator says to be left."""
+        self.adopt_known_time(ledger.known_seconds, now)
+        made_at = now - ledger.age_seconds
+        known = self._ledgers.get(ledger.coordinator)
+        if ledger.coordinator == own or (known and known.made_at >= made_at):
+            return
+        deficits = {(it.account, it.unit): it.units for it in ledger.deficits}
+        self._ledgers[ledger.coordinator] = _KnownLedger(made_at, deficits)
+        self._revision += 1
+
+    def adopt_known_time(self, known_seconds: float, now: float) -> None:
+        """Follow a VM that has known the usage of the fleet for some time."""
+        if now - known_seconds < self._known_since:
+            self._known_since = now - known_seconds
+            self._revision += 1
+
+    def make_history(
+        self,
+        own: Incarnation,
+        granted: tuple[CoordinatorUsage, ...],
+        find_account: FindAccount,
+        now: float,
+    ) -> UsageHistory:
+        """Return what a new coordinator needs to know from this VM."""
+        self._forget(now)
+        ledgers = [
+            Ledger(
+                coordinator,
+                now - it.made_at,
+                0.0,
+                tuple(QuotaDeficit(*key, units) for key, units in it.deficits.items()),
+            )
+            for coordinator, it in self._ledgers.items()
+        ]
+        if self._buckets:
+            ledgers.append(self.make_ledger(own, find_account, now))
+        return UsageHistory(self._get_known_seconds(now), granted, tuple(ledgers))
+
+    def make_ledger(
+        self, own: Incarnation, find_account: FindAccount, now: float
+    ) -> Ledger:
+        """Return what this VM, as the coordinator, knows to be left."""
+        accounts = {account for account, _ in self._buckets}
+        for ledger in self._ledgers.values():
+            accounts.update(account for account, _ in ledger.deficits)
+        for reports in self._reports.values():
+            accounts.update(it.account for it in reports)
+        deficits = []
+        for account_id in accounts:
+            account = find_account(account_id)
+            for quota in () if account is None else account.quotas:
+                if quota.rate <= 0:
+                    continue
+                bucket = self._refill_bucket(account_id, quota, None, now)
+                if bucket.level < bucket.burst:
+                    units = bucket.burst - bucket.level
+                    deficits.append(QuotaDeficit(account_id, quota.unit, units))
+        return Ledger(own, 0.0, self._get_known_seconds(now), tuple(deficits))
+
+    def _get_known_seconds(self, now: float) -> float:
+        return min(self.window_seconds, now - self._known_since)
+
+    def _record_report(
+        self, vm: Incarnation, reports: list[_ReportedUsage], now: float
+    ) -> None:
+        self._forget(now)
+        self._reports[vm] = reports
+        self._revision += 1
+
+    def _forget(self, now: float) -> None:
+        """Forget what lies before the window."""
+        since = now - self.window_seconds
+        for vm, reports in list(self._reports.items()):
+            self._reports[vm] = [it for it in reports if it.granted_at >= since]
+            if not self._reports[vm]:
+                del self._reports[vm]
+        for coordinator, ledger in list(self._ledgers.items()):
+            if ledger.made_at < since:
+                del self._ledgers[coordinator]
 
     def _refill_bucket(
-        self, account: ClientAccountId, quota: Quota, share: float, now: float
-    ) -> _Bucket:
-        rate = quota.rate * (1 + self._rate_allowance) * share
-        allowance = self._burst_allowance * share
-        burst = quota.burst * share + allowance
+        self,
+        account: ClientAccountId,
+        quota: Quota,
+        share: float | None,
+        now: float,
+    ) -> TokenBucket:
+        rate = quota.rate * (1 + self._allowance.ratio)
+        allowance = self._allowance.units
+        burst = quota.burst + allowance
+        if self._known_since > -math.inf and (
+            self._known_since < now - self.window_seconds
+        ):
+            self._known_since = -math.inf
+            self._revision += 1
         bucket = self._buckets.get((account, quota.unit))
         if bucket is None:
-            bucket = _Bucket(burst, now, rate, burst, allowance)
+            bucket = TokenBucket(self.window_seconds, burst, now)
             self._buckets[account, quota.unit] = bucket
-        bucket.refill(rate, burst, allowance, now)
+        if share is None:
+            share = bucket.share
+        bucket.refill(rate, burst, allowance, share, now)
+        if bucket.revision != self._revision:
+            self._rebuild(bucket, account, quota, now)
         return bucket
 
+    def _rebuild(
+        self,
+        bucket: TokenBucket,
+        account: ClientAccountId,
+        quota: Quota,
+        now: float,
+    ) -> None:
+        bucket.revision = self._revision
+        since = now - self.window_seconds
+        charges: list[Charge] = [
+            (it.granted_at, _count_units(quota.unit, it.requests, it.tokens))
+            for reports in self._reports.values()
+            for it in reports
+            if it.account == account and it.granted_at >= since
+        ]
+        levels: list[Level] = [
+            (it.made_at, bucket.burst - it.deficits.get((account, quota.unit), 0.0))
+            for it in self._ledgers.values()
+            if it.made_at >= since
+        ]
+        if self._known_since >= since:
+            levels.append((self._known_since, self._compute_unknown_level(quota)))
+        bucket.rebuild(charges, levels)
+
+    def _compute_unknown_level(self, quota: Quota) -> float:
+        """Return the level of a bucket before whose window any usage is possible."""
+        window = quota.burst + quota.rate * self.window_seconds
+        spare = self._reserve.ratio * window + self._reserve.units
+        return spare / UNKNOWN_STARTS_PER_WINDOW
+
 
-def _count_units(unit: QuotaUnit, requests: int, tokens: float) -> float:
+def _count_units(unit: QuotaUnit, requests: float, tokens: float) -> float:
     return float(requests) if unit is QuotaUnit.REQUEST else tokens
--- a/fireflyquay/gateway/_coordinator_factory.py
+++ b/fireflyquay/gateway/_coordinator_factory.py
@@ -8,10 +8,12 @@
     ConfigReplica,
     Coordinator,
     QuotaLimiter,
+    QuotaMargin,
     RetryBudget,
     SlotScheduler,
     SlotSchedulerSettings,
 )
+from fireflyquay.world import Incarnation
 
 from ._settings import PromiseSettings
 
@@ -25,6 +27,7 @@
 
 
 def make_coordinator(
+    own: Incarnation,
     promises: PromiseSettings,
     config: ConfigReplica,
     settings: SlotSchedulerSettings | None,
@@ -36,9 +39,14 @@
         promises.repeat_slack * RETRY_BUDGET_SHARE,
         promises.repeat_window,
     )
-    quotas = QuotaLimiter(
+    allowance = QuotaMargin(
         promises.quota_overshoot * QUOTA_OVERSHOOT_SHARE,
         promises.quota_slack * QUOTA_SLACK_SHARE,
     )
+    reserve = QuotaMargin(
+        promises.quota_overshoot - allowance.ratio,
+        promises.quota_slack - allowance.units,
+    )
+    quotas = QuotaLimiter(allowance, reserve, promises.quota_window)
     scheduler = SlotScheduler(settings or SlotSchedulerSettings(), rng)
-    return Coordinator(config, scheduler, retries, quotas)
+    return Coordinator(own, config, scheduler, retries, quotas)
--- a/fireflyquay/gateway/_fleet.py
+++ b/fireflyquay/gateway/_fleet.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Iterable, Sequence
 
 import logbook
+from msgspec.structs import replace
 
 from fireflyquay.dispatch import (
     ControlMessage,
@@ -18,6 +19,7 @@
     OriginRequest,
     OriginResponse,
     Probe,
+    ProbeResponse,
     ReplicaSync,
     ReplicaSyncMessage,
 )
@@ -286,7 +288,9 @@
                 sender, message, self._clock.read()
             )
             for response in responses:
-                self.send(sender, response)
+                self.send(sender, self._add_ledger(sender, response, now))
+            if isinstance(message, ProbeResponse) and message.ledger is not None:
+                self._coordinator.adopt_ledger(message.ledger, now)
             if is_changed:
                 self._on_replicas_change()
         elif isinstance(message, OriginRequest):
@@ -298,6 +302,15 @@
         else:
             self._send_actions(self._membership.receive(now, sender, message))
 
+    def _add_ledger(
+        self, sender: Incarnation, response: Message, now: float
+    ) -> Message:
+        """Add what is left of limits to the response to a follower's probe."""
+        is_follower = sender in self._coordinator.followers
+        if not is_follower or not isinstance(response, ProbeResponse):
+            return response
+        return replace(response, ledger=self._coordinator.make_ledger(now))
+
     def _send_actions(self, actions: Iterable[Action]) -> None:
         for action in actions:
             if isinstance(action, SendToMember):
--- a/fireflyquay/gateway/_gateway.py
+++ b/fireflyquay/gateway/_gateway.py
@@ -120,7 +120,7 @@
         )
         self.replicas.on_change = self._apply_replicas
         self._coordinator = make_coordinator(
-            promises, self.replicas.config, scheduler_settings, rng
+            self.incarnation, promises, self.replicas.config, scheduler_settings, rng
         )
         self._coordinator.beliefs.on_leaving = self._exclude_leaving
         self._slot_client = SlotClient(self.incarnation, self._coordinator)
@@ -339,6 +339,7 @@
 
     async def start_tasks(self) -> None:
         """Start the background tasks and listen for other VMs, but not for clients."""
+        self._coordinator.quotas.mark_unknown(asyncio.get_running_loop().time())
         await self.fleet.start()
         for run in (
             self.replicas.poll_config,
--- a/fireflyquay/gateway/_settings.py
+++ b/fireflyquay/gateway/_settings.py
@@ -9,6 +9,7 @@
 from msgspec import Meta
 
 from fireflyquay.checks import join_faults, parse_document, read_text
+from fireflyquay.dispatch import QUOTA_WINDOW_SECONDS
 from fireflyquay.world import MAX_PORT, Code, FireflyquayError, parse_count
 
 Address = Annotated[str, Meta(pattern=r"^[0-9A-Za-z.:_-]{1,253}:[0-9]{1,5}$")]
@@ -83,6 +84,8 @@
     quota_slack: Annotated[float, Meta(ge=0)]
     # Maximum seconds for which clients use a list of entry VMs' addresses.
     max_keep: Seconds
+    # Length of the window in which quotas are counted, in seconds.
+    quota_window: Seconds = QUOTA_WINDOW_SECONDS
 
 
 @dataclass(frozen=True, slots=True)
--- a/fireflyquay/gateway/_slot_client.py
+++ b/fireflyquay/gateway/_slot_client.py
@@ -5,7 +5,6 @@
 import asyncio
 import math
 from abc import ABC, abstractmethod
-from collections import deque
 from collections.abc import Sequence
 from dataclasses import dataclass
 
@@ -13,7 +12,6 @@
 from msgspec.structs import replace
 
 from fireflyquay.dispatch import (
-    REPORTED_USAGE_SECONDS,
     ActiveRun,
     ActiveRunsReport,
     BackendNews,
@@ -29,17 +27,16 @@
     MessageToFollower,
     OriginResponse,
     Queued,
-    QuotaUsage,
     Rejection,
     RunEnded,
     SlotRequest,
+    UsageLog,
 )
 from fireflyquay.membership import Message
 from fireflyquay.world import (
     AttemptId,
     BackendEntry,
     BackendServerId,
-    ClientAccountId,
     EntryVm,
     Incarnation,
 )
@@ -112,17 +109,6 @@
     occupancy: int
 
 
-@dataclass(frozen=True, slots=True)
-class _GrantedUsage:
-    """Hold what a recent grant used of the quotas of a client account."""
-
-    granted_at: float
-    account: ClientAccountId
-    quota_tokens: float
-    # Whether the local coordinator granted it and has charged it.
-    is_charged_here: bool
-
-
 class SlotClient:
     """Request slots from the coordinator; use the local one if there is no other.
 
@@ -142,7 +128,7 @@
         self._runs: dict[int, _LocalRun] = {}
         # Number of origins of streams that were copied to other VMs.
         self._next_copy = 0
-        self._usage: deque[_GrantedUsage] = deque()
+        self._usage = UsageLog(coordinator.quotas.window_seconds)
 
     def connect(self, peers: Peers) -> None:
         """Send messages through the given peers from now on."""
@@ -403,9 +389,8 @@
         if previous != self._own:
             self._peers.send(previous, Detach())
         if target == self._own:
-            # The grants of other coordinators were not charged here.
-            usage = self._sum_usage(now, includes_own_grants=False)
-            self._local_coordinator.start_coordinating(usage, now)
+            granted = self._usage.list_granted(now)
+            self._local_coordinator.start_coordinating(granted, now)
         if target != self._own:
             self._peers.send(target, self._make_handover(now))
         for pending in list(self._pending.values()):
@@ -459,10 +444,11 @@
     def _make_handover(self, now: float) -> Handover:
         assert self._peers is not None
         own = self._peers.get_own_vm()
+        granted = self._usage.list_granted(now)
         return Handover(
             own,
             self._list_runs(now),
-            self._sum_usage(now, includes_own_grants=True),
+            self._usage.sum_recent(now),
             self._local_coordinator.beliefs.list_news(now),
             tuple(
                 OriginResponse(stream, origin.service, origin.version)
@@ -471,19 +457,9 @@
                 )
             ),
             self._local_coordinator.list_rests(self._own, now),
+            self._local_coordinator.make_history(granted, now),
         )
 
-    def _sum_usage(self, now: float, includes_own_grants: bool) -> QuotaUsage:
-        """Return the requests and tokens granted recently, by client account."""
-        self._trim_usage(now)
-        usage: dict[ClientAccountId, tuple[int, float]] = {}
-        for used in self._usage:
-            if used.is_charged_here and not includes_own_grants:
-                continue
-            requests, tokens = usage.get(used.account, (0, 0.0))
-            usage[used.account] = (requests + 1, tokens + used.quota_tokens)
-        return tuple((account, *used) for account, used in usage.items())
-
     def _list_runs(self, now: float) -> tuple[ActiveRun, ...]:
         return tuple(
             ActiveRun(run.slot_request, run.backend, now - run.granted_at)
@@ -499,24 +475,10 @@
             )
             is_first = not slot_request.is_retry and not slot_request.is_charged
             if is_first and slot_request.account:
-                is_charged_here = pending.target == self._own
-                self._usage.append(
-                    _GrantedUsage(
-                        now,
-                        slot_request.account,
-                        slot_request.quota_tokens,
-                        is_charged_here,
-                    )
-                )
-                self._trim_usage(now)
+                self._usage.record_grant(slot_request, pending.target, now)
         if not pending.future.done():
             pending.future.set_result(decision)
 
-    def _trim_usage(self, now: float) -> None:
-        since = now - REPORTED_USAGE_SECONDS
-        while self._usage and self._usage[0].granted_at < since:
-            self._usage.popleft()
-
     def _cancel(self, slot_request: SlotRequest) -> None:
         self._pending.pop(slot_request.number, None)
         self._runs.pop(slot_request.number, None)
--- a/measure/grants.py
+++ b/measure/grants.py
@@ -48,7 +48,9 @@
     def __init__(self, backends: int, load: float) -> None:
         scheduler = SlotScheduler(SlotSchedulerSettings(), random.Random(1))
         retries, quotas = RetryBudget(0.2, 50, 10), QuotaLimiter()
-        self._coordinator = Coordinator(ConfigReplica(), scheduler, retries, quotas)
+        self._coordinator = Coordinator(
+            OWN_VM, ConfigReplica(), scheduler, retries, quotas
+        )
         self._coordinator.set_backends(_make_backend(n) for n in range(backends))
         self._interval = RUN_SECONDS / (backends * SLOTS * load)
         self._runs: list[tuple[float, Grant]] = []
