Count the retries of earlier coordinators against the budget

What callers would see is BUDGET broken: with coordinators killed in series, a service got 142 (3 VMs) and 144 (8 VMs) retries in 10 s, 80 allowed.

Each coordinator had the extra retries of a window, 0.6 of them, for itself, and a VM that is cut off its share of them again.

VMs now report requests and retries like the usage of quotas, and the ledger holds them by second. A successor takes the source that knows most retries. While a part of the window is unknown after a start, a third of what coordinators leave stands in for the extra retries; a VM with a share of limits counts its own requests alone. What was handed over of limits is in a module of its own.

Numbers in these messages that are no counts or ages are skipped: a ledger of NaN ended the response to a probe (`test_fleet_survives_arbitrary_messages`, on this change before it was committed).

The share that coordinators use stays 0.6; nothing was measured for more.

--- a/fireflyquay/dispatch/__init__.py
+++ b/fireflyquay/dispatch/__init__.py
@@ -32,8 +32,14 @@
     SuspicionChange,
     list_suspects,
 )
+from ._fleet_knowledge import FleetKnowledge
 from ._freshness import Freshness
-from ._quota_limiter import QUOTA_WINDOW_SECONDS, QuotaLimiter, QuotaMargin
+from ._quota_limiter import (
+    QUOTA_WINDOW_SECONDS,
+    UNKNOWN_STARTS_PER_WINDOW,
+    QuotaLimiter,
+    QuotaMargin,
+)
 from ._replica_sync import ReplicaSync
 from ._retry_budget import RetryBudget
 from ._scheduler import SlotScheduler, SlotSchedulerSettings
@@ -60,6 +66,7 @@
     "Decision",
     "Detach",
     "FirstOutput",
+    "FleetKnowledge",
     "Freshness",
     "Grant",
     "Handover",
@@ -74,6 +81,7 @@
     "QuotaLimiter",
     "QuotaMargin",
     "QUOTA_WINDOW_SECONDS",
+    "UNKNOWN_STARTS_PER_WINDOW",
     "CoordinatorUsage",
     "GrantedUsage",
     "Ledger",
--- a/fireflyquay/dispatch/_coordinator.py
+++ b/fireflyquay/dispatch/_coordinator.py
@@ -4,8 +4,6 @@
 
 from collections.abc import Iterable
 
-from msgspec.structs import replace
-
 from fireflyquay.world import (
     BackendEntry,
     BackendServerId,
@@ -30,15 +28,15 @@
     MessageToCoordinator,
     RunEnded,
 )
+from ._fleet_knowledge import FleetKnowledge
+from ._limit_history import LimitHistory
 from ._quota_limiter import QuotaLimiter, QuotaShortage
 from ._retry_budget import RetryBudget
 from ._scheduler import SlotScheduler
 from ._slot_messages import Decision, Refusal, SlotRequest
 from ._stream_origins import StreamOrigin, StreamOrigins
-from ._usage_messages import CoordinatorUsage, Ledger, UsageHistory
+from ._usage_messages import CoordinatorUsage
 
-# Seconds for which all followers are sent the same ledger.
-LEDGER_INTERVAL_SECONDS = 0.1
 # Bounds of the Retry-After of a client account that exceeds its quota.
 MIN_QUOTA_RETRY_AFTER_SECONDS = 0.2
 MAX_QUOTA_RETRY_AFTER_SECONDS = 4.0
@@ -62,20 +60,22 @@
         scheduler: SlotScheduler,
         retry_budget: RetryBudget,
         quotas: QuotaLimiter,
+        knowledge: FleetKnowledge | None = None,
     ) -> None:
-        self.own = own
+        self._own = own
         self._config = config
         self._scheduler = scheduler
         self._retry_budget = retry_budget
         self.quotas = quotas
+        self.limits = LimitHistory(
+            own, config, quotas, retry_budget, knowledge or FleetKnowledge()
+        )
         # VMs that follow this coordinator, excluding its own.
         self.followers: set[Incarnation] = set()
         # Client account and charged quota tokens of each waiting request.
         self._charges: dict[SlotRequestKey, tuple[ClientAccountId, float]] = {}
         # Fraction of the slots that may be granted here.
         self.share = 1.0
-        self._ledger: Ledger | None = None
-        self._ledger_made_at = 0.0
         # Fraction of quotas, extra retries and stated limits that may be granted here.
         self.limit_share = 1.0
 
@@ -102,27 +102,7 @@
         ``granted`` is what each of them granted to this VM.
         """
         self.beliefs.restart_pacing(now)
-        self.quotas.record_usage(self.own, granted, self.own, now)
-
-    def make_history(
-        self, granted: tuple[CoordinatorUsage, ...], now: float
-    ) -> UsageHistory:
-        """Return what the next coordinator needs to know from this VM."""
-        return self.quotas.make_history(
-            self.own, granted, self._config.get_account, now
-        )
-
-    def make_ledger(self, now: float) -> Ledger:
-        """Return what is left of limits, for the VMs that follow this one."""
-        ledger = self._ledger
-        if ledger is None or now - self._ledger_made_at > LEDGER_INTERVAL_SECONDS:
-            ledger = self.quotas.make_ledger(self.own, self._config.get_account, now)
-            self._ledger, self._ledger_made_at = ledger, now
-        return replace(ledger, age_seconds=now - self._ledger_made_at)
-
-    def adopt_ledger(self, ledger: Ledger, now: float) -> None:
-        """Remember what the coordinator that this VM follows says to be left."""
-        self.quotas.adopt_ledger(ledger, self.own, now)
+        self.limits.record_usage(self._own, granted, now)
 
     def merge_news(self, news: BackendNews, now: float) -> bool:
         """Follow what a response states; return whether that is new."""
@@ -290,7 +270,7 @@
         for it in handover.origins:
             origin = StreamOrigin(it.service, it.version)
             self.origins.record(it.stream, origin, now)
-        self._record_usage(sender, handover, now)
+        self.limits.apply_handover(sender, handover, now)
         return self._settle_charges(decisions)
 
     def _pause(self, pause: BackendPause, now: float) -> None:
@@ -300,18 +280,6 @@
         else:
             scheduler.pause(pause.backend, now + seconds, pause.may_restart, now)
 
-    def _record_usage(
-        self, sender: Incarnation, handover: Handover, now: float
-    ) -> None:
-        history = handover.history
-        if history is None:
-            self.quotas.record_sums(sender, handover.usage, now)
-            return
-        self.quotas.adopt_known_time(history.known_seconds, now)
-        for ledger in history.ledgers:
-            self.quotas.adopt_ledger(ledger, self.own, now)
-        self.quotas.record_usage(sender, history.granted, self.own, now)
-
     def _reconcile_runs(
         self, sender: Incarnation, runs: tuple[ActiveRun, ...], now: float
     ) -> list[Decision]:
--- a/fireflyquay/dispatch/_quota_limiter.py
+++ b/fireflyquay/dispatch/_quota_limiter.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -14,12 +13,13 @@
     QuotaUnit,
 )
 
+from ._fleet_knowledge import FleetKnowledge
 from ._token_bucket import Charge, Level, TokenBucket
 from ._usage_messages import (
     CoordinatorUsage,
     Ledger,
     QuotaDeficit,
-    UsageHistory,
+    is_valid,
 )
 
 # Default length of the window in which quotas are counted.
@@ -80,6 +80,7 @@
         allowance: QuotaMargin | None = None,
         reserve: QuotaMargin | None = None,
         window_seconds: float = QUOTA_WINDOW_SECONDS,
+        knowledge: FleetKnowledge | None = None,
     ) -> None:
         # Granted above each quota: a ratio of its rate, and units of its burst.
         self._allowance = allowance or QuotaMargin()
@@ -87,19 +88,15 @@
         self._reserve = reserve or QuotaMargin()
         self.window_seconds = window_seconds
         self._buckets: dict[tuple[ClientAccountId, QuotaUnit], TokenBucket] = {}
-        # Time since which the usage of the whole fleet is known.
-        self._known_since = -math.inf
+        self._knowledge = knowledge or FleetKnowledge()
+        # Time in the window until which usage is unknown; None if all of it is known.
+        self._unknown_until: float | None = None
         self._reports: dict[Incarnation, list[_ReportedUsage]] = {}
         # The latest ledger of each other coordinator.
         self._ledgers: dict[Incarnation, _KnownLedger] = {}
         # Counts reports and other changes of what is known.
         self._revision = 0
 
-    def mark_unknown(self, now: float) -> None:
-        """Assume nothing about the usage before the given time."""
-        self._known_since = now
-        self._revision += 1
-
     def charge(
         self, account: ClientAccount, tokens: float, share: float, now: float
     ) -> QuotaShortage | None:
@@ -143,6 +140,7 @@
                 for granter in granted
                 if granter.coordinator != own
                 for it in granter.usage
+                if is_valid(it.age_seconds, it.requests, it.tokens)
             ],
             now,
         )
@@ -163,52 +161,25 @@
         reports = [
             _ReportedUsage(account, granted_at, factor * requests, factor * tokens)
             for account, requests, tokens in sums
+            if is_valid(requests, tokens)
         ]
         self._record_report(vm, reports, now)
 
-    def adopt_ledger(self, ledger: Ledger, own: Incarnation, now: float) -> None:
+    def adopt_ledger(self, ledger: Ledger, now: float) -> None:
         """Remember what another coordinator says to be left."""
-        self.adopt_known_time(ledger.known_seconds, now)
+        deficits = {
+            (it.account, it.unit): it.units
+            for it in ledger.deficits
+            if is_valid(it.units)
+        }
         made_at = now - ledger.age_seconds
-        known = self._ledgers.get(ledger.coordinator)
-        if ledger.coordinator == own or (known and known.made_at >= made_at):
-            return
-        deficits = {(it.account, it.unit): it.units for it in ledger.deficits}
         self._ledgers[ledger.coordinator] = _KnownLedger(made_at, deficits)
         self._revision += 1
 
-    def adopt_known_time(self, known_seconds: float, now: float) -> None:
-        """Follow a VM that has known the usage of the fleet for some time."""
-        if now - known_seconds < self._known_since:
-            self._known_since = now - known_seconds
-            self._revision += 1
-
-    def make_history(
-        self,
-        own: Incarnation,
-        granted: tuple[CoordinatorUsage, ...],
-        find_account: FindAccount,
-        now: float,
-    ) -> UsageHistory:
-        """Return what a new coordinator needs to know from this VM."""
-        self._forget(now)
-        ledgers = [
-            Ledger(
-                coordinator,
-                now - it.made_at,
-                0.0,
-                tuple(QuotaDeficit(*key, units) for key, units in it.deficits.items()),
-            )
-            for coordinator, it in self._ledgers.items()
-        ]
-        if self._buckets:
-            ledgers.append(self.make_ledger(own, find_account, now))
-        return UsageHistory(self._get_known_seconds(now), granted, tuple(ledgers))
-
-    def make_ledger(
-        self, own: Incarnation, find_account: FindAccount, now: float
-    ) -> Ledger:
-        """Return what this VM, as the coordinator, knows to be left."""
+    def list_deficits(
+        self, find_account: FindAccount, now: float
+    ) -> tuple[QuotaDeficit, ...]:
+        """Return the buckets that lack units to be full."""
         accounts = {account for account, _ in self._buckets}
         for ledger in self._ledgers.values():
             accounts.update(account for account, _ in ledger.deficits)
@@ -224,10 +195,7 @@
                 if bucket.level < bucket.burst:
                     units = bucket.burst - bucket.level
                     deficits.append(QuotaDeficit(account_id, quota.unit, units))
-        return Ledger(own, 0.0, self._get_known_seconds(now), tuple(deficits))
-
-    def _get_known_seconds(self, now: float) -> float:
-        return min(self.window_seconds, now - self._known_since)
+        return tuple(deficits)
 
     def _record_report(
         self, vm: Incarnation, reports: list[_ReportedUsage], now: float
@@ -257,10 +225,10 @@
         rate = quota.rate * (1 + self._allowance.ratio)
         allowance = self._allowance.units
         burst = quota.burst + allowance
-        if self._known_since > -math.inf and (
-            self._known_since < now - self.window_seconds
-        ):
-            self._known_since = -math.inf
+        is_known = self._knowledge.covers(self.window_seconds, now)
+        unknown_until = None if is_known else self._knowledge.known_since
+        if unknown_until != self._unknown_until:
+            self._unknown_until = unknown_until
             self._revision += 1
         bucket = self._buckets.get((account, quota.unit))
         if bucket is None:
@@ -293,8 +261,8 @@
             for it in self._ledgers.values()
             if it.made_at >= since
         ]
-        if self._known_since >= since:
-            levels.append((self._known_since, self._compute_unknown_level(quota)))
+        if self._unknown_until is not None:
+            levels.append((self._unknown_until, self._compute_unknown_level(quota)))
         bucket.rebuild(charges, levels)
 
     def _compute_unknown_level(self, quota: Quota) -> float:
--- a/fireflyquay/dispatch/_usage_messages.py
+++ b/fireflyquay/dispatch/_usage_messages.py
@@ -4,7 +4,10 @@
 
 import msgspec
 
-from fireflyquay.world import ClientAccountId, Incarnation, QuotaUnit
+from fireflyquay.world import ClientAccountId, Incarnation, QuotaUnit, ServiceId
+
+# Numbers from this on are no counts or ages.
+MAX_NUMBER = 1e12
 
 
 class GrantedUsage(msgspec.Struct, frozen=True, array_like=True):
@@ -16,11 +19,21 @@
     tokens: float
 
 
+class ServiceUsage(msgspec.Struct, frozen=True, array_like=True):
+    """Describe how many requests and retries a service got about the same time."""
+
+    service: ServiceId
+    age_seconds: float
+    requests: int
+    retries: int
+
+
 class CoordinatorUsage(msgspec.Struct, frozen=True, array_like=True):
     """Describe what one coordinator granted to the sender recently."""
 
     coordinator: Incarnation
     usage: tuple[GrantedUsage, ...]
+    services: tuple[ServiceUsage, ...] = ()
 
 
 class QuotaDeficit(msgspec.Struct, frozen=True, array_like=True):
@@ -43,6 +56,8 @@
     # Seconds for which the usage of the fleet has been known without a gap.
     known_seconds: float
     deficits: tuple[QuotaDeficit, ...]
+    # Requests and retries; their ages count from when the ledger was made.
+    services: tuple[ServiceUsage, ...] = ()
 
 
 class UsageHistory(msgspec.Struct, frozen=True, array_like=True):
@@ -51,3 +66,8 @@
     known_seconds: float
     granted: tuple[CoordinatorUsage, ...]
     ledgers: tuple[Ledger, ...]
+
+
+def is_valid(*numbers: float) -> bool:
+    """Return whether numbers of a message are counts or ages."""
+    return all(0 <= it < MAX_NUMBER for it in numbers)
--- a/fireflyquay/gateway/_coordinator_factory.py
+++ b/fireflyquay/gateway/_coordinator_factory.py
@@ -5,8 +5,10 @@
 import random
 
 from fireflyquay.dispatch import (
+    UNKNOWN_STARTS_PER_WINDOW,
     ConfigReplica,
     Coordinator,
+    FleetKnowledge,
     QuotaLimiter,
     QuotaMargin,
     RetryBudget,
@@ -17,8 +19,8 @@
 
 from ._settings import PromiseSettings
 
-# Share of the retry budget that one coordinator uses: when the coordinator changes, the
-# new one doesn't know how many retries the old one granted.
+# Share of the retry budget that coordinators use. The rest covers retries that no VM
+# knows of any more: those granted just before a change, and before all VMs were killed.
 RETRY_BUDGET_SHARE = 0.6
 # Shares of the quotas' overshoot and slack that one coordinator grants. The rest covers
 # grants that VMs make on their own while another coordinator takes over.
@@ -34,10 +36,13 @@
     rng: random.Random,
 ) -> Coordinator:
     """Return a coordinator that keeps the bounds also when another VM takes over."""
+    knowledge = FleetKnowledge()
     retries = RetryBudget(
         promises.repeat_ratio * RETRY_BUDGET_SHARE,
         promises.repeat_slack * RETRY_BUDGET_SHARE,
         promises.repeat_window,
+        promises.repeat_slack * (1 - RETRY_BUDGET_SHARE) / UNKNOWN_STARTS_PER_WINDOW,
+        knowledge,
     )
     allowance = QuotaMargin(
         promises.quota_overshoot * QUOTA_OVERSHOOT_SHARE,
@@ -47,6 +52,6 @@
         promises.quota_overshoot - allowance.ratio,
         promises.quota_slack - allowance.units,
     )
-    quotas = QuotaLimiter(allowance, reserve, promises.quota_window)
+    quotas = QuotaLimiter(allowance, reserve, promises.quota_window, knowledge)
     scheduler = SlotScheduler(settings or SlotSchedulerSettings(), rng)
-    return Coordinator(own, config, scheduler, retries, quotas)
+    return Coordinator(own, config, scheduler, retries, quotas, knowledge)
--- a/fireflyquay/gateway/_fleet.py
+++ b/fireflyquay/gateway/_fleet.py
@@ -307,7 +307,7 @@
             for response in responses:
                 self.send(sender, self._add_ledger(sender, response, now))
             if isinstance(message, ProbeResponse) and message.ledger is not None:
-                self._coordinator.adopt_ledger(message.ledger, now)
+                self._coordinator.limits.adopt_ledger(message.ledger, now)
             if is_changed:
                 self._on_replicas_change()
         elif isinstance(message, OriginRequest):
@@ -326,7 +326,7 @@
         is_follower = sender in self._coordinator.followers
         if not is_follower or not isinstance(response, ProbeResponse):
             return response
-        return replace(response, ledger=self._coordinator.make_ledger(now))
+        return replace(response, ledger=self._coordinator.limits.make_ledger(now))
 
     def _send_actions(self, actions: Iterable[Action]) -> None:
         for action in actions:
--- a/fireflyquay/gateway/_gateway.py
+++ b/fireflyquay/gateway/_gateway.py
@@ -339,7 +339,7 @@
 
     async def start_tasks(self) -> None:
         """Start the background tasks and listen for other VMs, but not for clients."""
-        self._coordinator.quotas.mark_unknown(asyncio.get_running_loop().time())
+        self._coordinator.limits.mark_unknown(asyncio.get_running_loop().time())
         await self.fleet.start()
         for run in (
             self.replicas.poll_config,
--- a/fireflyquay/gateway/_slot_client.py
+++ b/fireflyquay/gateway/_slot_client.py
@@ -128,7 +128,7 @@
         self._runs: dict[int, _LocalRun] = {}
         # Number of origins of streams that were copied to other VMs.
         self._next_copy = 0
-        self._usage = UsageLog(coordinator.quotas.window_seconds)
+        self._usage = UsageLog(coordinator.limits.window_seconds)
 
     def connect(self, peers: Peers) -> None:
         """Send messages through the given peers from now on."""
@@ -457,7 +457,7 @@
                 )
             ),
             self._local_coordinator.list_rests(self._own, now),
-            self._local_coordinator.make_history(granted, now),
+            self._local_coordinator.limits.make_history(granted, now),
         )
 
     def _list_runs(self, now: float) -> tuple[ActiveRun, ...]:
@@ -473,9 +473,7 @@
             self._runs[slot_request.number] = _LocalRun(
                 slot_request, decision.backend, now, decision.occupancy
             )
-            is_first = not slot_request.is_retry and not slot_request.is_charged
-            if is_first and slot_request.account:
-                self._usage.record_grant(slot_request, pending.target, now)
+            self._usage.record_grant(slot_request, pending.target, now)
         if not pending.future.done():
             pending.future.set_result(decision)
 
--- a/proofs/tests/test_quotas_over_handovers.py
+++ b/proofs/tests/test_quotas_over_handovers.py
@@ -4,6 +4,11 @@
 
 from .quota_pressure import LIMIT, press
 
+RETRY_WINDOW_SECONDS = 10.0
+RETRIES_PER_SECOND = 15
+# A fifth of the requests of the window, and the emulator's extra retries.
+MAX_RETRIES = 0.2 * RETRIES_PER_SECOND * RETRY_WINDOW_SECONDS + 50
+
 
 async def stop_coordinator(emulation):
     await emulation.run(5.0)
@@ -125,3 +130,18 @@
     assert pressure.find_highest_usage() <= LIMIT
     cut_off_hosts = pressure.emulation.cut_off_hosts
     assert [it for it in pressure.refusals if it[1] not in cut_off_hosts] == []
+
+
+@pytest.mark.parametrize("vms", [3, 8])
+@pytest.mark.parametrize(
+    "disrupt", [*HANDOVERS, kill_all_twice], ids=lambda it: it.__name__
+)
+def test_extra_retries_are_granted_once_over_a_change_of_coordinators(disrupt, vms):
+    pressure = press(disrupt, vms=vms, retries_per_second=RETRIES_PER_SECOND)
+    assert pressure.find_most_retries(RETRY_WINDOW_SECONDS) <= MAX_RETRIES
+
+
+@pytest.mark.parametrize("disrupt", CUTS, ids=lambda it: it.__name__)
+def test_vms_that_lost_each_other_grant_extra_retries_together(disrupt):
+    pressure = press(disrupt, retries_per_second=RETRIES_PER_SECOND)
+    assert pressure.find_most_retries(RETRY_WINDOW_SECONDS) <= MAX_RETRIES
