Keep the evidence of crashes in the store for when all VMs are killed

Cause: the evidence was in the memory of VMs alone.

Ruled out: a write before each retry (a call on the path of requests); unconditional writes (two coordinators would replace each other's evidence). Ages come from the time of day, since other clocks start anew; the VMs' clocks differ, so that the same crash could count twice: crashes of one process within 5 s count as one if such a time is involved.

--- a/emulator/_store.py
+++ b/emulator/_store.py
@@ -11,6 +11,7 @@
     BackendsSnapshot,
     ConfigSnapshot,
     FleetSource,
+    StoredRecord,
     StoredVersions,
     VmRegistration,
 )
@@ -33,6 +34,7 @@
         self.backends: dict[str, BackendEntry] = {}
         self.vms: dict[str, VmRegistration] = {}
         self.versions = StoredVersions(VersionRecord(), 0, 0)
+        self.records: dict[str, StoredRecord] = {}
         # Hosts whose calls fail.
         self.refused_hosts: set[str] = set()
         # Whether all calls fail.
@@ -64,6 +66,7 @@
     """Give one gateway access to the emulated store."""
 
     keeps_versions = True
+    keeps_records = True
 
     def __init__(
         self, store: EmulatedStore, host: str, is_reachable: Callable[[], bool]
@@ -121,6 +124,21 @@
         self._store.versions = new
         return new
 
+    async def read_record(self, kind: str) -> StoredRecord:
+        """Return the fleet's own record of a kind."""
+        await self._call_store()
+        return self._store.records.get(kind, StoredRecord(None, 0))
+
+    async def write_record(self, kind: str, spec: bytes, revision: int) -> int | None:
+        """Replace a record; return its revision, or None if it was another by now."""
+        await self._call_store()
+        known = self._store.records.get(kind, StoredRecord(None, 0))
+        if known.revision != revision:
+            return None
+        new = StoredRecord(spec, self._store.increment_revision())
+        self._store.records[kind] = new
+        return new.revision
+
     async def _call_store(self) -> None:
         if not self._is_reachable():
             await asyncio.sleep(TIMEOUT_SECONDS)
--- a/fireflyquay/dispatch/__init__.py
+++ b/fireflyquay/dispatch/__init__.py
@@ -31,6 +31,7 @@
     CrashTracker,
     SuspicionChange,
     list_suspects,
+    make_stored_news,
 )
 from ._fleet_knowledge import FleetKnowledge
 from ._freshness import Freshness
@@ -63,6 +64,7 @@
     "CrashTracker",
     "SuspicionChange",
     "list_suspects",
+    "make_stored_news",
     "Decision",
     "Detach",
     "FirstOutput",
--- a/fireflyquay/dispatch/_control_message.py
+++ b/fireflyquay/dispatch/_control_message.py
@@ -123,6 +123,8 @@
     age_seconds: float
     # What the runs that had just begun hold that may have caused the crash.
     suspects: tuple[SuspectId, ...]
+    # Whether the age was computed from times of day, which differ between VMs.
+    is_stored: bool = False
 
 
 class QuarantineRecord(msgspec.Struct, frozen=True, array_like=True):
--- a/fireflyquay/dispatch/_crash_tracker.py
+++ b/fireflyquay/dispatch/_crash_tracker.py
@@ -36,10 +36,13 @@
 TRIAL_SECONDS = 10.0
 # Reports of a crash of one backend server within these seconds are of the same crash.
 SAME_CRASH_SECONDS = 1.0
+# Most by which the clocks of two VMs differ.
+MAX_CLOCK_SKEW_SECONDS = 5.0
 # Bounds of the memory.
 MAX_CRASHES = 256
 MAX_SUSPECTS_PER_CRASH = 512
 MAX_SOUND_SUSPECTS = 4096
+MAX_QUARANTINED_SUSPECTS = 1024
 
 REQUEST_SUSPECT = "request "
 PART_SUSPECT = "part "
@@ -70,10 +73,18 @@
     born_ms: int
     at: float
     suspects: set[SuspectId]
+    # Whether its time comes from the store.
+    is_stored: bool = False
 
     def make_record(self, suspects: Iterable[SuspectId], now: float) -> CrashRecord:
         """Return the crash as sent to other VMs, with some of its suspects."""
-        return CrashRecord(self.backend, self.born_ms, now - self.at, tuple(suspects))
+        return CrashRecord(
+            self.backend,
+            self.born_ms,
+            now - self.at,
+            tuple(suspects),
+            self.is_stored,
+        )
 
 
 @dataclass(slots=True)
@@ -137,6 +148,8 @@
         self._sound_at: OrderedDict[SuspectId, float] = OrderedDict()
         self._own_sound_at: OrderedDict[SuspectId, float] = OrderedDict()
         self._changes: list[tuple[SuspicionChange, SuspectId, int]] = []
+        # Number of changes of the evidence so far.
+        self.revision = 0
 
     @property
     def has_evidence(self) -> bool:
@@ -249,9 +262,12 @@
                 record.backend,
                 record.born_ms,
             )
-            if is_same_run and abs(crash.at - at) < SAME_CRASH_SECONDS:
+            has_stored_time = record.is_stored or crash.is_stored
+            error = MAX_CLOCK_SKEW_SECONDS if has_stored_time else 0.0
+            if is_same_run and abs(crash.at - at) < SAME_CRASH_SECONDS + error:
                 return crash
-        new = _Crash(record.backend, record.born_ms, at, set())
+        new = _Crash(record.backend, record.born_ms, at, set(), record.is_stored)
+        self.revision += 1
         self._crashes.append(new)
         self._crashes = deque(sorted(self._crashes, key=lambda it: it.at))
         while len(self._crashes) > MAX_CRASHES:
@@ -381,14 +397,45 @@
 
     def _quarantine(self, suspect: SuspectId, quarantine: _Quarantine) -> None:
         self._quarantined[suspect] = quarantine
+        self.revision += 1
         change = (SuspicionChange.QUARANTINED, suspect, quarantine.crash_count)
         self._changes.append(change)
 
     def _release(self, suspect: SuspectId, reason: SuspicionChange) -> None:
         quarantine = self._quarantined.pop(suspect)
+        self.revision += 1
         self._changes.append((reason, suspect, quarantine.crash_count))
 
 
+def make_stored_news(news: CrashNews, age_seconds: float) -> CrashNews:
+    """Return evidence that was stored some seconds ago, with its present ages.
+
+    What the store holds is bounded here, since anybody may have written it.
+    """
+    return CrashNews(
+        tuple(
+            CrashRecord(
+                it.backend,
+                it.born_ms,
+                max(0.0, it.age_seconds) + age_seconds,
+                it.suspects[:MAX_SUSPECTS_PER_CRASH],
+                True,
+            )
+            for it in news.crashes[-MAX_CRASHES:]
+        ),
+        tuple(
+            (suspect, max(0.0, age) + age_seconds)
+            for suspect, age in news.sound[:MAX_SOUND_SUSPECTS]
+        ),
+        tuple(
+            QuarantineRecord(
+                it.suspect, it.crash_count, max(0.0, it.age_seconds) + age_seconds
+            )
+            for it in news.quarantined[:MAX_QUARANTINED_SUSPECTS]
+        ),
+    )
+
+
 def _raise_time(
     times: OrderedDict[SuspectId, float], suspect: SuspectId, at: float
 ) -> None:
--- a/fireflyquay/dispatch/tests/test_crash_tracker.py
+++ b/fireflyquay/dispatch/tests/test_crash_tracker.py
@@ -4,7 +4,14 @@
 
 from hypothesis import given, strategies as st
 
-from fireflyquay.dispatch import CrashTracker, SuspicionChange, list_suspects
+from fireflyquay.dispatch import (
+    CrashNews,
+    CrashTracker,
+    SuspicionChange,
+    list_suspects,
+    make_stored_news,
+)
+from fireflyquay.dispatch._control_message import CrashRecord
 from fireflyquay.dispatch._crash_tracker import (
     BEGINNING_SECONDS,
     CRASH_LIMIT,
@@ -279,3 +286,16 @@
     names = [BAD, OTHER, SYSTEM, REQUEST]
     refused = [[is_refused(it, name, at=now) for name in names] for it in trackers]
     assert refused[0] == refused[1]
+
+
+def test_stored_crash_counts_once_whatever_the_clocks_of_the_vms():
+    crash = CrashRecord("s1", 7, 1.0, (BAD,))
+    stored = make_stored_news(CrashNews((crash,), (), ()), 2.0)
+    behind, ahead = CrashTracker(), CrashTracker()
+    behind.merge(stored, 100.0)
+    # This VM's clock is 4 seconds ahead.
+    ahead.merge(make_stored_news(CrashNews((crash,), (), ()), 6.0), 100.0)
+    ahead.merge(behind.make_snapshot(100.0), 100.0)
+    behind.merge(CrashNews((CrashRecord("s1", 7, 7.0, (BAD,)),), (), ()), 100.0)
+    for tracker in (behind, ahead):
+        assert len(tracker.make_snapshot(100.0).crashes) == 1
--- a/fireflyquay/gateway/_dialect.py
+++ b/fireflyquay/gateway/_dialect.py
@@ -263,11 +263,23 @@
     restore_count: int
 
 
+@dataclass(frozen=True, slots=True)
+class StoredRecord:
+    """Hold a record that the fleet keeps in the store for itself."""
+
+    # JSON; None if none is stored.
+    spec: bytes | None
+    # Store revision of its last change; 0 if none is stored.
+    revision: int
+
+
 class FleetSource(ABC):
     """Access the platform's store; methods raise HttpFailure if the store fails."""
 
     # Whether the store takes a record of software versions.
     keeps_versions = False
+    # Whether the store takes records of the fleet's own.
+    keeps_records = False
 
     @abstractmethod
     async def read_config(self) -> ConfigSnapshot:
@@ -298,3 +310,11 @@
     ) -> StoredVersions | None:
         """Replace the record; return None if its revision is another by now."""
         raise NotImplementedError
+
+    async def read_record(self, kind: str) -> StoredRecord:
+        """Return the fleet's own record of a kind."""
+        raise NotImplementedError
+
+    async def write_record(self, kind: str, spec: bytes, revision: int) -> int | None:
+        """Replace a record; return its revision, or None if it was another by now."""
+        raise NotImplementedError
--- a/fireflyquay/gateway/_gateway.py
+++ b/fireflyquay/gateway/_gateway.py
@@ -41,6 +41,7 @@
 from ._directory import ENTRY_VMS_TTL_SECONDS, DirectoryHandlers
 from ._discovery import Discovery
 from ._entry_selector import EntrySelector, compute_strength
+from ._evidence_keeper import EvidenceKeeper
 from ._fleet import Fleet
 from ._forwarder import Forwarder
 from ._gateway_metrics import GatewayMetrics
@@ -125,6 +126,9 @@
         self._coordinator.beliefs.on_leaving = self._exclude_leaving
         self._slot_client = SlotClient(self.incarnation, self._coordinator)
         self._quarantine = Quarantine(self._clock, rng)
+        self._evidence = EvidenceKeeper(
+            source, self._quarantine, self._clock, lambda: self.fleet.is_coordinating
+        )
         self._stream_locator = StreamLocator(
             self._coordinator.origins,
             self.replicas.backends,
@@ -285,7 +289,11 @@
     def is_ready(self) -> bool:
         """Return whether this VM accepts requests and has a fresh configuration."""
         limit = self._settings.promises.revoke * MAX_READY_AGE_SHARE
-        if self._stopping or not self.replicas.is_loaded:
+        if (
+            self._stopping
+            or not self.replicas.is_loaded
+            or not self._evidence.has_tried
+        ):
             return False
         return self.replicas.compute_config_age() < limit
 
@@ -352,6 +360,7 @@
             self._slot_client.report_active_runs,
             self.paths.test_paths,
             self._quarantine.spread_evidence,
+            self._evidence.keep,
         ):
             self._spawn(run)
 
--- a/fireflyquay/gateway/_quarantine.py
+++ b/fireflyquay/gateway/_quarantine.py
@@ -7,7 +7,12 @@
 
 import logbook
 
-from fireflyquay.dispatch import CrashNews, CrashTracker, SuspicionChange
+from fireflyquay.dispatch import (
+    CrashNews,
+    CrashTracker,
+    SuspicionChange,
+    make_stored_news,
+)
 from fireflyquay.world import BackendEntry, Code, Incarnation, SuspectId
 
 from ._admission import RejectionError
@@ -113,6 +118,20 @@
             if others:
                 self.send_evidence(self._rng.choice(others))
 
+    @property
+    def revision(self) -> int:
+        """Return the number of changes of the evidence so far."""
+        return self._tracker.revision
+
+    def make_evidence(self) -> CrashNews:
+        """Return all evidence."""
+        return self._tracker.make_snapshot(self._clock.read())
+
+    def load_evidence(self, news: CrashNews, age_seconds: float) -> None:
+        """Merge evidence that was stored some seconds ago."""
+        self._tracker.merge(make_stored_news(news, age_seconds), self._clock.read())
+        self._log_changes()
+
     def _may_try(self) -> bool:
         if self._peers is None:
             return True
