Take a stream's origin from its first output, not from a grant

Callers saw streams go on at another software version (rule ORDER) at a gateway that had coordinated and stood still for some tenths of a second while several versions served.

Cause: a coordinator recorded where a stream began when it granted the slot. If it stood still, the requesting gateway moved to another coordinator after 0.1 s and the stream began at that one's choice. When the first woke up, it granted the request that had waited for it as well, recorded a server of perhaps another version, and kept that record though the gateway cancelled the grant. A client that resumed there was sent to that version. A grant is an offer; only its use names an origin.

A coordinator now records the origin at the first output of a run, and from runs that their own gateway reports. No client can resume a stream before its first event, so nothing is lost in between.

Changed test: test_origin_follows_an_attempt_that_began_anew_before_its_ first_event took two grants for a beginning; it now also reports the first output of the second.

Ruled out: forgetting the origin with the cancellation. It arrives after the wake-up, and not at all while the coordinator is cut off.

--- a/fireflyquay/dispatch/_scheduler.py
+++ b/fireflyquay/dispatch/_scheduler.py
@@ -99,7 +99,7 @@
         self.share = 1.0
         # Fraction of each stated request limit that it may grant.
         self.limit_share = 1.0
-        # Where the streams began that were granted slots here or elsewhere.
+        # Where the streams began whose runs are known here.
         self.origins = StreamOrigins()
         # What responses of backend servers state.
         self.beliefs = BackendBeliefs(rng)
@@ -193,10 +193,14 @@
     def record_first_output(
         self, key: SlotRequestKey, backend: BackendServerId, now: float
     ):
-        """Record that a run has produced its first output."""
+        """Record that a run has produced its first output, and so where it began.
+
+        A grant alone tells nothing: it may come too late for its VM to use it.
+        """
         load = self._find_load(backend)
         run = None if load is None else load.record_first_output(key, now)
-        if run is not None:
+        if load is not None and run is not None:
+            self._record_origin(load, run.request, now)
             state = self._states[run.request.service]
             state.ranks[run.request.rank].record_first_output(now - run.granted_at)
 
@@ -284,7 +288,7 @@
     def register_run(
         self, backend: BackendServerId, request: SlotRequest, granted_at: float
     ) -> None:
-        """Register a run that another coordinator granted."""
+        """Register a run that another coordinator granted and its VM began."""
         load = self._find_load(backend)
         if load is not None:
             load.add_run((request.owner, request.number), request, granted_at)
@@ -460,7 +464,6 @@
         forecast = load.forecast_first_output(request, now)
         occupancy = len(load.runs)
         load.add_run(item.key, request, now)
-        self._record_origin(load, request, now)
         if load.limit is not None:
             load.limit.charge(self.limit_share, now)
         if load.occupancy_limit is not None:
--- a/fireflyquay/dispatch/tests/test_software_versions.py
+++ b/fireflyquay/dispatch/tests/test_software_versions.py
@@ -8,6 +8,8 @@
 from fireflyquay.dispatch import (
     BackendPause,
     BackendRegistry,
+    Cancellation,
+    FirstOutput,
     Freshness,
     Grant,
     Handover,
@@ -110,9 +112,20 @@
     for number, excluded in ((1, ("e2",)), (2, ("e1",))):
         request = make_request(number, stream=STREAM, excluded=excluded)
         coordinator.submit(request, float(number))
+    output = FirstOutput(2, BackendServerId("e2"))
+    coordinator.handle_message(OWN_VM, output, 3.0)
     assert coordinator.origins.find(STREAM) == StreamOrigin(SERVICE, NEW)
 
 
+def test_grant_that_its_vm_does_not_use_names_no_origin():
+    coordinator = make_coordinator()
+    coordinator.set_backends([make_server("e1", OLD)])
+    coordinator.handle_message(OTHER_VM, make_request(1, OTHER_VM, stream=STREAM), 1.0)
+    assert coordinator.origins.find(STREAM) is None
+    coordinator.handle_message(OTHER_VM, Cancellation(1), 2.0)
+    assert coordinator.origins.find(STREAM) is None
+
+
 def test_report_of_an_earlier_run_does_not_replace_an_origin():
     scheduler = make_scheduler(make_server("e1", OLD), make_server("e2", NEW))
     for backend, granted_at in (("e2", 2.0), ("e1", 1.0)):
