Check everything that a grant rests on once more, right before the attempt

What callers saw: a request that waited for a slot ran at the service that its route no longer led to; it was charged to the account that had lost the key; a failed request ran a second time though its route now allowed one run only; a request of the own interface was sent to a server that had left while the store was asked about its key.

Cause: the configuration was read once more after the wait, but only to admit the request; service, account and the plan to retry stayed those of the arrival. And the claim of a key, which waits for the store, came after the checks of server, configuration and quarantine.

The claim now comes first. Then one synchronous step compares the grant with what is in force: account, service, the rule for retries, server, rest, quarantine. A grant that no longer fits is released and the request asks again, in its present service and for its present account; a stream whose service its route has left is refused. Nothing is awaited between this step and the attempt.

Ruled out: refusing such requests. They have not run, are proper and can be served by what is in force.

--- a/fireflyquay/gateway/_ingress.py
+++ b/fireflyquay/gateway/_ingress.py
@@ -17,6 +17,7 @@
     get_http_status,
 )
 from fireflyquay.world import (
+    BackendEntry,
     ClientAccount,
     ClientAccountId,
     Code,
@@ -235,22 +236,21 @@
     async def _run_attempts(self, call: Call) -> None:
         """Make attempts until one succeeds; raise RejectionError if none may follow."""
         unsent_count = 0
+        outcome: Outcome | None = None
         while True:
             self._quarantine.check(call)
             self._check_paths(unsent_count)
             grant, slot_request = await self._acquire_slot(call)
-            backend = self._replicas.backends.get(grant.backend)
-            if backend is None or not self._replicas.backends.accepts_requests(
-                backend.id
-            ):
+            try:
+                if self._claims is not None and not call.is_claimed:
+                    call.is_claimed = await self._claims.claim(call)
+                backend = self._recheck(call, slot_request, grant, outcome)
+            except BaseException:
                 self._slot_client.release(slot_request, grant.backend)
-                continue
-            if self._slot_client.is_resting(backend.id):
-                # The coordinator may have missed it.
-                self._slot_client.repeat_rests()
+                raise
+            if backend is None:
                 self._slot_client.release(slot_request, grant.backend)
                 continue
-            await self._recheck_and_claim(call, slot_request, grant)
             call.tried_backends.append(backend.id)
             may_have_run_before, call.may_have_run = call.may_have_run, True
             outcome = await self._forwarder.attempt(call, slot_request, backend)
@@ -275,22 +275,52 @@
                 DEFAULT_RETRY_AFTER_SECONDS,
             )
 
-    async def _recheck_and_claim(
-        self, call: Call, slot_request: SlotRequest, grant: Grant
-    ) -> None:
-        """Check the call against the current configuration, then claim its key.
-
-        The configuration and the quarantine may have changed while the call waited
-        for a slot.
+    def _recheck(
+        self,
+        call: Call,
+        slot_request: SlotRequest,
+        grant: Grant,
+        outcome: Outcome | None,
+    ) -> BackendEntry | None:
+        """Return the backend server of a grant, or None if the call needs another.
+
+        Whatever led to the grant may have changed while the call waited: the
+        configuration, the registry and the quarantine. Nothing may be awaited between
+        this and the attempt. ``outcome`` is that of the attempt before.
         """
-        try:
-            call.admission = self._admit(call.metadata)
-            self._quarantine.begin_run(call)
-            if self._claims is not None and not call.is_claimed:
-                call.is_claimed = await self._claims.claim(call)
-        except BaseException:
-            self._slot_client.release(slot_request, grant.backend)
-            raise
+        call.admission = self._admit(call.metadata)
+        if outcome is not None and not self._may_retry(call, outcome):
+            self._raise_failure(call, outcome)
+        if not self._is_still_asked_for(call, slot_request):
+            return None
+        backend = self._replicas.backends.get(grant.backend)
+        if backend is None or not self._replicas.backends.accepts_requests(backend.id):
+            return None
+        if self._slot_client.is_resting(backend.id):
+            # The coordinator may have missed it.
+            self._slot_client.repeat_rests()
+            return None
+        self._quarantine.begin_run(call)
+        return backend
+
+    def _is_still_asked_for(self, call: Call, slot_request: SlotRequest) -> bool:
+        """Return whether a slot is of the service and account that are in force.
+
+        Otherwise the call is directed to its new service.
+        """
+        if _get_account_id(call.admission) != slot_request.account:
+            call.is_charged = False
+            return False
+        shares = call.admission.route.shares
+        if call.service in {share.service for share in shares}:
+            return True
+        if call.version is not None:
+            raise RejectionError(
+                Code.STREAM_VERSION_GONE,
+                "The stream began at a service that its route no longer leads to.",
+            )
+        call.service = self._choose_share(shares).service
+        return False
 
     async def _acquire_slot(self, call: Call) -> tuple[Grant, SlotRequest]:
         slot_request = self._make_slot_request(call)
@@ -352,7 +382,8 @@
             rule is not RepeatRule.RESUMABLE or call.is_inside_event
         ):
             return False
-        if outcome is Outcome.LOST and rule is RepeatRule.AT_MOST_ONCE:
+        may_have_run = outcome in (Outcome.LOST, Outcome.FAILED)
+        if may_have_run and rule is RepeatRule.AT_MOST_ONCE:
             return False
         if outcome is Outcome.NOT_SENT:
             return True
