Judge each grant by this VM's registry, and give unused slots back

What callers saw: while a worker joins, requests at gateways that don't know it yet got 503 ("waited 0.00 s among 0: no slot is expected within its objective") though slots were free.

Cause: a grant is decided on the coordinator's registry and put into practice at a gateway that may know more or less. A gateway that did not know the server released the slot as if a run had ended and asked again at once, dozens of times; each of these counted as an arrival, a grant and a short run, from which speeds and waits are forecast. The version of the server was not compared at all.

A slot that was not used is now given back with a cancellation, which is no evidence of the server. A gateway that does not know the server yet asks again after 50 ms; one that knows it to leave, or to run another version than the stream's, excludes it from its next request.

Ruled out: excluding servers that the gateway does not know. It may be the only one, and the gateway learns of it within a probe.

--- a/fireflyquay/gateway/_call.py
+++ b/fireflyquay/gateway/_call.py
@@ -61,6 +61,9 @@
     deadline_at: float
     # Backend servers that the request was sent to, in order.
     tried_backends: list[BackendServerId] = field(default_factory=list)
+    # Backend servers that this VM knows to be no choice, though the coordinator granted
+    # slots there.
+    unusable_backends: list[BackendServerId] = field(default_factory=list)
     # Whether a backend server may have run the request.
     may_have_run: bool = False
     # Whether a grant was charged to the client account.
--- a/fireflyquay/gateway/_ingress.py
+++ b/fireflyquay/gateway/_ingress.py
@@ -53,6 +53,9 @@
 # Number of grants whose backend servers were not reached in any way, after which a
 # request is refused.
 MAX_UNSENT_ATTEMPTS = 6
+# Seconds until a slot is requested again after a grant on a backend server that this VM
+# does not know yet, or no more.
+UNKNOWN_BACKEND_WAIT_SECONDS = 0.05
 NO_ACCOUNT_ID = ClientAccountId("")
 # Outcome in the log of a request that got its response; others are named by a code.
 SERVED = "served"
@@ -246,10 +249,12 @@
                     call.is_claimed = await self._claims.claim(call)
                 backend = self._recheck(call, slot_request, grant, outcome)
             except BaseException:
-                self._slot_client.release(slot_request, grant.backend)
+                self._slot_client.cancel(slot_request)
                 raise
             if backend is None:
-                self._slot_client.release(slot_request, grant.backend)
+                self._slot_client.cancel(slot_request)
+                if self._replicas.backends.get(grant.backend) is None:
+                    await asyncio.sleep(UNKNOWN_BACKEND_WAIT_SECONDS)
                 continue
             call.tried_backends.append(backend.id)
             may_have_run_before, call.may_have_run = call.may_have_run, True
@@ -294,7 +299,14 @@
         if not self._is_still_asked_for(call, slot_request):
             return None
         backend = self._replicas.backends.get(grant.backend)
-        if backend is None or not self._replicas.backends.accepts_requests(backend.id):
+        if backend is None:
+            return None
+        is_of_version = call.version in (None, backend.version)
+        if not is_of_version or not self._replicas.backends.accepts_requests(
+            backend.id
+        ):
+            # The coordinator has not learned it yet.
+            call.unusable_backends.append(backend.id)
             return None
         if self._slot_client.is_resting(backend.id):
             # The coordinator may have missed it.
@@ -367,7 +379,7 @@
             route.max_gap or 0.0,
             fingerprint_request(call),
             bool(call.tried_backends),
-            tuple(call.tried_backends),
+            (*call.tried_backends, *call.unusable_backends),
             route.target_latency,
             call.stream,
             call.version,
--- a/fireflyquay/gateway/_slot_client.py
+++ b/fireflyquay/gateway/_slot_client.py
@@ -148,7 +148,7 @@
         try:
             return await future
         except asyncio.CancelledError:
-            self._cancel(slot_request)
+            self.cancel(slot_request)
             raise
 
     def record_first_output(
@@ -173,6 +173,15 @@
             RunEnded(slot_request.number, backend, event_count, longest_gap, failed)
         )
 
+    def cancel(self, slot_request: SlotRequest) -> None:
+        """Withdraw a slot request, or give back its slot if it was not used.
+
+        Unlike ``release``, this tells nothing about the backend server.
+        """
+        self._pending.pop(slot_request.number, None)
+        self._runs.pop(slot_request.number, None)
+        self._notify(Cancellation(slot_request.number))
+
     def pause(
         self, backend: BackendServerId, seconds: float, may_restart: bool = False
     ) -> None:
@@ -477,11 +486,6 @@
         if not pending.future.done():
             pending.future.set_result(decision)
 
-    def _cancel(self, slot_request: SlotRequest) -> None:
-        self._pending.pop(slot_request.number, None)
-        self._runs.pop(slot_request.number, None)
-        self._notify(Cancellation(slot_request.number))
-
     def _notify(self, message: MessageToCoordinator) -> None:
         """Send a message to the local coordinator and to the one that is followed."""
         now = asyncio.get_running_loop().time()
