Read the registry before a stream's version is taken for gone

What callers saw: a stream that they resumed at a gateway that had just stood still was refused as one whose version has left, without Retry-After, although workers of its version served.

Cause: the origin of a stream may come from another gateway, which knows a version that this one has not read yet. If this one decides on the slot, it finds no server of that version and takes the absence for proof that the version has left.

In three gateways in one event loop, one of which is cut off from the others and from the store for 0.7 s, such refusals came in some runs before ([200, 503] without Retry-After); a test there did not fail in each run and is left out.

--- a/fireflyquay/gateway/_stream_locator.py
+++ b/fireflyquay/gateway/_stream_locator.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import math
 from collections.abc import Awaitable, Callable
 from enum import StrEnum
@@ -93,6 +94,18 @@
                 "The stream began at a service that its route no longer leads to.",
             )
         call.service, call.version = origin.service, origin.version
+        await self._learn_version(origin, since)
+
+    async def _learn_version(self, origin: StreamOrigin, since: float) -> None:
+        """Read the registry if it lacks the version at which a stream began.
+
+        Otherwise a VM that is behind would take the version for one that has left.
+        """
+        if origin.version in self._backends.list_versions(origin.service):
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(MAX_LOOKUP_SECONDS):
+                await self._confirm_backends(since)
 
     def handle_request(self, sender: Incarnation, request: OriginRequest) -> None:
         """Tell another VM where a stream began, if this one knows."""
