Count the grace for lapsed registrations from the store's return

What callers saw: requests reach a worker up to 2.16 s after its entry was removed (2.0 s allowed, rule DRAIN), if an outage of the store ended some seconds before: "missing since the store outage, retained for re-registration".

Cause: each missing entry was kept for two seconds from the read that missed it, for any read within 2.5 s of the first good one, which itself comes up to two seconds after the store's return. The class: a grace period counted from the observer's read, not from the event. The same with restores: a VM that reads for the first time after others have long followed a restore kept entries that were just removed. And a VM that first learned of the return from another VM saw no outage at all, and gave living workers up at once.

Why it works: the registry notes once until when entries may be missing: two seconds from the first confirmation after the outage, whether an own read or another VM's brings it. No entry is kept by a list that was read later, and none that is back within two seconds of the return is given up: that confirmation is no earlier than the return. It is at most two seconds later, so that an entry that is removed three seconds after the return, when the store counts as stable again, is gone two seconds later. Copies of the registry state the time left, in a new last field, so that a VM that starts then knows it; older builds skip it. A restore counts only if the replica is from before it, by its revision.

`test_backend_missing_after_outage_stays_until_reregistration_time` calls `detect_outage` instead of passing `after_outage`; its checks are the same.

What was ruled out: to try more often while the store is down, which costs calls of all VMs; to keep only what the first list lacks, since a store may drop what lapsed shortly after its return.

--- a/fireflyquay/dispatch/__init__.py
+++ b/fireflyquay/dispatch/__init__.py
@@ -1,6 +1,6 @@
 """Assignment of requests to slots on backend servers, and its replicated state."""
 
-from ._backend_registry import BackendRegistry
+from ._backend_registry import REREGISTRATION_SECONDS, BackendRegistry
 from ._config_replica import ConfigReplica
 from ._control_message import (
     ActiveRun,
@@ -51,6 +51,7 @@
 from ._version_record import VersionKey, VersionReading, VersionRecord
 
 __all__ = [
+    "REREGISTRATION_SECONDS",
     "ActiveRun",
     "ActiveRunsReport",
     "BackendPause",
--- a/fireflyquay/dispatch/_backend_registry.py
+++ b/fireflyquay/dispatch/_backend_registry.py
@@ -18,8 +18,10 @@
 from ._freshness import Freshness
 from ._version_record import VersionKey, VersionReading
 
+# Seconds without a confirmation after which the store counts as having been down.
+OUTAGE_SECONDS = 2.5
 # The platform guarantees that a live backend server registers again within this time
-# after an outage of the store.
+# after the store's return from an outage.
 REREGISTRATION_SECONDS = 2.0
 # Age of the registry from which it may lack a version that streams have begun at.
 MAX_VERSIONS_AGE_SECONDS = 1.0
@@ -38,8 +40,10 @@
 
     def __init__(self) -> None:
         self._entries: dict[BackendServerId, BackendEntry] = {}
-        # Time until which each missing entry is retained, on the suspend-aware clock.
-        self._retained_until: dict[BackendServerId, float] = {}
+        # Time until which entries may be missing after an outage of the store, on the
+        # suspend-aware clock, and those that are.
+        self._recovering_until = float("-inf")
+        self._retained: frozenset[BackendServerId] = frozenset()
         self._digest: int | None = None
         # Time at which each version was last registered, for those that no longer are.
         self._left_at: dict[VersionKey, float] = {}
@@ -52,27 +56,25 @@
         self.freshness = Freshness(0, float("-inf"))
 
     def replace_all(
-        self,
-        entries: Iterable[BackendEntry],
-        freshness: Freshness,
-        after_outage: bool = False,
+        self, entries: Iterable[BackendEntry], freshness: Freshness
     ) -> list[str]:
         """Replace all entries and return a description of each change.
 
-        After an outage of the store, missing entries are retained for as long as a
-        live backend server may need to register again, and those of leaving backend
-        servers are not replaced by older ones.
+        While registrations may be missing after an outage of the store, missing entries
+        are retained, and those of leaving backend servers are not replaced by older
+        ones.
         """
         if freshness.revision < self.freshness.revision:
             return []
         entries_by_id = {entry.id: entry for entry in entries}
-        if after_outage:
+        is_recovering = freshness.confirmed_at < self._recovering_until
+        if is_recovering:
             entries_by_id |= {
                 entry.id: entry
                 for entry in self._entries.values()
                 if self._is_reverted(entry, entries_by_id.get(entry.id))
             }
-        changes = self._retain_missing(entries_by_id, freshness, after_outage)
+        changes = self._retain_missing(entries_by_id, is_recovering)
         changes += _describe_changes(self._entries, entries_by_id)
         self._observe(freshness.confirmed_at)
         self._record_versions(entries_by_id, freshness.confirmed_at)
@@ -81,6 +83,23 @@
         self.freshness = freshness
         return changes
 
+    def detect_outage(self, confirmed_at: float, now: float) -> None:
+        """Expect missing entries if none were confirmed for long before this time."""
+        gap = confirmed_at - self.freshness.confirmed_at
+        if self.freshness.revision and gap > OUTAGE_SECONDS:
+            self.expect_missing(now, REREGISTRATION_SECONDS)
+
+    def expect_missing(self, since: float, seconds: float) -> None:
+        """Expect that entries of live backend servers may be missing for some time."""
+        until = since + min(seconds, REREGISTRATION_SECONDS)
+        # False if another VM states no number.
+        if until > self._recovering_until:
+            self._recovering_until = until
+
+    def compute_recovery_seconds(self, now: float) -> float:
+        """Return the seconds for which entries may still be missing."""
+        return max(0.0, self._recovering_until - now)
+
     @property
     def digest(self) -> int:
         """Return a hash of all entries, to compare replicas of different VMs."""
@@ -203,31 +222,22 @@
         )
 
     def _retain_missing(
-        self,
-        entries_by_id: dict[BackendServerId, BackendEntry],
-        freshness: Freshness,
-        after_outage: bool,
+        self, entries_by_id: dict[BackendServerId, BackendEntry], is_recovering: bool
     ) -> list[str]:
-        now = freshness.confirmed_at
-        if after_outage:
-            for backend_id in (
-                self._entries.keys()
-                - entries_by_id.keys()
-                - self._retained_until.keys()
-            ):
-                self._retained_until[backend_id] = now + REREGISTRATION_SECONDS
-        changes = []
-        for backend_id, until in list(self._retained_until.items()):
-            previous = self._entries.get(backend_id)
-            if backend_id in entries_by_id or previous is None or now >= until:
-                del self._retained_until[backend_id]
-                continue
-            entries_by_id[backend_id] = previous
-            changes.append(
-                f"{backend_id} missing since the store outage, "
-                "retained for re-registration"
-            )
-        return changes
+        missing = {}
+        if is_recovering:
+            missing = {
+                backend_id: entry
+                for backend_id, entry in self._entries.items()
+                if backend_id not in entries_by_id
+            }
+        newly_missing = [it for it in missing if it not in self._retained]
+        entries_by_id |= missing
+        self._retained = frozenset(missing)
+        return [
+            f"{backend_id} missing since the store outage, retained for re-registration"
+            for backend_id in newly_missing
+        ]
 
 
 def _describe_changes(
--- a/fireflyquay/dispatch/_control_message.py
+++ b/fireflyquay/dispatch/_control_message.py
@@ -239,6 +239,8 @@
     entries: tuple[BackendEntry, ...]
     revision: int
     age: float
+    # Seconds for which entries may still be missing after an outage of the store.
+    recovery_seconds: float = 0.0
 
 
 ReplicaSyncMessage = (
--- a/fireflyquay/dispatch/_replica_sync.py
+++ b/fireflyquay/dispatch/_replica_sync.py
@@ -74,16 +74,13 @@
             case ConfigRequest(number):
                 return self._make_config_response(number, now), False
             case BackendsRequest(number):
-                age = self._backends.freshness.compute_age(now)
-                entries = tuple(self._backends.list_backends())
-                revision = self._backends.freshness.revision
-                return [BackendsResponse(number, entries, revision, age)], False
+                return [self._make_backends_response(number, now)], False
             case ProbeResponse():
                 return self._handle_probe_response(message, now), False
             case ConfigResponse():
                 return [], self._apply_config(message)
             case BackendsResponse():
-                return [], self._apply_backends(message)
+                return [], self._apply_backends(message, now)
         return [], False
 
     def remove_vm(self, incarnation: Incarnation) -> None:
@@ -123,6 +120,16 @@
         revision, age = self._config.freshness.revision, self._config.compute_age(now)
         return [ConfigResponse(number, config, revision, age)]
 
+    def _make_backends_response(self, number: int, now: float) -> BackendsResponse:
+        backends = self._backends
+        return BackendsResponse(
+            number,
+            tuple(backends.list_backends()),
+            backends.freshness.revision,
+            backends.freshness.compute_age(now),
+            backends.compute_recovery_seconds(now),
+        )
+
     def _handle_probe_response(
         self, response: ProbeResponse, now: float
     ) -> list[Message]:
@@ -147,6 +154,7 @@
         if freshness.confirmed_at <= self._backends.freshness.confirmed_at:
             return follow_ups
         if response.backends_digest == self._backends.digest:
+            self._backends.detect_outage(freshness.confirmed_at, now)
             self._backends.mark_confirmed(freshness)
         else:
             follow_ups.append(BackendsRequest(self._assign_number(now)))
@@ -159,11 +167,13 @@
         freshness = Freshness(response.revision, sent_at - response.age)
         return self._config.apply_config(response.config, freshness)
 
-    def _apply_backends(self, response: BackendsResponse) -> bool:
+    def _apply_backends(self, response: BackendsResponse, now: float) -> bool:
         sent_at = self._sent_at.pop(response.number, None)
         if sent_at is None:
             return False
         freshness = Freshness(response.revision, sent_at - response.age)
         if freshness.confirmed_at <= self._backends.freshness.confirmed_at:
             return False
+        self._backends.detect_outage(freshness.confirmed_at, now)
+        self._backends.expect_missing(sent_at, response.recovery_seconds)
         return bool(self._backends.replace_all(response.entries, freshness))
--- a/fireflyquay/dispatch/tests/test_replicas.py
+++ b/fireflyquay/dispatch/tests/test_replicas.py
@@ -59,17 +59,37 @@
     registry.replace_all(
         [make_backend_entry("s1"), make_backend_entry("s2")], Freshness(1, 0.0)
     )
-    registry.replace_all(
-        [make_backend_entry("s1")], Freshness(2, 20.0), after_outage=True
-    )
+    registry.detect_outage(20.0, 20.0)
+    registry.replace_all([make_backend_entry("s1")], Freshness(2, 20.0))
     assert registry.accepts_requests("s2")
     reregistered_by = 20.0 + REREGISTRATION_SECONDS
-    registry.replace_all(
-        [make_backend_entry("s1")], Freshness(3, reregistered_by), after_outage=True
-    )
+    registry.replace_all([make_backend_entry("s1")], Freshness(3, reregistered_by))
     assert registry.get("s2") is None
 
 
+def test_copy_of_the_registry_states_how_long_entries_may_be_missing():
+    responder, receiver = make_replica_sync(4), make_replica_sync(4)
+    entries = [make_backend_entry("s1"), make_backend_entry("s2")]
+    responder.backends.replace_all(entries, Freshness(5, 1.0))
+    responder.backends.detect_outage(20.0, 20.0)
+    responder.backends.replace_all(entries, Freshness(6, 20.0))
+    receiver.backends.replace_all([], Freshness(5, 18.0))
+    assert exchange_messages(receiver, responder, 20.5, 20.5, 20.5)
+    receiver.backends.replace_all([make_backend_entry("s1")], Freshness(7, 21.9))
+    assert receiver.backends.accepts_requests("s2")
+    receiver.backends.replace_all([make_backend_entry("s1")], Freshness(8, 22.0))
+    assert receiver.backends.get("s2") is None
+
+
+def test_confirmation_by_another_vm_does_not_hide_an_outage():
+    receiver, responder = make_replica_sync(4, 1.0), make_replica_sync(4, 20.0)
+    exchange_messages(receiver, responder, 20.0, 20.0, 20.1)
+    receiver.backends.replace_all([], Freshness(5, 20.2))
+    assert receiver.backends.accepts_requests("s1")
+    receiver.backends.replace_all([], Freshness(6, 22.2))
+    assert receiver.backends.get("s1") is None
+
+
 def test_new_process_of_a_registered_backend_is_a_change():
     registry = BackendRegistry()
     registry.replace_all([make_backend_entry("e1", born_ms=1)], Freshness(1, 0.0))
--- a/fireflyquay/gateway/_dialect.py
+++ b/fireflyquay/gateway/_dialect.py
@@ -237,6 +237,9 @@
     revision: int
     # Names of registrations that can't be decoded.
     unreadable: tuple[BackendServerId, ...] = ()
+    # Revision that the store had at least since it last came back from a copy; 0 if it
+    # never did.
+    restored_revision: int = 0
     # Number of times that the store was restored from a copy.
     restore_count: int = 0
 
--- a/fireflyquay/gateway/_state_replicas.py
+++ b/fireflyquay/gateway/_state_replicas.py
@@ -7,7 +7,12 @@
 
 import logbook
 
-from fireflyquay.dispatch import BackendRegistry, ConfigReplica, Freshness
+from fireflyquay.dispatch import (
+    REREGISTRATION_SECONDS,
+    BackendRegistry,
+    ConfigReplica,
+    Freshness,
+)
 from fireflyquay.links import HttpFailure
 from fireflyquay.world import BackendServerId, RepeatRule
 
@@ -21,9 +26,6 @@
 # limit that is short enough to apply operators' changes in time once the store is back.
 INITIAL_RETRY_SECONDS = 0.25
 MAX_RETRY_SECONDS = 1.0
-# Seconds without a successful read after which the store counts as having been down,
-# and seconds after such an outage in which registrations may still be missing.
-OUTAGE_SECONDS = 2.5
 # Age of a replica in seconds at which this VM reads the store by itself instead of
 # relying on confirmations by other VMs, which arrive several times a second.
 OWN_READ_AGE_SECONDS = 1.2
@@ -67,10 +69,6 @@
         self._backends_read_at = float("-inf")
         # Set at the end of that read, or of the next one.
         self._backends_read_ended = asyncio.Event()
-        # Time on the age clock until which registrations may be missing after outages.
-        self._recovering_until = float("-inf")
-        # Restores of the store as of the last read; None before the first.
-        self._restore_count: int | None = None
         # Names of unreadable registrations as last logged.
         self._unreadable: tuple[BackendServerId, ...] = ()
         # Called after any change.
@@ -181,15 +179,15 @@
                 asyncio.Event(),
             )
             ended.set()
-        was_down = sent_at - self.backends.freshness.confirmed_at > OUTAGE_SECONDS
-        if (was_down and self.backends.freshness.revision) or self._was_restored(
-            snapshot.restore_count
-        ):
-            self._recovering_until = self._clock.read() + OUTAGE_SECONDS
+        now = self._clock.read()
+        self.backends.detect_outage(sent_at, now)
+        # Other VMs may have confirmed the state since the restore.
+        if 0 < self.backends.freshness.revision < snapshot.restored_revision:
+            LOG.warning("store restored", extra={"revision": snapshot.revision})
+            self.backends.expect_missing(now, REREGISTRATION_SECONDS)
         entries = await self._versions.admit(snapshot)
         freshness = Freshness(snapshot.revision, sent_at)
-        is_recovering = self._clock.read() < self._recovering_until
-        changes = self.backends.replace_all(entries, freshness, is_recovering)
+        changes = self.backends.replace_all(entries, freshness)
         if snapshot.unreadable != self._unreadable:
             self._unreadable = snapshot.unreadable
             LOG.warning(
@@ -210,14 +208,6 @@
             route.repeat_rule is RepeatRule.RESUMABLE for route in config.routes
         )
 
-    def _was_restored(self, restore_count: int) -> bool:
-        """Return whether the store was restored from a copy since the last read."""
-        previous, self._restore_count = self._restore_count, restore_count
-        if previous is None or previous == restore_count:
-            return False
-        LOG.warning("store restored", extra={"restores": restore_count})
-        return True
-
     def _record_store_result(self, is_available: bool, sentence: str) -> None:
         if is_available == self._is_store_available:
             return
