Bound the log line on registrations that can't be read

What operators saw: with some thousand odd registrations the line `registrations unreadable` exceeds the log's queue of 256 KB, so that it is dropped and nothing tells why workers are missing.

Cause: the line held all names, of any length and number.

Evidence: `test_many_unreadable_registrations_do_not_make_a_log_line_too_long` failed on the code before ("assert '' == 5000"): its line holds 5,000 names of 256 characters and no count.

--- a/fireflyquay/gateway/_state_replicas.py
+++ b/fireflyquay/gateway/_state_replicas.py
@@ -33,6 +33,8 @@
 # Seconds between reads that are requested before the next one is due: many streams that
 # are resumed at the same time share a read.
 MIN_READ_INTERVAL_SECONDS = 0.1
+# Bounds a log line.
+MAX_LOGGED_NAMES = 50
 
 
 class StateReplicas:
@@ -190,9 +192,9 @@
         changes = self.backends.replace_all(entries, freshness)
         if snapshot.unreadable != self._unreadable:
             self._unreadable = snapshot.unreadable
-            LOG.warning(
-                "registrations unreadable", extra={"names": snapshot.unreadable}
-            )
+            names = snapshot.unreadable[:MAX_LOGGED_NAMES]
+            extra = {"names": names, "count": len(snapshot.unreadable)}
+            LOG.warning("registrations unreadable", extra=extra)
         if changes:
             LOG.info(
                 "backend servers changed",
--- a/fireflyquay/gateway/tests/test_state_replicas.py
+++ b/fireflyquay/gateway/tests/test_state_replicas.py
@@ -3,6 +3,8 @@
 import asyncio
 from dataclasses import dataclass, field
 
+import logbook
+import msgspec
 import pytest
 
 from emulator import run_virtual
@@ -12,6 +14,7 @@
 from fireflyquay.gateway._clock import LoopClock
 from fireflyquay.gateway._state_replicas import StateReplicas
 from fireflyquay.links import HttpFailure
+from fireflyquay.links._json_log import MAX_QUEUED_BYTES
 from fireflyquay.world import Code
 
 ANSWER_SECONDS, TIMEOUT_SECONDS = 0.004, 1.0
@@ -109,3 +112,19 @@
         assert replicas.backends.get("gone") is None
 
     run_virtual(run())
+
+
+def test_many_unreadable_registrations_do_not_make_a_log_line_too_long():
+    names = tuple("x" * 256 for _ in range(5000))
+
+    class UnreadableSource:
+        async def list_backends(self):
+            return BackendsSnapshot((), 9, names)
+
+    replicas = StateReplicas(UnreadableSource(), LoopClock(), 0.5, lambda: False)
+    log = logbook.TestHandler()
+    with log.applicationbound():
+        run_virtual(replicas._read_backends())
+    (record,) = [it for it in log.records if it.message == "registrations unreadable"]
+    assert record.extra["count"] == 5000
+    assert len(msgspec.json.encode(record.extra)) < MAX_QUEUED_BYTES // 4
