--- a/fireflyquay/dispatch/_quota_limiter.py
+++ b/fireflyquay/dispatch/_quota_limiter.py
@@ -91,7 +91,9 @@
         self._knowledge = knowledge or FleetKnowledge()
         # Time in the window until which usage is unknown; None if all of it is known.
         self._unknown_until: float | None = None
-        self._reports: dict[Incarnation, list[_ReportedUsage]] = {}
+        self._reports: dict[
+            Incarnation, dict[ClientAccountId, list[_ReportedUsage]]
+        ] = {}
         # The latest ledger of each other coordinator.
         self._ledgers: dict[Incarnation, _KnownLedger] = {}
         # Counts reports and other changes of what is known.
@@ -184,7 +186,7 @@
         for ledger in self._ledgers.values():
             accounts.update(account for account, _ in ledger.deficits)
         for reports in self._reports.values():
-            accounts.update(it.account for it in reports)
+            accounts.update(reports)
         deficits = []
         for account_id in accounts:
             account = find_account(account_id)
@@ -201,15 +203,17 @@
         self, vm: Incarnation, reports: list[_ReportedUsage], now: float
     ) -> None:
         self._forget(now)
-        self._reports[vm] = reports
+        self._reports[vm] = {}
+        for it in reports:
+            self._reports[vm].setdefault(it.account, []).append(it)
         self._revision += 1
 
     def _forget(self, now: float) -> None:
         """Forget what lies before the window."""
         since = now - self.window_seconds
         for vm, reports in list(self._reports.items()):
-            self._reports[vm] = [it for it in reports if it.granted_at >= since]
-            if not self._reports[vm]:
+            latest = [max(one.granted_at for one in it) for it in reports.values()]
+            if max(latest, default=since) <= since:
                 del self._reports[vm]
         for coordinator, ledger in list(self._ledgers.items()):
             if ledger.made_at < since:
@@ -253,8 +257,8 @@
         charges: list[Charge] = [
             (it.granted_at, _count_units(quota.unit, it.requests, it.tokens))
             for reports in self._reports.values()
-            for it in reports
-            if it.account == account and it.granted_at >= since
+            for it in reports.get(account, ())
+            if it.granted_at >= since
         ]
         levels: list[Level] = [
             (it.made_at, bucket.burst - it.deficits.get((account, quota.unit), 0.0))
--- a/fireflyquay/dispatch/_retry_budget.py
+++ b/fireflyquay/dispatch/_retry_budget.py
@@ -14,7 +14,7 @@
 LEDGER_RESOLUTION_SECONDS = 1.0
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class _Counts:
     """Hold the requests and retries of a service about the same time."""
 
@@ -58,6 +58,8 @@
         self._knowledge = knowledge or FleetKnowledge()
         self._requests: dict[ServiceId, deque[float]] = {}
         self._retries: dict[ServiceId, deque[float]] = {}
+        # The same in steps, since ledgers are made often.
+        self._own_counts: dict[ServiceId, deque[_Counts]] = {}
         self._reports: dict[Incarnation, list[_Counts]] = {}
         # The latest ledger of each other coordinator.
         self._ledgers: dict[Incarnation, _KnownLedger] = {}
@@ -65,6 +67,7 @@
     def record_request(self, service: ServiceId, now: float) -> None:
         """Record the arrival of a request for a service."""
         self._get_recent(self._requests, service, now).append(now)
+        self._count_own(service, 1, 0, now)
 
     def try_acquire(self, service: ServiceId, share: float, now: float) -> bool:
         """Consume one retry from the budget; return whether one was available.
@@ -82,6 +85,7 @@
         if retries + 1 > self._ratio * requests + extra:
             return False
         own_retries.append(now)
+        self._count_own(service, 0, 1, now)
         return True
 
     def record_usage(
@@ -154,14 +158,7 @@
         None of them counts a retry twice.
         """
         since = now - self.window_seconds
-        reported = [
-            _Counts(service, at, 1, 0)
-            for at in self._get_recent(self._requests, service, now)
-        ]
-        reported += [
-            _Counts(service, at, 0, 1)
-            for at in self._get_recent(self._retries, service, now)
-        ]
+        reported = [it for it in self._own_counts.get(service, ()) if it.at >= since]
         reported += [
             it
             for counts in self._reports.values()
@@ -182,6 +179,18 @@
             ),
         )
 
+    def _count_own(
+        self, service: ServiceId, requests: int, retries: int, now: float
+    ) -> None:
+        counts = self._own_counts.setdefault(service, deque())
+        if counts and now - counts[-1].at < LEDGER_RESOLUTION_SECONDS:
+            counts[-1].requests += requests
+            counts[-1].retries += retries
+            return
+        counts.append(_Counts(service, now, requests, retries))
+        while counts[0].at < now - self.window_seconds:
+            counts.popleft()
+
     def _forget(self, now: float) -> None:
         """Forget what lies before the window."""
         since = now - self.window_seconds
