Archive the origins of streams, so that they outlive all VMs

Cause: origins were in the VMs' memory only.

Change: while several versions of a service serve, the coordinator adds the origins of streams whose first events were sent to one object of the store, with each of its reads of the registry, at most. Streams without a first event may begin anew at another version, so they are not archived. A VM at which a client resumes a stream that no VM knows reads the archive, once a second at most. One object of the fleet, not one a VM: two writes a second whatever the number of VMs, and nothing piles up. FleetSource reads and writes a record by its type, for both objects.

test_streams_go_on_at_their_version_after_all_gateways_were_killed stays known red: all are killed within 0.1 s of the first events. Ruled out: a write before each first event, 30 a second on this deployment, 270 on a large one.

Joined with the evidence of crashes, which now is a record of the same kind: one way to read and write the records that the VMs keep, by their type. A store that refuses one kind keeps the others. The tests of the evidence hold the same forms of unreadable records; the emulated store keeps them as JSON for this.

--- a/emulator/_store.py
+++ b/emulator/_store.py
@@ -6,17 +6,18 @@
 import random
 from collections.abc import Callable
 
-from fireflyquay.dispatch import VersionRecord
+import msgspec
+
 from fireflyquay.gateway import (
     BackendsSnapshot,
     ConfigSnapshot,
     FleetSource,
     StoredRecord,
-    StoredVersions,
     VmRegistration,
 )
+from fireflyquay.gateway._dialect import R
 from fireflyquay.links import HttpFailure
-from fireflyquay.world import BackendEntry, Code, FleetConfig, VmListing
+from fireflyquay.world import DECODE_ERRORS, BackendEntry, Code, FleetConfig, VmListing
 
 # Mean response time.
 RESPONSE_SECONDS = 0.004
@@ -33,8 +34,8 @@
         self.config: FleetConfig | None = None
         self.backends: dict[str, BackendEntry] = {}
         self.vms: dict[str, VmRegistration] = {}
-        self.versions = StoredVersions(VersionRecord(), 0, 0)
-        self.records: dict[str, StoredRecord] = {}
+        # Records of the VMs by type: JSON, and the revision of its last change.
+        self.records: dict[type, tuple[bytes, int]] = {}
         # Hosts whose calls fail.
         self.refused_hosts: set[str] = set()
         # Whether all calls fail.
@@ -65,7 +66,6 @@
 class EmulatedSource(FleetSource):
     """Give one gateway access to the emulated store."""
 
-    keeps_versions = True
     keeps_records = True
 
     def __init__(
@@ -108,36 +108,29 @@
             del self._store.vms[registration.name]
             self._store.increment_revision()
 
-    async def read_versions(self) -> StoredVersions:
-        """Return the record of software versions."""
-        await self._call_store()
-        return self._store.versions
-
-    async def write_versions(
-        self, record: VersionRecord, revision: int
-    ) -> StoredVersions | None:
-        """Replace the record; return None if its revision is another by now."""
-        await self._call_store()
-        if self._store.versions.revision != revision:
-            return None
-        new = StoredVersions(record, self._store.increment_revision(), 0)
-        self._store.versions = new
-        return new
+    def keeps(self, kind: type) -> bool:
+        """Return whether the store takes records of a type."""
+        return self.keeps_records
 
-    async def read_record(self, kind: str) -> StoredRecord:
-        """Return the fleet's own record of a kind."""
+    async def read_record(self, kind: type[R]) -> StoredRecord[R]:
+        """Return the record of a type; there is one of each."""
         await self._call_store()
-        return self._store.records.get(kind, StoredRecord(None, 0))
-
-    async def write_record(self, kind: str, spec: bytes, revision: int) -> int | None:
-        """Replace a record; return its revision, or None if it was another by now."""
+        spec, revision = self._store.records.get(kind, (b"", 0))
+        try:
+            record = msgspec.json.decode(spec, type=kind)
+        except DECODE_ERRORS:
+            record = kind()
+        return StoredRecord(record, revision, 0)
+
+    async def write_record(self, record: R, revision: int) -> StoredRecord[R] | None:
+        """Replace the record; return None if its revision is another by now."""
         await self._call_store()
-        known = self._store.records.get(kind, StoredRecord(None, 0))
-        if known.revision != revision:
+        _, known_revision = self._store.records.get(type(record), (b"", 0))
+        if revision != known_revision:
             return None
-        new = StoredRecord(spec, self._store.increment_revision())
-        self._store.records[kind] = new
-        return new.revision
+        new_revision = self._store.increment_revision()
+        self._store.records[type(record)] = msgspec.json.encode(record), new_revision
+        return StoredRecord(record, new_revision, 0)
 
     async def _call_store(self) -> None:
         if not self._is_reachable():
--- a/fireflyquay/dispatch/__init__.py
+++ b/fireflyquay/dispatch/__init__.py
@@ -29,12 +29,14 @@
 from ._crash_tracker import (
     BEGINNING_SECONDS,
     CrashTracker,
+    EvidenceRecord,
     SuspicionChange,
     list_suspects,
     make_stored_news,
 )
 from ._fleet_knowledge import FleetKnowledge
 from ._freshness import Freshness
+from ._origin_archive import OriginArchive
 from ._quota_limiter import (
     QUOTA_WINDOW_SECONDS,
     UNKNOWN_STARTS_PER_WINDOW,
@@ -63,6 +65,7 @@
     "BEGINNING_SECONDS",
     "CrashNews",
     "CrashTracker",
+    "EvidenceRecord",
     "SuspicionChange",
     "list_suspects",
     "make_stored_news",
@@ -75,6 +78,7 @@
     "Handover",
     "MessageToCoordinator",
     "MessageToFollower",
+    "OriginArchive",
     "OriginMessage",
     "OriginRequest",
     "OriginResponse",
--- a/fireflyquay/dispatch/_backend_registry.py
+++ b/fireflyquay/dispatch/_backend_registry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterable
 
 import msgspec
@@ -194,6 +195,13 @@
             and reading.proves_one_version(service, versions.pop(), since_ms)
         )
 
+    def list_mixed_services(self, seconds: float, now: float) -> set[ServiceId]:
+        """Return the services that ran several versions within some seconds."""
+        versions = {(it.service, it.version) for it in self._entries.values()}
+        versions |= {key for key, at in self._left_at.items() if at >= now - seconds}
+        counts = Counter(service for service, _ in versions)
+        return {service for service, count in counts.items() if count > 1}
+
     def _observe(self, now: float) -> None:
         gap = now - self.freshness.confirmed_at
         if gap > MAX_OBSERVATION_GAP_SECONDS or self._observed_since is None:
--- a/fireflyquay/dispatch/_crash_tracker.py
+++ b/fireflyquay/dispatch/_crash_tracker.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+import msgspec
+
 from fireflyquay.world import (
     BackendServerId,
     Fingerprint,
@@ -407,6 +409,13 @@
         self._changes.append((reason, suspect, quarantine.crash_count))
 
 
+class EvidenceRecord(msgspec.Struct, frozen=True):
+    """Hold evidence as stored; its ages count from the time of day it was written."""
+
+    written_ms: float = 0.0
+    news: CrashNews = CrashNews((), (), ())
+
+
 def make_stored_news(news: CrashNews, age_seconds: float) -> CrashNews:
     """Return evidence that was stored some seconds ago, with its present ages.
 
--- a/fireflyquay/dispatch/_scheduler.py
+++ b/fireflyquay/dispatch/_scheduler.py
@@ -203,6 +203,7 @@
             self._record_origin(load, run.request, now)
             state = self._states[run.request.service]
             state.ranks[run.request.rank].record_first_output(now - run.granted_at)
+            self.origins.record_begin(run.request.stream, now)
 
     def end_run(
         self, owner: Incarnation, ended: RunEnded, now: float
--- a/fireflyquay/dispatch/_stream_origins.py
+++ b/fireflyquay/dispatch/_stream_origins.py
@@ -39,6 +39,8 @@
         # Seconds for which an origin is remembered after it was last recorded.
         self.lifetime = DEFAULT_LIFETIME_SECONDS
         self._entries: OrderedDict[AttemptId, _Entry] = OrderedDict()
+        # Time at which the first event of each stream was sent, as far as is known.
+        self._begun_at: OrderedDict[AttemptId, float] = OrderedDict()
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -67,6 +69,22 @@
         entry = self._entries.get(stream)
         return None if entry is None else entry.origin
 
+    def record_begin(self, stream: AttemptId, now: float) -> None:
+        """Record that a stream's first event was sent; its origin is final."""
+        if stream in self._entries and stream not in self._begun_at:
+            self._begun_at[stream] = now
+
+    def list_begun(self, since: float) -> list[tuple[AttemptId, StreamOrigin]]:
+        """Return the origins of the streams that began later than the given time."""
+        found = []
+        for stream, begun_at in reversed(self._begun_at.items()):
+            if begun_at <= since:
+                break
+            entry = self._entries.get(stream)
+            if entry is not None:
+                found.append((stream, entry.origin))
+        return found
+
     def list_owned(self, owner: Incarnation) -> list[tuple[AttemptId, StreamOrigin]]:
         """Return the origins of the streams that a VM sends to its clients."""
         return [
@@ -77,6 +95,11 @@
 
     def expire(self, now: float) -> None:
         """Forget the origins that were recorded too long ago."""
+        while self._begun_at:
+            stream, begun_at = next(iter(self._begun_at.items()))
+            if now - begun_at <= self.lifetime:
+                break
+            del self._begun_at[stream]
         while self._entries:
             stream, entry = next(iter(self._entries.items()))
             if now - entry.recorded_at <= self.lifetime:
--- a/fireflyquay/dispatch/tests/test_software_versions.py
+++ b/fireflyquay/dispatch/tests/test_software_versions.py
@@ -13,6 +13,7 @@
     Freshness,
     Grant,
     Handover,
+    OriginArchive,
     OriginResponse,
     Refusal,
     SlotScheduler,
@@ -22,6 +23,7 @@
     VersionReading,
     VersionRecord,
 )
+from fireflyquay.dispatch._origin_archive import MAX_ARCHIVED_STREAMS
 from fireflyquay.world import AttemptId, BackendServerId, Code, SoftwareVersion
 
 from .builders import (
@@ -153,6 +155,39 @@
     assert not origins.list_owned(OWN_VM)
 
 
+def test_only_streams_whose_first_event_was_sent_are_archived():
+    coordinator = make_coordinator()
+    coordinator.set_backends([make_server("e1", OLD), make_server("e2", NEW)])
+    # The first run fails before its first event, so the stream begins anew elsewhere.
+    for number, excluded in ((1, ("e2",)), (2, ("e1",))):
+        request = make_request(number, stream=STREAM, excluded=excluded)
+        coordinator.submit(request, float(number))
+        assert not coordinator.origins.list_begun(0.0)
+    output = FirstOutput(2, BackendServerId("e2"))
+    coordinator.handle_message(OWN_VM, output, 3.0)
+    assert coordinator.origins.list_begun(0.0) == [(STREAM, StreamOrigin(SERVICE, NEW))]
+    assert not coordinator.origins.list_begun(3.0)
+    coordinator.origins.expire(3.0 + 2 * coordinator.origins.lifetime)
+    assert not coordinator.origins.list_begun(0.0)
+
+
+def test_archive_drops_what_no_client_can_resume_and_stays_small():
+    def make_origins(first, count=1, version=OLD):
+        origin = StreamOrigin(SERVICE, version)
+        return [(AttemptId(str(it)), origin) for it in range(first, first + count)]
+
+    archive = OriginArchive().add(make_origins(1), 1_000, 30_000)
+    archive = archive.add(make_origins(2) + make_origins(1, 1, NEW), 20_000, 30_000)
+    assert dict(archive.iter_origins()) == {
+        "1": StreamOrigin(SERVICE, NEW),
+        "2": StreamOrigin(SERVICE, OLD),
+    }
+    archive = archive.add(make_origins(3), 32_000, 30_000)
+    assert [it.at_ms for it in archive.batches] == [20_000, 32_000]
+    archive = archive.add(make_origins(4, MAX_ARCHIVED_STREAMS - 1), 33_000, 30_000)
+    assert [it.at_ms for it in archive.batches] == [32_000, 33_000]
+
+
 def make_registry(*lists, until=100.0):
     """Return a registry that read each list at its time, and was confirmed between."""
     registry = BackendRegistry()
--- a/fireflyquay/gateway/__init__.py
+++ b/fireflyquay/gateway/__init__.py
@@ -19,7 +19,6 @@
     Response,
     ResponseMetadata,
     StoredRecord,
-    StoredVersions,
     UpstreamRequest,
     VmRegistration,
 )
@@ -48,7 +47,6 @@
     "Exchange",
     "Failure",
     "FleetSource",
-    "StoredVersions",
     "Gateway",
     "GatewaySettings",
     "HeaderPairs",
--- a/fireflyquay/gateway/_dialect.py
+++ b/fireflyquay/gateway/_dialect.py
@@ -5,8 +5,9 @@
 from abc import ABC, abstractmethod
 from collections.abc import Sequence
 from dataclasses import dataclass
+from typing import Generic, TypeVar
 
-from fireflyquay.dispatch import VersionRecord
+from fireflyquay.dispatch import EvidenceRecord, OriginArchive, VersionRecord
 from fireflyquay.links import HttpRequest, RawHeaders
 from fireflyquay.world import (
     AttemptId,
@@ -20,6 +21,8 @@
     VmListing,
 )
 
+# A record that VMs keep in the store.
+R = TypeVar("R", VersionRecord, OriginArchive, EvidenceRecord)
 HeaderPairs = list[tuple[bytes | str, bytes | str]]
 
 
@@ -255,35 +258,20 @@
 
 
 @dataclass(frozen=True, slots=True)
-class StoredVersions:
-    """Hold the record of software versions as stored."""
+class StoredRecord(Generic[R]):
+    """Hold a record of the VMs as stored."""
 
     # Empty if none is stored, or one that can't be decoded.
-    record: VersionRecord
+    record: R
     # Store revision of its last change; 0 if none is stored.
     revision: int
     # Number of times that the store was restored from a copy.
     restore_count: int
 
 
-@dataclass(frozen=True, slots=True)
-class StoredRecord:
-    """Hold a record that the fleet keeps in the store for itself."""
-
-    # JSON; None if none is stored.
-    spec: bytes | None
-    # Store revision of its last change; 0 if none is stored.
-    revision: int
-
-
 class FleetSource(ABC):
     """Access the platform's store; methods raise HttpFailure if the store fails."""
 
-    # Whether the store takes a record of software versions.
-    keeps_versions = False
-    # Whether the store takes records of the fleet's own.
-    keeps_records = False
-
     @abstractmethod
     async def read_config(self) -> ConfigSnapshot:
         """Return the latest configuration."""
@@ -304,20 +292,14 @@
     async def remove_vm(self, registration: VmRegistration) -> None:
         """Remove a registration unless it has changed since it was listed."""
 
-    async def read_versions(self) -> StoredVersions:
-        """Return the record of software versions."""
-        raise NotImplementedError
-
-    async def write_versions(
-        self, record: VersionRecord, revision: int
-    ) -> StoredVersions | None:
-        """Replace the record; return None if its revision is another by now."""
-        raise NotImplementedError
+    def keeps(self, kind: type) -> bool:
+        """Return whether the store takes records of a type."""
+        return False
 
-    async def read_record(self, kind: str) -> StoredRecord:
-        """Return the fleet's own record of a kind."""
+    async def read_record(self, kind: type[R]) -> StoredRecord[R]:
+        """Return the record of a type; there is one of each."""
         raise NotImplementedError
 
-    async def write_record(self, kind: str, spec: bytes, revision: int) -> int | None:
-        """Replace a record; return its revision, or None if it was another by now."""
+    async def write_record(self, record: R, revision: int) -> StoredRecord[R] | None:
+        """Replace the record; return None if its revision is another by now."""
         raise NotImplementedError
--- a/fireflyquay/gateway/_evidence_keeper.py
+++ b/fireflyquay/gateway/_evidence_keeper.py
@@ -9,9 +9,8 @@
 import logbook
 import msgspec
 
-from fireflyquay.dispatch import CrashNews
+from fireflyquay.dispatch import CrashNews, EvidenceRecord
 from fireflyquay.links import HttpFailure
-from fireflyquay.world import DECODE_ERRORS
 
 from ._clock import MILLISECONDS_PER_SECOND, AgeClock
 from ._dialect import FleetSource, StoredRecord
@@ -19,8 +18,6 @@
 
 LOG = logbook.Logger("quarantine")
 
-# Kind of the store's object.
-EVIDENCE_KIND = "evidence"
 # Least seconds between two writes; crashes come in bursts.
 WRITE_INTERVAL_SECONDS = 1.0
 # Seconds for which a VM waits for the record before it accepts requests.
@@ -34,13 +31,6 @@
 MAX_RECORD_AGE_MS = 3 * 3600 * MILLISECONDS_PER_SECOND
 
 
-class _Evidence(msgspec.Struct, rename="camel"):
-    """Hold evidence as stored; its ages count from the time of day it was written."""
-
-    written_ms: float
-    news: CrashNews
-
-
 @dataclass(slots=True)
 class _Known:
     """Hold what of the record is known."""
@@ -71,12 +61,12 @@
         self._writes_for_fleet = writes_for_fleet
         self._known = _Known()
         # Whether the record was read, or can't be read soon.
-        self.has_tried = not source.keeps_records
+        self.has_tried = not source.keeps(EvidenceRecord)
         self._is_available = True
 
     async def keep(self) -> None:
         """Read the record once, then write it after changes, until cancelled."""
-        if not self._source.keeps_records:
+        if not self._source.keeps(EvidenceRecord):
             return
         asyncio.get_running_loop().call_later(FIRST_READ_SECONDS, self._stop_waiting)
         retry_delay = INITIAL_RETRY_SECONDS
@@ -108,7 +98,7 @@
         return True
 
     async def _read(self) -> None:
-        record = await self._source.read_record(EVIDENCE_KIND)
+        record = await self._source.read_record(EvidenceRecord)
         before = self._quarantine.revision
         self._adopt(record)
         if before == 0:
@@ -118,42 +108,33 @@
 
     async def _write(self) -> None:
         if self._known.store_revision is None:
-            record = await self._source.read_record(EVIDENCE_KIND)
+            record = await self._source.read_record(EvidenceRecord)
             self._adopt(record)
             self._known.store_revision = record.revision
         revision = self._quarantine.revision
-        spec = self._encode()
-        self._known.store_revision = await self._source.write_record(
-            EVIDENCE_KIND, spec, self._known.store_revision
-        )
-        if self._known.store_revision is not None:
+        record, size_bytes = self._make_record()
+        stored = await self._source.write_record(record, self._known.store_revision)
+        self._known.store_revision = None if stored is None else stored.revision
+        if stored is not None:
             self._known.revision = revision
-            LOG.info("evidence stored", extra={"bytes": len(spec)})
+            LOG.info("evidence stored", extra={"bytes": size_bytes})
 
-    def _adopt(self, record: StoredRecord) -> None:
-        if record.spec is None:
-            return
-        if len(record.spec) > MAX_RECORD_BYTES:
-            LOG.warning("evidence unreadable", extra={"bytes": len(record.spec)})
-            return
-        try:
-            evidence = msgspec.json.decode(record.spec, type=_Evidence)
-        except DECODE_ERRORS as error:
-            LOG.warning("evidence unreadable", extra={"cause": str(error)})
-            return
-        age_ms = max(0.0, self._clock.read_unix_ms() - evidence.written_ms)
+    def _adopt(self, stored: StoredRecord[EvidenceRecord]) -> None:
+        written_ms = stored.record.written_ms
+        age_ms = max(0.0, self._clock.read_unix_ms() - written_ms)
         if age_ms < MAX_RECORD_AGE_MS:
             age = age_ms / MILLISECONDS_PER_SECOND
-            self._quarantine.load_evidence(evidence.news, age)
+            self._quarantine.load_evidence(stored.record.news, age)
 
-    def _encode(self) -> bytes:
-        """Return the evidence; without the oldest crashes if there is too much."""
+    def _make_record(self) -> tuple[EvidenceRecord, int]:
+        """Return the evidence and its size; without the oldest crashes if too large."""
         news = self._quarantine.make_evidence()
         written_ms = self._clock.read_unix_ms()
         while True:
-            spec = msgspec.json.encode(_Evidence(written_ms, news))
-            if len(spec) <= MAX_RECORD_BYTES:
-                return spec
+            record = EvidenceRecord(written_ms, news)
+            size_bytes = len(msgspec.json.encode(record))
+            if size_bytes <= MAX_RECORD_BYTES:
+                return record, size_bytes
             news = halve_evidence(news)
 
 
--- a/fireflyquay/gateway/_gateway.py
+++ b/fireflyquay/gateway/_gateway.py
@@ -46,6 +46,7 @@
 from ._forwarder import Forwarder
 from ._gateway_metrics import GatewayMetrics
 from ._ingress import DEFAULT_TIMEOUT_SECONDS, Ingress
+from ._origin_archiver import OriginArchiver
 from ._quarantine import Quarantine
 from ._settings import GatewaySettings, split_address
 from ._slot_client import SlotClient
@@ -135,6 +136,16 @@
             self.replicas.confirm_backends,
             self._clock,
         )
+        self._archiver = OriginArchiver(
+            source,
+            self._coordinator.origins,
+            self.replicas.backends,
+            self._stream_locator,
+            self._clock,
+            lambda: self.fleet.is_coordinating,
+        )
+        self._stream_locator.on_unknown = self._archiver.request_read
+        self.replicas.on_backends_read = self._archiver.write_archive
         self.paths = BackendPaths(
             client,
             self.replicas.backends,
@@ -361,6 +372,7 @@
             self.paths.test_paths,
             self._quarantine.spread_evidence,
             self._evidence.keep,
+            self._archiver.read_archive,
         ):
             self._spawn(run)
 
--- a/fireflyquay/gateway/_state_replicas.py
+++ b/fireflyquay/gateway/_state_replicas.py
@@ -73,6 +73,8 @@
         self._backends_read_ended = asyncio.Event()
         # Names of unreadable registrations as last logged.
         self._unreadable: tuple[BackendServerId, ...] = ()
+        # Called after each read of the registry.
+        self.on_backends_read: Callable[[], Awaitable[None]] = _do_nothing
         # Called after any change.
         self.on_change: Callable[[], None] = lambda: None
 
@@ -202,6 +204,7 @@
             )
             self.on_change()
         await self._versions.confirm(snapshot)
+        await self.on_backends_read()
 
     def _has_resumable_streams(self) -> bool:
         """Return whether clients may resume streams, as far as is known."""
@@ -228,3 +231,7 @@
             await event.wait()
     except TimeoutError:
         return
+
+
+async def _do_nothing() -> None:
+    return None
--- a/fireflyquay/gateway/_stream_locator.py
+++ b/fireflyquay/gateway/_stream_locator.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 import math
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from enum import StrEnum
 
 import logbook
@@ -41,10 +41,14 @@
 
     OWN_RECORD = "own record"
     OTHER_VM = "another VM"
+    ARCHIVE = "archive"
     SINGLE_VERSION = "only one version served"
     NONE = "nobody"
 
 
+_Finding = tuple[StreamOrigin, _OriginSource]
+
+
 class StreamLocator:
     """Find where a stream began that a client resumes.
 
@@ -67,7 +71,9 @@
         self._clock = clock
         self._peers: Peers | None = None
         # Lookups in progress by stream; set to the origin once it is known.
-        self._lookups: dict[AttemptId, asyncio.Future[StreamOrigin]] = {}
+        self._lookups: dict[AttemptId, asyncio.Future[_Finding]] = {}
+        # Called if no VM seems to know a stream.
+        self.on_unknown: Callable[[], None] = lambda: None
 
     def connect(self, peers: Peers) -> None:
         """Ask the given peers from now on."""
@@ -117,11 +123,27 @@
     def handle_response(self, response: OriginResponse) -> None:
         """Record where a stream began, as another VM reports it."""
         origin = StreamOrigin(response.service, response.version)
-        now = asyncio.get_running_loop().time()
-        self._origins.record(response.stream, origin, now)
-        lookup = self._lookups.get(response.stream)
+        self._record(response.stream, origin, _OriginSource.OTHER_VM)
+
+    def record_archived(self, origins: Iterable[tuple[AttemptId, StreamOrigin]]) -> int:
+        """Record archived origins of streams that are unknown; return their number."""
+        # The last one that was archived of a stream holds.
+        unknown = {
+            stream: origin
+            for stream, origin in origins
+            if self._origins.find(stream) is None
+        }
+        for stream, origin in unknown.items():
+            self._record(stream, origin, _OriginSource.ARCHIVE)
+        return len(unknown)
+
+    def _record(
+        self, stream: AttemptId, origin: StreamOrigin, source: _OriginSource
+    ) -> None:
+        self._origins.record(stream, origin, asyncio.get_running_loop().time())
+        lookup = self._lookups.get(stream)
         if lookup is not None and not lookup.done():
-            lookup.set_result(origin)
+            lookup.set_result((origin, source))
 
     def _log_located(
         self, call: Call, origin: StreamOrigin | None, source: _OriginSource
@@ -143,16 +165,13 @@
         self, call: Call, stream: AttemptId, since: float
     ) -> tuple[StreamOrigin | None, _OriginSource]:
         """Return the origin that others know or that is proven, whichever is first."""
-        searches = (
-            (self._ask_peers(stream), _OriginSource.OTHER_VM),
-            (self._prove_only_origin(call, since), _OriginSource.SINGLE_VERSION),
-        )
-        tasks = [asyncio.ensure_future(_label(*it)) for it in searches]
+        searches = (self._ask_peers(stream), self._prove_only_origin(call, since))
+        tasks = [asyncio.ensure_future(it) for it in searches]
         try:
             for task in asyncio.as_completed(tasks, timeout=MAX_LOOKUP_SECONDS):
-                origin, source = await task
-                if origin is not None:
-                    return origin, source
+                finding = await task
+                if finding is not None:
+                    return finding
         except TimeoutError:
             pass
         finally:
@@ -160,7 +179,7 @@
                 task.cancel()
         return None, _OriginSource.NONE
 
-    async def _prove_only_origin(self, call: Call, since: float) -> StreamOrigin | None:
+    async def _prove_only_origin(self, call: Call, since: float) -> _Finding | None:
         """Return where a stream of the call's route must have begun, if that is sure.
 
         Only a registry that is confirmed after the client resumed holds the version at
@@ -173,7 +192,8 @@
             # One of them mostly knows, which saves a read.
             await asyncio.sleep(LOOKUP_INTERVAL_SECONDS)
         await self._confirm_backends(since)
-        return self._find_only_origin(call, shares[0].service)
+        origin = self._find_only_origin(call, shares[0].service)
+        return None if origin is None else (origin, _OriginSource.SINGLE_VERSION)
 
     def _find_only_origin(self, call: Call, service: ServiceId) -> StreamOrigin | None:
         """Return where a stream of a service must have begun, by what is registered.
@@ -194,8 +214,8 @@
     def _has_others(self) -> bool:
         return self._peers is not None and bool(self._peers.list_others())
 
-    async def _ask_peers(self, stream: AttemptId) -> StreamOrigin | None:
-        """Ask the coordinator, then all others; return None if nobody knows."""
+    async def _ask_peers(self, stream: AttemptId) -> _Finding | None:
+        """Ask the coordinator, then all others and the archive, until one knows."""
         if self._peers is None or not stream:
             return None
         loop = asyncio.get_running_loop()
@@ -209,16 +229,13 @@
                     if target != self._peers.get_own_vm().incarnation:
                         self._peers.send(target, OriginRequest(stream))
                 await asyncio.wait((lookup,), timeout=LOOKUP_INTERVAL_SECONDS)
+                if lookup.done():
+                    return lookup.result()
                 origin = self._origins.find(stream)
                 if origin is not None:
-                    return origin
+                    return origin, _OriginSource.OTHER_VM
                 targets = list(self._peers.list_others())
+                self.on_unknown()
         finally:
             if self._lookups.get(stream) is lookup:
                 del self._lookups[stream]
-
-
-async def _label(
-    search: Awaitable[StreamOrigin | None], source: _OriginSource
-) -> tuple[StreamOrigin | None, _OriginSource]:
-    return await search, source
--- a/fireflyquay/gateway/_version_keeper.py
+++ b/fireflyquay/gateway/_version_keeper.py
@@ -17,7 +17,7 @@
 from fireflyquay.world import BackendEntry, BackendPhase, Code
 
 from ._clock import AgeClock
-from ._dialect import BackendsSnapshot, FleetSource, StoredVersions
+from ._dialect import BackendsSnapshot, FleetSource, StoredRecord
 
 LOG = logbook.Logger("beliefs")
 
@@ -58,7 +58,7 @@
 
     @property
     def _is_needed(self) -> bool:
-        return self._source.keeps_versions and self._has_resumable_streams()
+        return self._source.keeps(VersionRecord) and self._has_resumable_streams()
 
     async def admit(self, snapshot: BackendsSnapshot) -> Sequence[BackendEntry]:
         """Return the entries; those of versions that can't be recorded as leaving."""
@@ -103,7 +103,7 @@
             self._reading = None
             self._report(False, failure.sentence)
             # Where the store takes no such objects, no record can be wrong.
-            return not self._source.keeps_versions
+            return not self._source.keeps(VersionRecord)
         self._report(True, "")
         return True
 
@@ -114,7 +114,7 @@
         for _ in range(MAX_TRIES):
             sent_at, now_ms = self._clock.read(), self._clock.read_unix_ms()
             if self._reading is None:
-                found = await self._source.read_versions()
+                found = await self._source.read_record(VersionRecord)
                 self._keep(found, sent_at, now_ms)
                 continue
             before = self._reading
@@ -126,7 +126,7 @@
                 return
             merged = before.record.merge(present, snapshot.restore_count, now_ms)
             self._reading = None
-            written = await self._source.write_versions(merged, before.revision)
+            written = await self._source.write_record(merged, before.revision)
             if written is None:
                 continue
             self._keep(written, sent_at, now_ms)
@@ -136,7 +136,9 @@
         sentence = "The record of software versions keeps changing."
         raise HttpFailure(Code.STORE_UNAVAILABLE, sentence, True)
 
-    def _keep(self, found: StoredVersions, sent_at: float, sent_ms: float) -> None:
+    def _keep(
+        self, found: StoredRecord[VersionRecord], sent_at: float, sent_ms: float
+    ) -> None:
         self._reading = VersionReading(
             found.record, found.revision, found.restore_count, sent_at, sent_ms
         )
@@ -153,7 +155,7 @@
             "software versions not recorded",
             extra={
                 "cause": sentence,
-                "store_takes_them": self._source.keeps_versions,
+                "store_takes_them": self._source.keeps(VersionRecord),
             },
         )
 
--- a/fireflyquay/gateway/tests/test_state_replicas.py
+++ b/fireflyquay/gateway/tests/test_state_replicas.py
@@ -34,6 +34,9 @@
     removed_at: dict[str, float] = field(default_factory=dict)
     restored_revision: int = 0
 
+    def keeps(self, kind):
+        return False
+
     async def list_backends(self):
         loop = asyncio.get_running_loop()
         if DOWN_AT <= loop.time() < self.up_at:
--- a/fireflyquay/gateway/tests/test_version_keeper.py
+++ b/fireflyquay/gateway/tests/test_version_keeper.py
@@ -8,7 +8,7 @@
 
 from fireflyquay.dispatch import Freshness, VersionRecord
 from fireflyquay.dispatch.tests.builders import SERVICE, make_backend_entry
-from fireflyquay.gateway import BackendsSnapshot, StoredVersions
+from fireflyquay.gateway import BackendsSnapshot, StoredRecord
 from fireflyquay.gateway._clock import AgeClock
 from fireflyquay.gateway._dialect import FleetSource
 from fireflyquay.gateway._state_replicas import StateReplicas
@@ -32,7 +32,7 @@
     def __init__(self):
         self.now = 1_000.0
         self.versions = {OLD}
-        self.record = StoredVersions(VersionRecord(), 0, 0)
+        self.record = StoredRecord(VersionRecord(), 0, 0)
         self.revision = 1
         self.restore_count = 0
         self.is_down = False
@@ -50,7 +50,7 @@
         if self.record.revision != revision:
             return None
         self.revision += 1
-        self.record = StoredVersions(record, self.revision, self.restore_count)
+        self.record = StoredRecord(record, self.revision, self.restore_count)
         return self.record
 
     def execute_late_writes(self):
@@ -62,7 +62,7 @@
 class Source(FleetSource):
     """Give one VM access to the store."""
 
-    keeps_versions = True
+    keeps_records = True
 
     def __init__(self, store):
         self.store = store
@@ -80,11 +80,11 @@
         position = (store.restore_count << 40) + store.revision
         return BackendsSnapshot(store.list_entries(), position, (), store.restore_count)
 
-    async def read_versions(self):
+    async def read_record(self, kind):
         self.call()
         return replace(self.store.record, restore_count=self.store.restore_count)
 
-    async def write_versions(self, record, revision):
+    async def write_record(self, record, revision):
         self.call()
         fate = self.store.next_writes.pop() if self.store.next_writes else "done"
         if fate == "late":
@@ -95,6 +95,9 @@
             raise HttpFailure(Code.STORE_UNAVAILABLE, fate, True)
         return written
 
+    def keeps(self, kind):
+        return self.keeps_records
+
     read_config = register_vm = list_vms = remove_vm = None
 
 
@@ -239,7 +242,7 @@
         self.store.restore_count += 1
 
     async def remove_record(self):
-        self.store.record = StoredVersions(VersionRecord(), 0, 0)
+        self.store.record = StoredRecord(VersionRecord(), 0, 0)
 
 
 vms = st.integers(0, VMS - 1)
@@ -327,10 +330,10 @@
         vm = world.vms[0]
 
         async def refuse(*_):
-            vm.source.keeps_versions = False
+            vm.source.keeps_records = False
             raise HttpFailure(Code.STORE_UNAVAILABLE, "unknown kind", True)
 
-        vm.source.read_versions = refuse
+        vm.source.read_record = refuse
         await vm.poll(True)
         assert vm.list_granted() == {OLD}
         assert not vm.proves_one_version()
--- a/proofs/tests/test_evidence_of_crashes.py
+++ b/proofs/tests/test_evidence_of_crashes.py
@@ -3,7 +3,7 @@
 import pytest
 
 from emulator import Emulation, run_virtual
-from fireflyquay.gateway import StoredRecord
+from fireflyquay.dispatch import EvidenceRecord
 from proofs import make_site
 from proofs._fault_actions import replace_all_vms, send_poison
 
@@ -67,15 +67,15 @@
     [
         b"",
         b"[1",
-        b'{"writtenMs": 9e300, "news": ["CrashNews", [], [], []]}',
-        b'{"writtenMs": 1, "news": ["CrashNews", [["s", 0, -9, ["a"]]], [], []]}',
+        b'{"written_ms": 9e300, "news": ["CrashNews", [], [], []]}',
+        b'{"written_ms": 1, "news": ["CrashNews", [["s", 0, -9, ["a"]]], [], []]}',
         b"[" * 100_000,
         b" " * 1_000_000 + b"{}",
     ],
 )
 def test_record_that_nobody_can_read_is_replaced(spec):
     async def scenario(emulation):
-        emulation.store.records["evidence"] = StoredRecord(spec, 1)
+        emulation.store.records[EvidenceRecord] = spec, 1
         await replace_all_vms(emulation, 0.5)
         await emulation.run(2.0)
         assert all(gateway.is_ready() for gateway in emulation.gateways.values())
@@ -92,7 +92,7 @@
     async def scenario(emulation):
         emulation.stop_store(6.0)
         await send_poison(emulation, 4, 1.2)
-        assert not emulation.store.records
+        assert EvidenceRecord not in emulation.store.records
         await emulation.run(4.0)
         await replace_all_vms(emulation, 0.5)
         await emulation.run(1.0)
@@ -105,11 +105,16 @@
 def test_evidence_is_written_only_when_it_changes():
     async def scenario(emulation):
         writes = []
-        write, store = type(emulation.store).increment_revision, emulation.store
-        store.increment_revision = lambda: writes.append(1) or write(store)
+
+        class Records(dict):
+            def __setitem__(self, kind, value):
+                writes.append(kind)
+                super().__setitem__(kind, value)
+
+        emulation.store.records = Records(emulation.store.records)
         await send_poison(emulation, 3, 1.5)
         await emulation.run(20.0)
         # At most one for each crash, and one for a change of the coordinator.
-        assert 1 <= len(writes) <= CRASH_LIMIT + 1
+        assert 1 <= writes.count(EvidenceRecord) <= CRASH_LIMIT + 1
 
     run(scenario)
