Retain no backend server by a copy of the registry without an outage

A copy that states no seconds of recovery moved the time until which entries may be missing to the moment at which the copy was requested, which is later than the confirmation that the copy carries; so each copy counted as one during a recovery.

The stub of the store in test_state_replicas takes no records.

--- a/fireflyquay/dispatch/_backend_registry.py
+++ b/fireflyquay/dispatch/_backend_registry.py
@@ -92,10 +92,11 @@
 
     def expect_missing(self, since: float, seconds: float) -> None:
         """Expect that entries of live backend servers may be missing for some time."""
-        until = since + min(seconds, REREGISTRATION_SECONDS)
         # False if another VM states no number.
-        if until > self._recovering_until:
-            self._recovering_until = until
+        if not seconds > 0:
+            return
+        until = since + min(seconds, REREGISTRATION_SECONDS)
+        self._recovering_until = max(self._recovering_until, until)
 
     def compute_recovery_seconds(self, now: float) -> float:
         """Return the seconds for which entries may still be missing."""
--- a/fireflyquay/dispatch/tests/test_replicas.py
+++ b/fireflyquay/dispatch/tests/test_replicas.py
@@ -67,6 +67,17 @@
     assert registry.get("s2") is None
 
 
+def test_copies_of_the_registry_without_an_outage_retain_no_backend():
+    registry = BackendRegistry()
+    entries = [make_backend_entry("s1"), make_backend_entry("s2")]
+    registry.replace_all(entries, Freshness(1, 10.0))
+    # The copy was requested after it was last confirmed.
+    registry.expect_missing(10.4, 0.0)
+    registry.expect_missing(10.4, float("nan"))
+    registry.replace_all(entries[:1], Freshness(2, 10.2))
+    assert [it.id for it in registry.list_backends()] == ["s1"]
+
+
 def test_copy_of_the_registry_states_how_long_entries_may_be_missing():
     responder, receiver = make_replica_sync(4), make_replica_sync(4)
     entries = [make_backend_entry("s1"), make_backend_entry("s2")]
--- a/fireflyquay/gateway/tests/test_state_replicas.py
+++ b/fireflyquay/gateway/tests/test_state_replicas.py
@@ -121,6 +121,9 @@
     names = tuple("x" * 256 for _ in range(5000))
 
     class UnreadableSource:
+        def keeps(self, kind):
+            return False
+
         async def list_backends(self):
             return BackendsSnapshot((), 9, names)
 
