Grant no allowance again after hand-overs of an older build

During an upgrade VMs of the build before hand over sums of four seconds and no ledger, so that a burst that is older is granted again. A bucket that such a hand-over rebuilds starts without the allowance, which an account within its quota never needs.

The test fails without it: the request is granted.

--- a/fireflyquay/dispatch/_quota_limiter.py
+++ b/fireflyquay/dispatch/_quota_limiter.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -96,6 +97,8 @@
         ] = {}
         # The latest ledger of each other coordinator.
         self._ledgers: dict[Incarnation, _KnownLedger] = {}
+        # Time from which sums without a history are charged.
+        self._summed_since = -math.inf
         # Counts reports and other changes of what is known.
         self._revision = 0
 
@@ -156,10 +159,12 @@
         """Record sums of the usage of a VM that reports no history.
 
         All sums together are credited with what the quota refills in the time that
-        they cover, but not with the allowance.
+        they cover, but not with the allowance: it may have been used up before.
         """
         factor = 1 + self._allowance.ratio
         granted_at = now - REPORTED_USAGE_SECONDS
+        if self._summed_since < now - self.window_seconds:
+            self._summed_since = granted_at
         reports = [
             _ReportedUsage(account, granted_at, factor * requests, factor * tokens)
             for account, requests, tokens in sums
@@ -265,6 +270,8 @@
             for it in self._ledgers.values()
             if it.made_at >= since
         ]
+        if self._summed_since >= since:
+            levels.append((self._summed_since, quota.burst))
         if self._unknown_until is not None:
             levels.append((self._unknown_until, self._compute_unknown_level(quota)))
         bucket.rebuild(charges, levels)
--- a/fireflyquay/dispatch/_token_bucket.py
+++ b/fireflyquay/dispatch/_token_bucket.py
@@ -102,13 +102,13 @@
     def rebuild(self, charges: Iterable[Charge], levels: Iterable[Level]) -> None:
         """Recompute the level from others' charges too.
 
-        Each of the levels was known to be no higher at its time, and includes all
-        charges before it.
+        Each of the levels was known to be no higher right before its time, and includes
+        all charges until then.
         """
         known = sorted([*self._charges, *charges])
         rebuilt = [self._replay(self._anchor, known, self.refilled_at)]
         for base in levels:
-            later = [it for it in known if it[0] > base[0]]
+            later = [it for it in known if it[0] >= base[0]]
             rebuilt.append(self._replay(base, later, self.refilled_at))
         self.level = min(rebuilt)
         share_level = self.share * max(0.0, self.level)
--- a/fireflyquay/dispatch/tests/test_coordinator.py
+++ b/fireflyquay/dispatch/tests/test_coordinator.py
@@ -12,6 +12,8 @@
     FirstOutput,
     Grant,
     Handover,
+    QuotaLimiter,
+    QuotaMargin,
     Refusal,
     RetryBudget,
     RunEnded,
@@ -442,3 +444,12 @@
     )
     [grant] = coordinator.submit(make_request(1), 0.0)
     assert grant.backend == "near"
+
+
+def test_allowance_is_not_granted_again_after_a_handover_without_a_history():
+    quotas = QuotaLimiter(QuotaMargin(units=5000.0))
+    account = make_account(rate=1000.0, burst=2000.0)
+    # Four seconds have refilled 4,000 tokens, and the burst has 2,000.
+    quotas.record_sums(OTHER_VM, ((ACCOUNT, 6, 6000.0),), 10.0)
+    assert quotas.charge(account, 100.0, 1.0, 10.0) is not None
+    assert quotas.charge(account, 100.0, 1.0, 10.2) is None
