--- a/fireflyquay/gateway/_ingress.py
+++ b/fireflyquay/gateway/_ingress.py
@@ -321,7 +321,8 @@
         Otherwise the call is directed to its new service.
         """
         if _get_account_id(call.admission) != slot_request.account:
-            call.is_charged = False
+            # Quotas and idempotency keys are the account's.
+            call.is_charged = call.is_claimed = False
             return False
         shares = call.admission.route.shares
         if call.service in {share.service for share in shares}:
--- a/fireflyquay/gateway/_stream_locator.py
+++ b/fireflyquay/gateway/_stream_locator.py
@@ -188,7 +188,7 @@
         shares = call.admission.route.shares
         if len(shares) != 1 or len(self._backends.list_versions(shares[0].service)) > 1:
             return None
-        if self._has_others():
+        if call.metadata.resumed_attempt_id and self._has_others():
             # One of them mostly knows, which saves a read.
             await asyncio.sleep(LOOKUP_INTERVAL_SECONDS)
         await self._confirm_backends(since)
