Archive the origins of streams five times a second

Of the streams that no VM knew, most had begun in the last half second before the kill: granted at 29.28 to 29.55, killed at 29.8.

The archive is now written by a task of its own, five times a second, which each read of the registry starts and which ends when it isn't needed. So no timer runs where one version serves.

--- a/fireflyquay/gateway/_gateway.py
+++ b/fireflyquay/gateway/_gateway.py
@@ -145,7 +145,7 @@
             lambda: self.fleet.is_coordinating,
         )
         self._stream_locator.on_unknown = self._archiver.request_read
-        self.replicas.on_backends_read = self._archiver.write_archive
+        self.replicas.on_backends_read = self._archiver.request_writes
         self.paths = BackendPaths(
             client,
             self.replicas.backends,
@@ -372,6 +372,7 @@
             self.paths.test_paths,
             self._quarantine.spread_evidence,
             self._evidence.keep,
+            self._archiver.write_archive,
             self._archiver.read_archive,
         ):
             self._spawn(run)
--- a/fireflyquay/gateway/_origin_archiver.py
+++ b/fireflyquay/gateway/_origin_archiver.py
@@ -9,6 +9,7 @@
 
 from fireflyquay.dispatch import BackendRegistry, OriginArchive, StreamOrigins
 from fireflyquay.links import HttpFailure
+from fireflyquay.world import ServiceId
 
 from ._clock import MILLISECONDS_PER_SECOND, AgeClock
 from ._dialect import FleetSource, StoredRecord
@@ -17,7 +18,7 @@
 LOG = logbook.Logger("streams")
 
 # Shortest time between two writes.
-WRITE_INTERVAL_SECONDS = 0.4
+WRITE_INTERVAL_SECONDS = 0.2
 # Shortest time between two reads for streams that no VM knows.
 READ_INTERVAL_SECONDS = 1.0
 
@@ -25,9 +26,8 @@
 class OriginArchiver:
     """Write the origins of streams to the store, for the case that all VMs end.
 
-    The coordinator does so with each read of the registry while several software
-    versions serve, for streams whose first events were sent: others may begin anew
-    elsewhere.
+    The coordinator does so while several software versions serve, for streams whose
+    first events were sent: others may begin anew elsewhere.
     """
 
     def __init__(
@@ -50,15 +50,34 @@
         # Loop time up to which streams are archived.
         self._archived_until = float("-inf")
         self._read_requested = asyncio.Event()
+        self._writes_requested = asyncio.Event()
 
     def request_read(self) -> None:
         """Read the archive soon, since no VM knows a stream."""
         self._read_requested.set()
 
+    def request_writes(self) -> None:
+        """Archive the origins of streams from now on, if that is needed."""
+        if self._list_services():
+            self._writes_requested.set()
+
     async def write_archive(self) -> None:
-        """Archive the origins of streams that began since the last write."""
-        if self._is_coordinating() and self._source.keeps(OriginArchive):
-            await self._try(self._write)
+        """Archive the origins of streams on request until cancelled."""
+        while True:
+            await self._writes_requested.wait()
+            if self._list_services():
+                await self._try(self._write)
+                await asyncio.sleep(WRITE_INTERVAL_SECONDS)
+            else:
+                self._writes_requested.clear()
+
+    def _list_services(self) -> set[ServiceId]:
+        """Return the services whose streams this VM must archive at present."""
+        if not self._source.keeps(OriginArchive) or not self._is_coordinating():
+            return set()
+        return self._backends.list_mixed_services(
+            self._origins.lifetime, self._clock.read()
+        )
 
     async def read_archive(self) -> None:
         """Read the archive on request until cancelled."""
@@ -83,13 +102,8 @@
         LOG.info("archive of streams read", extra={"streams": count})
 
     async def _write(self) -> None:
-        now, age_now = asyncio.get_running_loop().time(), self._clock.read()
-        if now - self._archived_until < WRITE_INTERVAL_SECONDS:
-            return
+        now, services = asyncio.get_running_loop().time(), self._list_services()
         lifetime = self._origins.lifetime
-        services = self._backends.list_mixed_services(lifetime, age_now)
-        if not services:
-            return
         since = max(self._archived_until, now - lifetime)
         begun = [
             (stream, origin)
--- a/fireflyquay/gateway/_state_replicas.py
+++ b/fireflyquay/gateway/_state_replicas.py
@@ -74,7 +74,7 @@
         # Names of unreadable registrations as last logged.
         self._unreadable: tuple[BackendServerId, ...] = ()
         # Called after each read of the registry.
-        self.on_backends_read: Callable[[], Awaitable[None]] = _do_nothing
+        self.on_backends_read: Callable[[], None] = lambda: None
         # Called after any change.
         self.on_change: Callable[[], None] = lambda: None
 
@@ -204,7 +204,7 @@
             )
             self.on_change()
         await self._versions.confirm(snapshot)
-        await self.on_backends_read()
+        self.on_backends_read()
 
     def _has_resumable_streams(self) -> bool:
         """Return whether clients may resume streams, as far as is known."""
@@ -231,7 +231,3 @@
             await event.wait()
     except TimeoutError:
         return
-
-
-async def _do_nothing() -> None:
-    return None
