Grant no slot at a new version while an existing record can't be replaced

Found in a review of the change, no caller saw it. A store that refused to replace the record of versions, or took no archive of streams, counted as one that takes no records at all, so that VMs granted slots at versions that a record in force did not hold: for up to 30 s a VM that starts would have proven a single version by it.

An archive write that fails is followed by a pause of 1 s, so that an outage of the store costs few calls.

--- a/emulator/_store.py
+++ b/emulator/_store.py
@@ -66,8 +66,6 @@
 class EmulatedSource(FleetSource):
     """Give one gateway access to the emulated store."""
 
-    keeps_records = True
-
     def __init__(
         self, store: EmulatedStore, host: str, is_reachable: Callable[[], bool]
     ) -> None:
@@ -108,7 +106,7 @@
             del self._store.vms[registration.name]
             self._store.increment_revision()
 
-    def keeps(self, kind: type) -> bool:
+    def keeps_record(self, kind: type[R]) -> bool:
         """Return whether the store takes records of a type."""
         return self.keeps_records
 
--- a/fireflyquay/dispatch/_stream_origins.py
+++ b/fireflyquay/dispatch/_stream_origins.py
@@ -73,6 +73,8 @@
         """Record that a stream's first event was sent; its origin is final."""
         if stream in self._entries and stream not in self._begun_at:
             self._begun_at[stream] = now
+            while len(self._begun_at) > MAX_ORIGINS:
+                self._begun_at.popitem(last=False)
 
     def list_begun(self, since: float) -> list[tuple[AttemptId, StreamOrigin]]:
         """Return the origins of the streams that began later than the given time."""
--- a/fireflyquay/gateway/_dialect.py
+++ b/fireflyquay/gateway/_dialect.py
@@ -292,8 +292,8 @@
     async def remove_vm(self, registration: VmRegistration) -> None:
         """Remove a registration unless it has changed since it was listed."""
 
-    def keeps(self, kind: type) -> bool:
-        """Return whether the store takes records of a type."""
+    def keeps_record(self, kind: type[R]) -> bool:
+        """Return whether the store takes records of a type, as far as is known."""
         return False
 
     async def read_record(self, kind: type[R]) -> StoredRecord[R]:
--- a/fireflyquay/gateway/_evidence_keeper.py
+++ b/fireflyquay/gateway/_evidence_keeper.py
@@ -61,12 +61,12 @@
         self._writes_for_fleet = writes_for_fleet
         self._known = _Known()
         # Whether the record was read, or can't be read soon.
-        self.has_tried = not source.keeps(EvidenceRecord)
+        self.has_tried = not source.keeps_record(EvidenceRecord)
         self._is_available = True
 
     async def keep(self) -> None:
         """Read the record once, then write it after changes, until cancelled."""
-        if not self._source.keeps(EvidenceRecord):
+        if not self._source.keeps_record(EvidenceRecord):
             return
         asyncio.get_running_loop().call_later(FIRST_READ_SECONDS, self._stop_waiting)
         retry_delay = INITIAL_RETRY_SECONDS
--- a/fireflyquay/gateway/_origin_archiver.py
+++ b/fireflyquay/gateway/_origin_archiver.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import logbook
 
@@ -19,6 +19,8 @@
 
 # Shortest time between two writes.
 WRITE_INTERVAL_SECONDS = 0.2
+# Time after a failed write, so that an outage costs few calls.
+RETRY_SECONDS = 1.0
 # Shortest time between two reads for streams that no VM knows.
 READ_INTERVAL_SECONDS = 1.0
 
@@ -66,14 +68,16 @@
         while True:
             await self._writes_requested.wait()
             if self._list_services():
-                await self._try(self._write)
-                await asyncio.sleep(WRITE_INTERVAL_SECONDS)
+                is_written = await self._try(self._write)
+                await asyncio.sleep(
+                    WRITE_INTERVAL_SECONDS if is_written else RETRY_SECONDS
+                )
             else:
                 self._writes_requested.clear()
 
     def _list_services(self) -> set[ServiceId]:
         """Return the services whose streams this VM must archive at present."""
-        if not self._source.keeps(OriginArchive) or not self._is_coordinating():
+        if not (self._source.keeps_record(OriginArchive) and self._is_coordinating()):
             return set()
         return self._backends.list_mixed_services(
             self._origins.lifetime, self._clock.read()
@@ -84,17 +88,19 @@
         while True:
             await self._read_requested.wait()
             self._read_requested.clear()
-            if not self._source.keeps(OriginArchive):
+            if not self._source.keeps_record(OriginArchive):
                 continue
             await self._try(self._read)
             await asyncio.sleep(READ_INTERVAL_SECONDS)
 
-    async def _try(self, run: Callable[[], object]) -> None:
+    async def _try(self, run: Callable[[], Awaitable[None]]) -> bool:
         try:
             await run()
         except HttpFailure as failure:
             self._stored = None
             LOG.warning("archive of streams failed", extra={"cause": failure.sentence})
+            return False
+        return True
 
     async def _read(self) -> None:
         self._stored = await self._source.read_record(OriginArchive)
--- a/fireflyquay/gateway/_version_keeper.py
+++ b/fireflyquay/gateway/_version_keeper.py
@@ -58,7 +58,9 @@
 
     @property
     def _is_needed(self) -> bool:
-        return self._source.keeps(VersionRecord) and self._has_resumable_streams()
+        return (
+            self._source.keeps_record(VersionRecord) and self._has_resumable_streams()
+        )
 
     async def admit(self, snapshot: BackendsSnapshot) -> Sequence[BackendEntry]:
         """Return the entries; those of versions that can't be recorded as leaving."""
@@ -103,7 +105,7 @@
             self._reading = None
             self._report(False, failure.sentence)
             # Where the store takes no such objects, no record can be wrong.
-            return not self._source.keeps(VersionRecord)
+            return not self._source.keeps_record(VersionRecord)
         self._report(True, "")
         return True
 
@@ -155,7 +157,7 @@
             "software versions not recorded",
             extra={
                 "cause": sentence,
-                "store_takes_them": self._source.keeps(VersionRecord),
+                "store_takes_them": self._source.keeps_record(VersionRecord),
             },
         )
 
--- a/fireflyquay/gateway/tests/test_state_replicas.py
+++ b/fireflyquay/gateway/tests/test_state_replicas.py
@@ -34,7 +34,7 @@
     removed_at: dict[str, float] = field(default_factory=dict)
     restored_revision: int = 0
 
-    def keeps(self, kind):
+    def keeps_record(self, kind):
         return False
 
     async def list_backends(self):
@@ -121,7 +121,7 @@
     names = tuple("x" * 256 for _ in range(5000))
 
     class UnreadableSource:
-        def keeps(self, kind):
+        def keeps_record(self, kind):
             return False
 
         async def list_backends(self):
--- a/fireflyquay/gateway/tests/test_version_keeper.py
+++ b/fireflyquay/gateway/tests/test_version_keeper.py
@@ -62,12 +62,14 @@
 class Source(FleetSource):
     """Give one VM access to the store."""
 
-    keeps_records = True
-
     def __init__(self, store):
         self.store = store
         self.calls = 0
         self.is_cut = False
+        self.takes_records = True
+
+    def keeps_record(self, kind):
+        return self.takes_records
 
     def call(self):
         self.calls += 1
@@ -95,7 +97,7 @@
             raise HttpFailure(Code.STORE_UNAVAILABLE, fate, True)
         return written
 
-    def keeps(self, kind):
+    def keeps_record(self, kind):
         return self.keeps_records
 
     read_config = register_vm = list_vms = remove_vm = None
@@ -330,7 +332,7 @@
         vm = world.vms[0]
 
         async def refuse(*_):
-            vm.source.keeps_records = False
+            vm.source.takes_records = False
             raise HttpFailure(Code.STORE_UNAVAILABLE, "unknown kind", True)
 
         vm.source.read_record = refuse
