--- a/fireflyquay/gateway/tests/test_version_keeper.py
+++ b/fireflyquay/gateway/tests/test_version_keeper.py
@@ -97,9 +97,6 @@
             raise HttpFailure(Code.STORE_UNAVAILABLE, fate, True)
         return written
 
-    def keeps_record(self, kind):
-        return self.keeps_records
-
     read_config = register_vm = list_vms = remove_vm = None
 
 
