--- a/emulator/_store.py
+++ b/emulator/_store.py
@@ -108,7 +108,7 @@
 
     def keeps_record(self, kind: type[R]) -> bool:
         """Return whether the store takes records of a type."""
-        return self.keeps_records
+        return True
 
     async def read_record(self, kind: type[R]) -> StoredRecord[R]:
         """Return the record of a type; there is one of each."""
