--- a/fireflyquay/gateway/_gateway.py
+++ b/fireflyquay/gateway/_gateway.py
@@ -84,10 +84,6 @@
 # Seconds from the end of a request's headers to the end of its body: enough for the
 # largest body over a shared link of a few Mbit/s.
 BODY_TIMEOUT_SECONDS = 30.0
-# Share of the memory that the bodies of clients' requests may take: each is held twice
-# while it is sent on.
-MAX_BODY_MEMORY_SHARE = 0.25
-BYTES_PER_MB = 1_000_000
 
 
 class Gateway:
@@ -193,9 +189,7 @@
         limits = HttpLimits(body_timeout=BODY_TIMEOUT_SECONDS)
         # Handlers of further paths on the clients' address.
         self.handlers_by_path: dict[str, Handler] = {}
-        self._client_server = HttpServer(
-            self.handle, limits, vm.memory_mb * BYTES_PER_MB * MAX_BODY_MEMORY_SHARE
-        )
+        self._client_server = HttpServer(self.handle, limits)
         self._readiness_server = HttpServer(self.directory.serve_readiness, limits)
         self._directory_server = HttpServer(self.directory.serve_entries, limits)
         self._metrics_server = HttpServer(self.metrics.serve, limits)
--- a/fireflyquay/gateway/_settings.py
+++ b/fireflyquay/gateway/_settings.py
@@ -47,8 +47,6 @@
     cpu_speed: Annotated[float, Meta(gt=0)] = 1.0
     # Network bandwidth in Mbit/s.
     link_mbps: Annotated[float, Meta(gt=0)] = 1000.0
-    # Memory that the process may take in MB.
-    memory_mb: Annotated[float, Meta(gt=0)] = 512.0
     # Address of the metrics page; empty to disable it.
     metrics_address: OptionalAddress = ""
 
--- a/fireflyquay/links/_http_connection.py
+++ b/fireflyquay/links/_http_connection.py
@@ -13,7 +13,6 @@
 
 from fireflyquay.world import Code, Verdict
 
-from ._body_budget import BodyBudget, BodyReservation
 from ._connection_reset import abort_connection
 from ._graceful_close import close_gracefully, count_unsent_bytes
 from ._http_message import (
@@ -28,10 +27,6 @@
 
 LOG = logbook.Logger("http")
 
-# Retry-After of a request whose body does not fit into the memory for bodies: about the
-# time that a large body takes to arrive and to be sent on.
-FULL_RETRY_AFTER_SECONDS = 1.0
-
 
 class HttpErrorBody(msgspec.Struct, frozen=True):
     """Hold the body of an error response from the server, not from a handler."""
@@ -42,7 +37,7 @@
 
 
 class HttpRequestError(Exception):
-    """Report a request that is rejected before a handler gets it."""
+    """Report a request that is rejected with a 4xx status."""
 
     def __init__(
         self,
@@ -50,39 +45,21 @@
         code: Code,
         sentence: str,
         verdict: Verdict = Verdict.NOT_RUN,
-        headers: Mapping[str, str] = MappingProxyType({}),
     ) -> None:
         super().__init__(sentence)
         self.status = status
         self.error_body = HttpErrorBody(code, verdict, sentence)
-        self.headers = headers
-
-
-def _find_verdict(headers: dict[str, str]) -> Verdict:
-    """Return whether a request that no handler got may have run.
-
-    It may if it was sent before.
-    """
-    is_first_send = headers.get("fireflyquay-send-count") == "1"
-    return Verdict.NOT_RUN if is_first_send else Verdict.MAY_HAVE_RUN
 
 
 def _make_timeout_error(headers: dict[str, str]) -> HttpRequestError:
+    """Return the error for a slow request, which may have run if it was sent before."""
+    is_first_send = headers.get("fireflyquay-send-count") == "1"
+    verdict = Verdict.NOT_RUN if is_first_send else Verdict.MAY_HAVE_RUN
     return HttpRequestError(
         408,
         Code.BAD_REQUEST,
         "The request came too slowly.",
-        _find_verdict(headers),
-    )
-
-
-def _make_full_error(headers: dict[str, str]) -> HttpRequestError:
-    return HttpRequestError(
-        503,
-        Code.OVERLOADED,
-        "The bodies of other requests take the memory for bodies.",
-        _find_verdict(headers),
-        {"retry-after": f"{FULL_RETRY_AFTER_SECONDS:.2f}"},
+        verdict,
     )
 
 
@@ -114,15 +91,12 @@
         handler: Callable[[HttpRequest, HttpResponder], Awaitable[None]],
         limits: HttpLimits,
         is_server_closing: Callable[[], bool],
-        body_budget: BodyBudget,
     ) -> None:
         self._reader = reader
         self._writer = writer
         self._handler = handler
         self._limits = limits
         self._is_server_closing = is_server_closing
-        # For the body of the request in progress.
-        self._reservation = BodyReservation(body_budget)
         self._http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
         )
@@ -174,8 +148,6 @@
         except Exception:
             LOG.exception("Unexpected error on an HTTP connection.")
             self.abort()
-        finally:
-            self._reservation.release()
 
     async def _serve_request(self) -> bool:
         """Serve one request; return whether another may follow."""
@@ -190,7 +162,6 @@
         if request is None:
             return False
         await self._run_handler(request)
-        self._reservation.release()
         self._has_exchange_in_progress = False
         return self._reset_for_next_request()
 
@@ -240,24 +211,19 @@
         )
 
     async def _read_body(self, headers: dict[str, str]) -> bytes:
-        self._check_body_size(int(headers.get("content-length", "0")), headers)
+        self._check_body_size(int(headers.get("content-length", "0")))
         body = bytearray()
         while True:
             event = await self._next_event()
             if not isinstance(event, h11.Data):
                 return bytes(body)
             body += event.data
-            self._check_body_size(len(body), headers)
+            self._check_body_size(len(body))
 
-    def _check_body_size(self, body_bytes: int, headers: dict[str, str]) -> None:
+    def _check_body_size(self, body_bytes: int) -> None:
         if body_bytes > self._limits.max_body_bytes:
             sentence = f"The body is over {self._limits.max_body_bytes} bytes."
             raise HttpRequestError(413, Code.BODY_TOO_LARGE, sentence)
-        if not self._reservation.try_grow(body_bytes):
-            LOG.warning(
-                "request refused for its body", extra={"body_bytes": body_bytes}
-            )
-            raise _make_full_error(headers)
 
     async def _next_event(self) -> object:
         while True:
@@ -299,10 +265,7 @@
     async def _reject_request(self, error: HttpRequestError) -> None:
         responder = self._make_responder(False)
         await self._send_error(
-            responder,
-            error.status,
-            error.error_body,
-            {"connection": "close", **error.headers},
+            responder, error.status, error.error_body, {"connection": "close"}
         )
 
     async def _send_error(
--- a/fireflyquay/links/_http_server.py
+++ b/fireflyquay/links/_http_server.py
@@ -3,10 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import math
 from collections.abc import Awaitable, Callable
 
-from ._body_budget import BodyBudget
 from ._connection_reset import abort_connection
 from ._http_connection import ServerConnection
 from ._http_message import HttpLimits, HttpRequest
@@ -22,15 +20,9 @@
 class HttpServer:
     """Accept connections and pass each request to a handler."""
 
-    def __init__(
-        self,
-        handler: Handler,
-        limits: HttpLimits,
-        max_buffered_body_bytes: float = math.inf,
-    ) -> None:
+    def __init__(self, handler: Handler, limits: HttpLimits) -> None:
         self._handler = handler
         self._limits = limits
-        self._body_budget = BodyBudget(max_buffered_body_bytes)
         self._server: asyncio.Server | None = None
         self._connections: dict[asyncio.Task[None], ServerConnection] = {}
         # Whether connections are closed after their current response.
@@ -42,11 +34,6 @@
         """Return the limits that apply to new connections."""
         return self._limits
 
-    @property
-    def buffered_body_bytes(self) -> int:
-        """Return the bytes reserved for the bodies of requests in progress."""
-        return self._body_budget.reserved_bytes
-
     def set_limits(self, limits: HttpLimits) -> None:
         """Set the limits that apply to new connections."""
         self._limits = limits
@@ -116,12 +103,7 @@
             return
         enable_dead_peer_detection(writer)
         connection = ServerConnection(
-            reader,
-            writer,
-            self._handler,
-            self._limits,
-            lambda: self._is_closing,
-            self._body_budget,
+            reader, writer, self._handler, self._limits, lambda: self._is_closing
         )
         task = asyncio.get_running_loop().create_task(connection.serve())
         self._connections[task] = connection
