Bound the memory for the bodies of requests

Operators saw: 20 bodies of 4 MB at once take a gateway to 136 of 150 MB. Nothing bounded the bodies of all requests together, only each of them, and beyond the limit the process is killed with all that it has in progress.

A server now reserves memory for a body before it reads it, by its length, or as its chunks arrive, until the request ends. A request beyond the bound is refused before it is admitted anywhere: 503 with OVERLOADED, the promise that it has not run, Retry-After, its id in the log, and `Connection: close`. The rest of its body is read and discarded while it arrives, so that a client that sends first and reads later gets the response; the same holds for other requests that are rejected unread. Responses that are passed on as they arrive are as before. One body is held whatever its size.

Ruled out: counting bytes as they arrive for bodies with a length: many bodies would each hold a part, and none of them might end.

--- a/fireflyquay/gateway/_gateway.py
+++ b/fireflyquay/gateway/_gateway.py
@@ -15,6 +15,7 @@
 from fireflyquay.dispatch import ReplicaSync, SlotSchedulerSettings
 from fireflyquay.links import (
     BackendClient,
+    BodyMemory,
     Handler,
     HttpLimits,
     HttpRequest,
@@ -48,7 +49,7 @@
 from ._ingress import DEFAULT_TIMEOUT_SECONDS, Ingress
 from ._origin_archiver import OriginArchiver
 from ._quarantine import Quarantine
-from ._settings import GatewaySettings, split_address
+from ._settings import GatewaySettings, VmSettings, split_address
 from ._slot_client import SlotClient
 from ._state_replicas import StateReplicas
 from ._status import GatewayStatus
@@ -78,6 +79,10 @@
 # guaranteed bounds depend on, long enough that a persistent fault overloads neither the
 # CPU nor the log.
 TASK_RETRY_SECONDS = 0.5
+BYTES_PER_MB = 1_000_000
+# Share of the memory for requests' bodies. A body is held up to three times while it is
+# sent to a backend server.
+BODY_MEMORY_SHARE = 0.25
 # Time within which clients may resume a stream, as a multiple of the longest timeout of
 # any stream's route.
 RESUMABLE_TIME_FACTOR = 2.0
@@ -189,7 +194,8 @@
         limits = HttpLimits(body_timeout=BODY_TIMEOUT_SECONDS)
         # Handlers of further paths on the clients' address.
         self.handlers_by_path: dict[str, Handler] = {}
-        self._client_server = HttpServer(self.handle, limits)
+        self._body_memory = BodyMemory(_compute_body_memory_bytes(vm))
+        self._client_server = HttpServer(self.handle, limits, self._body_memory)
         self._readiness_server = HttpServer(self.directory.serve_readiness, limits)
         self._directory_server = HttpServer(self.directory.serve_entries, limits)
         self._metrics_server = HttpServer(self.metrics.serve, limits)
@@ -248,6 +254,11 @@
         add_gauge(
             "in_progress", "Requests in progress.", lambda: self._ingress.in_progress
         )
+        add_gauge(
+            "body_bytes",
+            "Bytes of the requests' bodies that are held.",
+            lambda: self._body_memory.held_bytes,
+        )
         add_gauge(
             "waiting",
             "Requests that wait for a place.",
@@ -323,6 +334,9 @@
 
     async def handle(self, request: HttpRequest, responder: HttpResponder) -> None:
         """Handle one request on the clients' address."""
+        if request.lacks_body:
+            await self._ingress.refuse_body(request, responder)
+            return
         handler = (
             self.handlers_by_path.get(request.path) if self.handlers_by_path else None
         )
@@ -479,6 +493,12 @@
             self._client_server.set_limits(http_limits)
 
 
+def _compute_body_memory_bytes(vm: VmSettings) -> float:
+    """Return the bytes of bodies that a VM holds at the same time."""
+    body_memory_mb = vm.body_memory_mb or vm.memory_mb * BODY_MEMORY_SHARE
+    return body_memory_mb * BYTES_PER_MB
+
+
 def _compute_resumable_seconds(config: FleetConfig) -> float:
     """Return the seconds within which clients may resume a stream."""
     timeouts = [route.timeout for route in config.routes if route.is_stream]
--- a/fireflyquay/gateway/_ingress.py
+++ b/fireflyquay/gateway/_ingress.py
@@ -124,6 +124,23 @@
             raise CallerDisconnectedError
         serve_task.result()
 
+    async def refuse_body(self, request: HttpRequest, responder: HttpResponder) -> None:
+        """Refuse a request whose body exceeds the memory for bodies."""
+        sentence = "The memory for the bodies of requests is used up."
+        failure = Failure(Code.OVERLOADED, sentence, DEFAULT_RETRY_AFTER_SECONDS, False)
+        status = get_http_status(failure.code)
+        try:
+            exchange = self._dialect.decode_request(request)
+        except FireflyquayError:
+            # It can't be decoded without its body.
+            LOG.info("malformed", extra={"outcome": failure.code, "reason": sentence})
+            self._metrics.record_end("", failure.code.value, 0.0)
+            response = self._dialect.make_failure_response(status, failure)
+        else:
+            self._log_end(exchange, None, failure.code.value, sentence, 0.0)
+            response = exchange.make_failure_response(status, failure)
+        await responder.send(response.status, response.headers, response.body)
+
     async def _serve(self, request: HttpRequest, responder: HttpResponder) -> None:
         try:
             exchange = self._dialect.decode_request(request)
--- a/fireflyquay/gateway/_settings.py
+++ b/fireflyquay/gateway/_settings.py
@@ -47,6 +47,11 @@
     cpu_speed: Annotated[float, Meta(gt=0)] = 1.0
     # Network bandwidth in Mbit/s.
     link_mbps: Annotated[float, Meta(gt=0)] = 1000.0
+    # Memory that the process may use, in MB.
+    memory_mb: Annotated[float, Meta(gt=0)] = 256.0
+    # Bodies of requests that are held at the same time, in MB; 0 for a quarter of the
+    # memory.
+    body_memory_mb: Annotated[float, Meta(ge=0)] = 0.0
     # Address of the metrics page; empty to disable it.
     metrics_address: OptionalAddress = ""
 
--- a/fireflyquay/links/__init__.py
+++ b/fireflyquay/links/__init__.py
@@ -1,5 +1,6 @@
 """HTTP server and client, store client, connections between VMs, and JSON logs."""
 
+from ._body_memory import BodyMemory
 from ._connection_reset import abort_connection
 from ._http_client import (
     BackendClient,
@@ -38,6 +39,7 @@
 
 __all__ = [
     "BackendExchange",
+    "BodyMemory",
     "Connection",
     "TunnelOpener",
     "TunnelRequest",
--- a/fireflyquay/links/_graceful_close.py
+++ b/fireflyquay/links/_graceful_close.py
@@ -15,10 +15,12 @@
 _COUNT = struct.Struct("i")
 # Interval between checks whether the peer has acknowledged what was sent.
 ACKNOWLEDGEMENT_POLL_SECONDS = 0.02
-# Time during which input is still read and discarded after everything was received.
-# Closing earlier would reset the connection before a client that is still sending
-# reads the response.
+# Time without input during which input is still read and discarded after everything was
+# received. Closing earlier would reset the connection before a client that is still
+# sending reads the response.
 LINGERING_CLOSE_SECONDS = 1.0
+# Maximum time for which input is discarded after everything was received.
+MAX_LINGER_SECONDS = 30.0
 
 
 def count_unsent_bytes(writer: asyncio.StreamWriter) -> int:
@@ -91,10 +93,12 @@
 ) -> None:
     loop = asyncio.get_running_loop()
     unsent_bytes, progress_at = count_unsent_bytes(writer), loop.time()
+    received_at = loop.time()
     while not writer.transport.is_closing():
         is_peer_open = discards_input and not reader.at_eof()
         if is_peer_open:
-            await _discard_input(reader)
+            if await _discard_input(reader):
+                received_at = loop.time()
         else:
             await asyncio.sleep(ACKNOWLEDGEMENT_POLL_SECONDS)
         _check_connection(writer)
@@ -104,18 +108,22 @@
         stalled_seconds = loop.time() - progress_at
         if unsent_bytes and stalled_seconds >= max_stall_seconds:
             raise TimeoutError
-        if not unsent_bytes and (
-            not is_peer_open or stalled_seconds >= LINGERING_CLOSE_SECONDS
-        ):
+        silent_seconds = loop.time() - max(progress_at, received_at)
+        has_lingered = (
+            silent_seconds >= LINGERING_CLOSE_SECONDS
+            or stalled_seconds >= MAX_LINGER_SECONDS
+        )
+        if not unsent_bytes and (not is_peer_open or has_lingered):
             return
 
 
-async def _discard_input(reader: asyncio.StreamReader) -> None:
+async def _discard_input(reader: asyncio.StreamReader) -> bool:
+    """Read and discard; return whether anything was received."""
     try:
         async with asyncio.timeout(ACKNOWLEDGEMENT_POLL_SECONDS):
-            await reader.read(MAX_READ_BYTES)
+            return bool(await reader.read(MAX_READ_BYTES))
     except TimeoutError:
-        return
+        return False
 
 
 def _check_connection(writer: asyncio.StreamWriter) -> None:
--- a/fireflyquay/links/_http_connection.py
+++ b/fireflyquay/links/_http_connection.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable, Mapping
-from types import MappingProxyType
+from collections.abc import Awaitable, Callable
 from urllib.parse import parse_qsl, unquote, urlsplit
 
 import h11
@@ -13,6 +12,7 @@
 
 from fireflyquay.world import Code, Verdict
 
+from ._body_memory import BodyMemory
 from ._connection_reset import abort_connection
 from ._graceful_close import close_gracefully, count_unsent_bytes
 from ._http_message import (
@@ -90,12 +90,16 @@
         writer: asyncio.StreamWriter,
         handler: Callable[[HttpRequest, HttpResponder], Awaitable[None]],
         limits: HttpLimits,
+        body_memory: BodyMemory,
         is_server_closing: Callable[[], bool],
     ) -> None:
         self._reader = reader
         self._writer = writer
         self._handler = handler
         self._limits = limits
+        self._body_memory = body_memory
+        # Bytes reserved for the body of the request in progress.
+        self._held_bytes = 0
         self._is_server_closing = is_server_closing
         self._http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
@@ -138,7 +142,8 @@
         """Serve requests until either side closes the connection."""
         try:
             while await self._serve_request():
-                pass
+                self._release_body()
+            self._release_body()
             await self._close()
         except (OSError, CallerDisconnectedError):
             self.abort()
@@ -148,6 +153,8 @@
         except Exception:
             LOG.exception("Unexpected error on an HTTP connection.")
             self.abort()
+        finally:
+            self._release_body()
 
     async def _serve_request(self) -> bool:
         """Serve one request; return whether another may follow."""
@@ -205,13 +212,18 @@
             path,
             query,
             headers,
-            body,
+            body or b"",
             head.target,
             head.headers.raw_items(),
+            lacks_body=body is None,
         )
 
-    async def _read_body(self, headers: dict[str, str]) -> bytes:
-        self._check_body_size(int(headers.get("content-length", "0")))
+    async def _read_body(self, headers: dict[str, str]) -> bytes | None:
+        """Return the body, or None if it exceeds the memory for bodies."""
+        length = int(headers.get("content-length", "0"))
+        self._check_body_size(length)
+        if not self._hold_body(length):
+            return None
         body = bytearray()
         while True:
             event = await self._next_event()
@@ -219,6 +231,23 @@
                 return bytes(body)
             body += event.data
             self._check_body_size(len(body))
+            if not self._hold_body(len(body)):
+                self._release_body()
+                return None
+
+    def _hold_body(self, size: int) -> bool:
+        """Reserve memory for a body of which the given bytes are known."""
+        missing_bytes = size - self._held_bytes
+        if missing_bytes <= 0:
+            return True
+        if not self._body_memory.reserve(missing_bytes):
+            return False
+        self._held_bytes = size
+        return True
+
+    def _release_body(self) -> None:
+        self._body_memory.release(self._held_bytes)
+        self._held_bytes = 0
 
     def _check_body_size(self, body_bytes: int) -> None:
         if body_bytes > self._limits.max_body_bytes:
@@ -264,18 +293,15 @@
 
     async def _reject_request(self, error: HttpRequestError) -> None:
         responder = self._make_responder(False)
-        await self._send_error(
-            responder, error.status, error.error_body, {"connection": "close"}
-        )
+        await self._send_error(responder, error.status, error.error_body)
 
     async def _send_error(
         self,
         responder: HttpResponder,
         status: int,
         error_body: HttpErrorBody,
-        extra_headers: Mapping[str, str] = MappingProxyType({}),
     ) -> None:
-        headers = {"content-type": "application/json", **extra_headers}
+        headers = {"content-type": "application/json"}
         await responder.send(status, headers, msgspec.json.encode(error_body))
 
     def _make_responder(self, is_head_request: bool) -> HttpResponder:
@@ -302,7 +328,10 @@
         return True
 
     def _is_ending(self) -> bool:
-        """Return whether the server closes and has received no further request."""
+        """Return whether no further request is served on this connection."""
+        if self._http.their_state in (h11.IDLE, h11.SEND_BODY, h11.ERROR):
+            # The request was not read.
+            return True
         has_next_request = (
             bool(self._http.trailing_data[0]) or self._reader.has_unread_bytes
         )
--- a/fireflyquay/links/_http_message.py
+++ b/fireflyquay/links/_http_message.py
@@ -46,6 +46,8 @@
     target: bytes = b""
     # Names and values as received, in their order.
     raw_headers: RawHeaders = ()
+    # Whether the body was not read for lack of memory; the request can't be handled.
+    lacks_body: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/fireflyquay/links/_http_server.py
+++ b/fireflyquay/links/_http_server.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+from ._body_memory import BodyMemory
 from ._connection_reset import abort_connection
 from ._http_connection import ServerConnection
 from ._http_message import HttpLimits, HttpRequest
@@ -20,9 +21,15 @@
 class HttpServer:
     """Accept connections and pass each request to a handler."""
 
-    def __init__(self, handler: Handler, limits: HttpLimits) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        limits: HttpLimits,
+        body_memory: BodyMemory | None = None,
+    ) -> None:
         self._handler = handler
         self._limits = limits
+        self._body_memory = body_memory or BodyMemory()
         self._server: asyncio.Server | None = None
         self._connections: dict[asyncio.Task[None], ServerConnection] = {}
         # Whether connections are closed after their current response.
@@ -103,7 +110,12 @@
             return
         enable_dead_peer_detection(writer)
         connection = ServerConnection(
-            reader, writer, self._handler, self._limits, lambda: self._is_closing
+            reader,
+            writer,
+            self._handler,
+            self._limits,
+            self._body_memory,
+            lambda: self._is_closing,
         )
         task = asyncio.get_running_loop().create_task(connection.serve())
         self._connections[task] = connection
--- a/fireflyquay/links/tests/test_http_server.py
+++ b/fireflyquay/links/tests/test_http_server.py
@@ -8,7 +8,7 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
-from fireflyquay.links import HttpLimits, HttpServer
+from fireflyquay.links import BodyMemory, HttpLimits, HttpServer
 
 LIMITS = HttpLimits(
     max_header_bytes=2048,
@@ -19,13 +19,15 @@
     write_buffer_bytes=4096,
 )
 SIZED_BYTES = 200_000
+BODY_MEMORY_BYTES = 1500
 
 
 class ServerHarness:
     """Run a server whose handler depends on the path, and record what it observes."""
 
     def __init__(self):
-        self.server = HttpServer(self.handle, LIMITS)
+        self.body_memory = BodyMemory(BODY_MEMORY_BYTES)
+        self.server = HttpServer(self.handle, LIMITS, self.body_memory)
         self.client_disconnected = asyncio.Event()
         self.written_bytes = 0
 
@@ -37,6 +39,9 @@
         await self.server.close(0)
 
     async def handle(self, request, responder):
+        if request.lacks_body:
+            await responder.send(503, {}, b"no memory")
+            return
         match request.path:
             case "/fail":
                 raise ValueError("handler failure for the test")
@@ -350,3 +355,49 @@
             await closing
 
     run_with_server(scenario)
+
+
+def make_post(path, size, is_chunked):
+    head = b"POST %s HTTP/1.1\r\nhost: a\r\n" % path
+    if is_chunked:
+        chunk = b"%x\r\n%s\r\n" % (size // 2, b"x" * (size // 2))
+        return head + b"transfer-encoding: chunked\r\n\r\n" + 2 * chunk + b"0\r\n\r\n"
+    return head + b"content-length: %d\r\n\r\n" % size + b"x" * size
+
+
+@pytest.mark.parametrize("is_chunked", [False, True], ids=["length", "chunks"])
+def test_bodies_beyond_the_memory_for_them_are_refused(is_chunked):
+    async def scenario(harness):
+        _, writer = await harness.connect()
+        writer.write(make_post(b"/wait", 1000, is_chunked))
+        await asyncio.sleep(0.05)
+        assert harness.body_memory.held_bytes == 1000
+        raw = await harness.exchange(make_post(b"/second", 800, is_chunked))
+        assert split_response(raw) == (503, b"no memory")
+        assert b"connection: close" in raw
+        raw = await harness.exchange(make_post(b"/third", 400, is_chunked))
+        assert split_response(raw)[0] == 200
+        writer.close()
+        await harness.client_disconnected.wait()
+        await asyncio.sleep(0.05)
+        assert harness.body_memory.held_bytes == 0
+        raw = await harness.exchange(make_post(b"/fourth", 1000, is_chunked))
+        assert split_response(raw)[0] == 200
+
+    run_with_server(scenario)
+
+
+def test_client_that_sends_its_whole_refused_body_receives_the_response():
+    async def scenario(harness):
+        harness.body_memory.reserve(BODY_MEMORY_BYTES)
+        reader, writer = await harness.connect()
+        writer.write(b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 900\r\n\r\n")
+        # Longer than a connection lingers without input.
+        for _ in range(9):
+            await asyncio.sleep(0.2)
+            writer.write(b"x" * 100)
+        assert split_response(await reader.read()) == (503, b"no memory")
+        assert writer.transport.get_write_buffer_size() == 0
+        writer.close()
+
+    run_with_server(scenario)
