Tell a client that pauses from one that is dead

Clients that read nothing for 3.5 s had their response reset in the middle, in steady state and at a stop, though a write may wait for the idle timeout. Measured: a socket with these options, 3.9 MB sent and nothing read, failed after 3.50 s with ETIMEDOUT.

Cause: the kernel's time limit for unacknowledged data (TCP_USER_TIMEOUT, 3 s, which detects dead peers) also ends a connection whose peer acknowledges but has closed its window. The kernel does not tell the two apart.

While a write makes no progress for 1 s, or the rest of a response is sent before the close, the limit is now the idle timeout, as for the write itself; a stop still ends with its grace period. Dead peers are detected within 3 s as before while nothing waits to be written.

What stays: events of a stream that fit into the write buffer, to a client whose window has been closed for over 3 s.

--- a/fireflyquay/links/_graceful_close.py
+++ b/fireflyquay/links/_graceful_close.py
@@ -11,6 +11,7 @@
 
 from ._connection_reset import set_reset_on_close
 from ._http_message import MAX_READ_BYTES
+from ._sockets import tolerate_closed_window
 
 _COUNT = struct.Struct("i")
 # Interval between checks whether the peer has acknowledged what was sent.
@@ -19,6 +20,8 @@
 # received. Closing earlier would reset the connection before a client that is still
 # sending reads the response.
 LINGERING_CLOSE_SECONDS = 1.0
+# Time without progress after which a peer counts as one that pauses.
+STALL_SECONDS = 1.0
 # Maximum time for which input is discarded after everything was received.
 MAX_LINGER_SECONDS = 30.0
 
@@ -44,15 +47,20 @@
 
     Raises TimeoutError if the peer receives nothing for the given time.
     """
+    loop = asyncio.get_running_loop()
+    unsent_bytes, progress_at = count_unsent_bytes(writer), loop.time()
     while True:
-        unsent_bytes = count_unsent_bytes(writer)
         try:
-            async with asyncio.timeout(max_stall_seconds):
+            async with asyncio.timeout(min(max_stall_seconds, STALL_SECONDS)):
                 await writer.drain()
                 return
         except TimeoutError:
-            if count_unsent_bytes(writer) >= unsent_bytes:
+            previous_bytes, unsent_bytes = unsent_bytes, count_unsent_bytes(writer)
+            if unsent_bytes < previous_bytes:
+                progress_at = loop.time()
+            elif loop.time() - progress_at >= max_stall_seconds:
                 raise
+            tolerate_closed_window(writer, max_stall_seconds)
 
 
 async def close_gracefully(
@@ -69,6 +77,8 @@
     the peer receives nothing for the given time.
     """
     writer.transport.set_write_buffer_limits(high=0)
+    if count_unsent_bytes(writer):
+        tolerate_closed_window(writer, max_stall_seconds)
     await drain(writer, max_stall_seconds)
     if not writer.transport.is_closing():
         # From here on, the kernel sends the rest.
--- a/fireflyquay/links/_sockets.py
+++ b/fireflyquay/links/_sockets.py
@@ -10,11 +10,27 @@
 # Allows for several retransmissions: TCP resends a lost packet within a few hundred
 # milliseconds.
 UNACKNOWLEDGED_TIMEOUT_MS = 3_000
+MS_PER_SECOND = 1_000
 # Idle time before the first keepalive probe, and time between probes.
 KEEPALIVE_INTERVAL_SECONDS = 1
 MAX_UNANSWERED_PROBES = 3
 
 
+def tolerate_closed_window(writer: asyncio.StreamWriter, seconds: float) -> None:
+    """Keep the connection for a time although its peer reads nothing.
+
+    The kernel does not tell a peer that acknowledges but reads nothing from a dead one.
+    """
+    sock = writer.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return
+    if sock.family not in (socket.AF_INET, socket.AF_INET6):
+        return
+    sock.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(seconds * MS_PER_SECOND)
+    )
+
+
 def enable_dead_peer_detection(writer: asyncio.StreamWriter) -> None:
     """Make the kernel close the connection when its peer becomes unreachable."""
     sock = writer.get_extra_info("socket")
