Grant more after a start of the whole fleet

A VM that started within 8 s and has lost no other now grants its whole part, and buckets start with half a second of the rate more, for which at least nothing was granted.

--- a/fireflyquay/dispatch/_quota_limiter.py
+++ b/fireflyquay/dispatch/_quota_limiter.py
@@ -29,6 +29,8 @@
 REPORTED_USAGE_SECONDS = 4.0
 # Times that all VMs may be killed in a window before their usage exceeds a quota.
 UNKNOWN_STARTS_PER_WINDOW = 3
+# Time for which nothing is granted between a kill of all VMs and the next start.
+MIN_DOWNTIME_SECONDS = 0.5
 
 FindAccount = Callable[[ClientAccountId], ClientAccount | None]
 
@@ -280,7 +282,8 @@
         """Return the level of a bucket before whose window any usage is possible."""
         window = quota.burst + quota.rate * self.window_seconds
         spare = self._reserve.ratio * window + self._reserve.units
-        return spare / UNKNOWN_STARTS_PER_WINDOW
+        downtime = MIN_DOWNTIME_SECONDS * quota.rate
+        return spare / UNKNOWN_STARTS_PER_WINDOW + downtime
 
 
 def _count_units(unit: QuotaUnit, requests: float, tokens: float) -> float:
--- a/fireflyquay/gateway/_fleet.py
+++ b/fireflyquay/gateway/_fleet.py
@@ -135,6 +135,8 @@
         self._started_at = -math.inf
         # Loop times until which VMs count that aren't live, by peer address.
         self._missing_until: dict[tuple[str, int], float] = {}
+        # Whether this VM ever lost another.
+        self._has_lost_vms = False
 
     @property
     def is_coordinating(self) -> bool:
@@ -362,6 +364,7 @@
                 if not self._membership.has_ended(incarnation):
                     address = record.vm.host, record.vm.peer_port
                     self._missing_until[address] = now + LOST_VM_MEMORY_SECONDS
+                    self._has_lost_vms = True
                 self._replica_sync.remove_vm(incarnation)
                 self._last_heard_at.pop(incarnation, None)
                 self._unlisted_vms.pop(incarnation, None)
@@ -389,14 +392,21 @@
         share = 1.0 if 2 * follower_count >= live_count else follower_count / live_count
         if share != self._coordinator.share:
             self._coordinator.set_share(share)
-        heard_since = asyncio.get_running_loop().time() - FOLLOWER_SILENT_SECONDS
+        now = asyncio.get_running_loop().time()
+        heard_since = now - FOLLOWER_SILENT_SECONDS
         reached_count = 1 + sum(
             self._last_heard_at.get(it, -math.inf) >= heard_since
             for it in self._coordinator.followers
         )
         known_count = live_count + len(self._missing_until)
         part = min(1.0, reached_count / known_count)
-        self._coordinator.set_limit_share(compute_limit_share(part))
+        is_starting = now < self._started_at + EXPECTED_VM_MEMORY_SECONDS
+        if is_starting and not self._has_lost_vms:
+            # The others have probably started too, each with its part.
+            share = part
+        else:
+            share = compute_limit_share(part)
+        self._coordinator.set_limit_share(share)
 
     def _expect_vms(self, addresses: set[tuple[str, int]], now: float) -> None:
         """Count VMs that may run, although the membership does not list them yet."""
