Take no stream's origin from a run that is only granted or reported

A VM recorded an origin from each grant that it got, also one that it gave back, and at the version that its registry shows by then; the next resumption found this as its own record. And a coordinator recorded one from the periodic report of a run that had not had output yet and failed before its first event.

Origins come from first outputs alone, and from the origins that VMs hand over. The VM that sends a stream states the version with its first output, in a last field with a default, since the coordinator's registry may show the next one already. A stream that continues keeps its origin.

--- a/fireflyquay/dispatch/_control_message.py
+++ b/fireflyquay/dispatch/_control_message.py
@@ -42,6 +42,9 @@
 
     number: int
     backend: BackendServerId
+    # Software version that wrote it, as its VM knows; None from a VM that does not
+    # state it.
+    version: SoftwareVersion | None = None
 
 
 class RunEnded(Message, tag="Ended"):
--- a/fireflyquay/dispatch/_coordinator.py
+++ b/fireflyquay/dispatch/_coordinator.py
@@ -156,8 +156,8 @@
             case Cancellation(number):
                 self._refund((sender, number))
                 return self._settle_charges(scheduler.cancel((sender, number), now))
-            case FirstOutput(number, backend):
-                scheduler.record_first_output((sender, number), backend, now)
+            case FirstOutput(number, backend, version):
+                scheduler.record_first_output((sender, number), backend, now, version)
             case RunEnded():
                 return self._settle_charges(scheduler.end_run(sender, message, now))
             case BackendPause():
--- a/fireflyquay/dispatch/_scheduler.py
+++ b/fireflyquay/dispatch/_scheduler.py
@@ -16,6 +16,7 @@
     Code,
     Incarnation,
     ServiceId,
+    SoftwareVersion,
 )
 
 from ._backend_beliefs import BackendBeliefs
@@ -191,8 +192,12 @@
         return []
 
     def record_first_output(
-        self, key: SlotRequestKey, backend: BackendServerId, now: float
-    ):
+        self,
+        key: SlotRequestKey,
+        backend: BackendServerId,
+        now: float,
+        version: SoftwareVersion | None = None,
+    ) -> None:
         """Record that a run has produced its first output, and so where it began.
 
         A grant alone tells nothing: it may come too late for its VM to use it.
@@ -200,7 +205,7 @@
         load = self._find_load(backend)
         run = None if load is None else load.record_first_output(key, now)
         if load is not None and run is not None:
-            self._record_origin(load, run.request, now)
+            self._record_origin(run.request, version or load.entry.version, now)
             state = self._states[run.request.service]
             state.ranks[run.request.rank].record_first_output(now - run.granted_at)
             self.origins.record_begin(run.request.stream, now)
@@ -289,11 +294,13 @@
     def register_run(
         self, backend: BackendServerId, request: SlotRequest, granted_at: float
     ) -> None:
-        """Register a run that another coordinator granted and its VM began."""
+        """Register a run that another coordinator granted.
+
+        It names no origin: it may not have had output yet.
+        """
         load = self._find_load(backend)
         if load is not None:
             load.add_run((request.owner, request.number), request, granted_at)
-            self._record_origin(load, request, granted_at)
 
     def drop_unreported_runs(
         self, owner: Incarnation, reported: set[SlotRequestKey], now: float
@@ -476,12 +483,15 @@
         )
 
     def _record_origin(
-        self, load: BackendLoad, request: SlotRequest, now: float
+        self, request: SlotRequest, version: SoftwareVersion, now: float
     ) -> None:
         """Record where a stream begins; continuing it changes nothing."""
-        if request.stream:
-            origin = StreamOrigin(request.service, load.entry.version)
-            self.origins.record(request.stream, origin, now, request.owner)
+        if not request.stream:
+            return
+        if request.version is not None:
+            version = request.version
+        origin = StreamOrigin(request.service, version)
+        self.origins.record(request.stream, origin, now, request.owner)
 
     def _find_refusal(
         self, state: ServiceState, request: SlotRequest, now: float
--- a/fireflyquay/dispatch/tests/test_software_versions.py
+++ b/fireflyquay/dispatch/tests/test_software_versions.py
@@ -128,14 +128,35 @@
     assert coordinator.origins.find(STREAM) is None
 
 
-def test_report_of_an_earlier_run_does_not_replace_an_origin():
+def test_reported_run_names_no_origin():
     scheduler = make_scheduler(make_server("e1", OLD), make_server("e2", NEW))
-    for backend, granted_at in (("e2", 2.0), ("e1", 1.0)):
-        request = make_request(1, OTHER_VM, stream=STREAM)
-        scheduler.register_run(BackendServerId(backend), request, granted_at)
+    early, late = (make_request(n, OTHER_VM, stream=STREAM) for n in (1, 2))
+    # The run at e1 may fail before its first event, and the stream begin elsewhere.
+    scheduler.register_run(BackendServerId("e1"), early, 1.0)
+    assert scheduler.origins.find(STREAM) is None
+    scheduler.register_run(BackendServerId("e2"), late, 2.0)
+    scheduler.record_first_output((OTHER_VM, 2), BackendServerId("e2"), 2.5)
+    scheduler.register_run(BackendServerId("e1"), early, 1.0)
     assert scheduler.origins.find(STREAM) == StreamOrigin(SERVICE, NEW)
 
 
+def test_origin_is_the_version_that_the_sending_vm_states():
+    # This VM has read that the server restarted at another version.
+    scheduler = make_scheduler(make_server("e1", NEW))
+    request = make_request(1, OTHER_VM, stream=STREAM)
+    scheduler.register_run(BackendServerId("e1"), request, 1.0)
+    scheduler.record_first_output((OTHER_VM, 1), BackendServerId("e1"), 2.0, OLD)
+    assert scheduler.origins.find(STREAM) == StreamOrigin(SERVICE, OLD)
+
+
+def test_stream_that_continues_keeps_its_origin():
+    scheduler = make_scheduler(make_server("e1", NEW))
+    request = make_request(1, OTHER_VM, stream=STREAM, version=OLD)
+    scheduler.register_run(BackendServerId("e1"), request, 1.0)
+    scheduler.record_first_output((OTHER_VM, 1), BackendServerId("e1"), 2.0, NEW)
+    assert scheduler.origins.find(STREAM) == StreamOrigin(SERVICE, OLD)
+
+
 def test_handover_reports_origins_to_the_next_coordinator():
     coordinator = make_coordinator()
     news = OriginResponse(STREAM, SERVICE, OLD)
--- a/fireflyquay/gateway/_forwarder.py
+++ b/fireflyquay/gateway/_forwarder.py
@@ -461,7 +461,7 @@
                 self._record_sound_run()
             return
         self._first_output_at = now
-        self._slot_client.record_first_output(self._slot_request, self._backend.id)
+        self._slot_client.record_first_output(self._slot_request, self._backend)
         if call.first_output_at is None:
             call.first_output_at = now
             seconds = now - call.arrived_at
--- a/fireflyquay/gateway/_slot_client.py
+++ b/fireflyquay/gateway/_slot_client.py
@@ -152,10 +152,10 @@
             raise
 
     def record_first_output(
-        self, slot_request: SlotRequest, backend: BackendServerId
+        self, slot_request: SlotRequest, backend: BackendEntry
     ) -> None:
         """Report the first output of a run to the coordinator."""
-        self._notify(FirstOutput(slot_request.number, backend))
+        self._notify(FirstOutput(slot_request.number, backend.id, backend.version))
         if slot_request.stream and self._peers is not None:
             self._copy_origin(slot_request.stream, self._peers)
 
