--- a/fireflyquay/dispatch/_crash_tracker.py
+++ b/fireflyquay/dispatch/_crash_tracker.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from fireflyquay.world import (
+    MAX_COUNT,
     BackendServerId,
     Fingerprint,
     PromptPartId,
@@ -431,6 +432,7 @@
                 True,
             )
             for it in news.crashes[-MAX_CRASHES:]
+            if 0 <= it.born_ms <= MAX_COUNT
         ),
         tuple(
             (suspect, max(0.0, age) + age_seconds)
@@ -441,6 +443,7 @@
                 it.suspect, it.crash_count, max(0.0, it.age_seconds) + age_seconds
             )
             for it in news.quarantined[:MAX_QUARANTINED_SUSPECTS]
+            if 0 <= it.crash_count <= MAX_COUNT
         ),
     )
 
--- a/fireflyquay/dispatch/_origin_archive.py
+++ b/fireflyquay/dispatch/_origin_archive.py
@@ -9,6 +9,7 @@
 from fireflyquay.world import AttemptId, ServiceId, SoftwareVersion
 
 from ._stream_origins import StreamOrigin
+from ._version_record import Count
 
 # Bounds the size of the archive; the oldest batches are dropped first.
 MAX_ARCHIVED_STREAMS = 16_384
@@ -18,7 +19,7 @@
     """Hold the streams whose first events were sent at about the same time."""
 
     # Time of the write, in milliseconds since the epoch.
-    at_ms: int
+    at_ms: Count
     streams: dict[ServiceId, dict[SoftwareVersion, tuple[AttemptId, ...]]]
 
     def count_streams(self) -> int:
--- a/fireflyquay/dispatch/_version_record.py
+++ b/fireflyquay/dispatch/_version_record.py
@@ -4,10 +4,15 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from typing import Annotated
 
 import msgspec
+from msgspec import Meta
 
-from fireflyquay.world import ServiceId, SoftwareVersion
+from fireflyquay.world import MAX_COUNT, ServiceId, SoftwareVersion
+
+# Other programs may write the record.
+Count = Annotated[int, Meta(ge=0, le=MAX_COUNT)]
 
 # Software version of a service.
 VersionKey = tuple[ServiceId, SoftwareVersion]
@@ -39,13 +44,13 @@
     """
 
     # Time since which all versions that served are recorded.
-    since_ms: int = 0
+    since_ms: Count = 0
     # Time of the last list of all backend servers that was merged.
-    confirmed_ms: int = 0
+    confirmed_ms: Count = 0
     # Times that the store had come back from a copy, which may lack a version.
-    restore_count: int = 0
+    restore_count: Count = 0
     # Time at which each version of each service was last seen in a list.
-    seen_ms: dict[ServiceId, dict[SoftwareVersion, int]] = {}
+    seen_ms: dict[ServiceId, dict[SoftwareVersion, Count]] = {}
 
     def holds(self, key: VersionKey, now_ms: float) -> bool:
         """Return whether a version was seen recently enough to be granted slots."""
