Remove what is gone before a joining version is recorded

The list is used at once, with the workers of the joining version as leaving, and once more when they are recorded, unless a later list is in use by then.

test_backend_that_is_gone_does_not_wait_until_a_joining_version_is_recorded failed before (3.02 s < 3.0 s, one second after the removal) and passes.

--- a/fireflyquay/gateway/_state_replicas.py
+++ b/fireflyquay/gateway/_state_replicas.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 
 import logbook
 
@@ -14,11 +14,11 @@
     Freshness,
 )
 from fireflyquay.links import HttpFailure
-from fireflyquay.world import BackendServerId, RepeatRule
+from fireflyquay.world import BackendEntry, BackendServerId, RepeatRule
 
 from ._clock import AgeClock
 from ._dialect import FleetSource
-from ._version_keeper import VersionKeeper
+from ._version_keeper import VersionKeeper, withhold
 
 LOG = logbook.Logger("beliefs")
 
@@ -189,23 +189,36 @@
         if 0 < self.backends.freshness.revision < snapshot.restored_revision:
             LOG.warning("store restored", extra={"revision": snapshot.revision})
             self.backends.expect_missing(now, REREGISTRATION_SECONDS)
-        entries = await self._versions.admit(snapshot)
         freshness = Freshness(snapshot.revision, sent_at)
-        changes = self.backends.replace_all(entries, freshness)
+        joining = self._versions.find_joining(snapshot)
+        entries = withhold(snapshot.entries, joining)
+        if joining and self.backends.freshness.revision:
+            # What is gone does not wait until the store has recorded what joins.
+            self._apply_backends(entries, freshness)
+        if joining and await self._versions.record(joining, snapshot):
+            entries = list(snapshot.entries)
+        if self.backends.freshness.confirmed_at <= sent_at:
+            self._apply_backends(entries, freshness)
         if snapshot.unreadable != self._unreadable:
             self._unreadable = snapshot.unreadable
             names = snapshot.unreadable[:MAX_LOGGED_NAMES]
             extra = {"names": names, "count": len(snapshot.unreadable)}
             LOG.warning("registrations unreadable", extra=extra)
-        if changes:
-            LOG.info(
-                "backend servers changed",
-                extra={"revision": snapshot.revision, "changes": changes},
-            )
-            self.on_change()
         await self._versions.confirm(snapshot)
         self.on_backends_read()
 
+    def _apply_backends(
+        self, entries: Sequence[BackendEntry], freshness: Freshness
+    ) -> None:
+        changes = self.backends.replace_all(entries, freshness)
+        if not changes:
+            return
+        LOG.info(
+            "backend servers changed",
+            extra={"revision": freshness.revision, "changes": changes},
+        )
+        self.on_change()
+
     def _has_resumable_streams(self) -> bool:
         """Return whether clients may resume streams, as far as is known."""
         config = self.config.config
--- a/fireflyquay/gateway/_version_keeper.py
+++ b/fireflyquay/gateway/_version_keeper.py
@@ -62,19 +62,19 @@
             self._source.keeps_record(VersionRecord) and self._has_resumable_streams()
         )
 
-    async def admit(self, snapshot: BackendsSnapshot) -> Sequence[BackendEntry]:
-        """Return the entries; those of versions that can't be recorded as leaving."""
+    def find_joining(self, snapshot: BackendsSnapshot) -> set[VersionKey]:
+        """Return the versions that must be recorded before their first slot."""
+        if not self._is_needed:
+            return set()
         accepting = BackendPhase.READY
         ready = {_get_key(it) for it in snapshot.entries if it.phase is accepting}
-        joining = ready - self._backends.list_ready_versions()
-        if not joining or not self._is_needed:
-            return snapshot.entries
-        if await self._try_record(joining, snapshot):
-            return snapshot.entries
-        return [
-            replace(it, phase=BackendPhase.LEAVING) if _get_key(it) in joining else it
-            for it in snapshot.entries
-        ]
+        return ready - self._backends.list_ready_versions()
+
+    async def record(
+        self, joining: set[VersionKey], snapshot: BackendsSnapshot
+    ) -> bool:
+        """Record versions that join; return whether slots may be granted there."""
+        return await self._try_record(joining, snapshot)
 
     async def confirm(self, snapshot: BackendsSnapshot) -> None:
         """Confirm the record on behalf of the fleet, or read it if that is due."""
@@ -167,5 +167,15 @@
     return {"since_ms": record.since_ms, "versions": versions}
 
 
+def withhold(
+    entries: Sequence[BackendEntry], joining: set[VersionKey]
+) -> list[BackendEntry]:
+    """Return the entries, those of versions that join as leaving."""
+    return [
+        replace(it, phase=BackendPhase.LEAVING) if _get_key(it) in joining else it
+        for it in entries
+    ]
+
+
 def _get_key(entry: BackendEntry) -> VersionKey:
     return entry.service, entry.version
--- a/fireflyquay/gateway/tests/test_state_replicas.py
+++ b/fireflyquay/gateway/tests/test_state_replicas.py
@@ -1,7 +1,7 @@
 """Tests of the replicas of one VM during and after outages of the store."""
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import logbook
 import msgspec
@@ -10,12 +10,12 @@
 from emulator import run_virtual
 from fireflyquay.dispatch import REREGISTRATION_SECONDS, Freshness
 from fireflyquay.dispatch.tests.builders import make_backend_entry
-from fireflyquay.gateway import BackendsSnapshot
+from fireflyquay.gateway import BackendsSnapshot, StoredRecord
 from fireflyquay.gateway._clock import LoopClock
 from fireflyquay.gateway._state_replicas import StateReplicas
 from fireflyquay.links import HttpFailure
 from fireflyquay.links._json_log import MAX_QUEUED_BYTES
-from fireflyquay.world import Code
+from fireflyquay.world import Code, SoftwareVersion
 
 ANSWER_SECONDS, TIMEOUT_SECONDS = 0.004, 1.0
 DOWN_AT = 4.0
@@ -134,3 +134,35 @@
     (record,) = [it for it in log.records if it.message == "registrations unreadable"]
     assert record.extra["count"] == 5000
     assert len(msgspec.json.encode(record.extra)) < MAX_QUEUED_BYTES // 4
+
+
+class SlowRecordSource(Source):
+    """List a worker of a new version, whose record can't be written in time."""
+
+    joined_at = 2.0
+
+    def keeps_record(self, kind):
+        return True
+
+    async def list_backends(self):
+        snapshot = await super().list_backends()
+        if asyncio.get_running_loop().time() < self.joined_at:
+            return snapshot
+        new = replace(make_backend_entry("new"), version=SoftwareVersion("v2"))
+        return replace(snapshot, entries=(*snapshot.entries, new))
+
+    async def read_record(self, kind):
+        return StoredRecord(kind(), 0, 0)
+
+    async def write_record(self, record, revision):
+        if asyncio.get_running_loop().time() < self.joined_at:
+            return StoredRecord(record, revision + 1, 0)
+        await asyncio.sleep(TIMEOUT_SECONDS)
+        raise HttpFailure(Code.BACKEND_TIMEOUT, "no answer", True)
+
+
+def test_backend_that_is_gone_does_not_wait_until_a_joining_version_is_recorded():
+    source = SlowRecordSource(0.0, {}, {"gone": 2.0})
+    last_known, _ = record_known(source, 6.0)
+    assert last_known["gone"] < 2.0 + TIMEOUT_SECONDS
+    assert "new" not in last_known
