Let large bodies keep no small request out

Bodies of 8 KB and less are held beside all others again, and a body in chunks is held alone whatever its size, as one with a length is.

--- a/fireflyquay/links/_body_memory.py
+++ b/fireflyquay/links/_body_memory.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+# Smaller bodies are held beside all others, so that large ones keep no small request
+# out; the number of connections bounds their sum.
+SMALL_BODY_BYTES = 8 * 1024
+
 
 class BodyMemory:
     """Bound the bytes of the bodies that a server holds at the same time."""
--- a/fireflyquay/links/_http_connection.py
+++ b/fireflyquay/links/_http_connection.py
@@ -12,7 +12,7 @@
 
 from fireflyquay.world import Code, Verdict
 
-from ._body_memory import BodyMemory
+from ._body_memory import SMALL_BODY_BYTES, BodyMemory
 from ._connection_reset import abort_connection
 from ._graceful_close import close_gracefully, count_unsent_bytes
 from ._http_message import (
@@ -237,10 +237,11 @@
 
     def _hold_body(self, size: int) -> bool:
         """Reserve memory for a body of which the given bytes are known."""
-        missing_bytes = size - self._held_bytes
-        if missing_bytes <= 0:
+        if size <= max(SMALL_BODY_BYTES, self._held_bytes):
             return True
-        if not self._body_memory.reserve(missing_bytes):
+        # What the request holds already must not keep it from being held alone.
+        self._release_body()
+        if not self._body_memory.reserve(size):
             return False
         self._held_bytes = size
         return True
