--- a/fireflyquay/links/_graceful_close.py
+++ b/fireflyquay/links/_graceful_close.py
@@ -11,7 +11,7 @@
 
 from ._connection_reset import set_reset_on_close
 from ._http_message import MAX_READ_BYTES
-from ._sockets import tolerate_closed_window
+from ._sockets import enable_dead_peer_detection, tolerate_closed_window
 
 _COUNT = struct.Struct("i")
 # Interval between checks whether the peer has acknowledged what was sent.
@@ -49,11 +49,14 @@
     """
     loop = asyncio.get_running_loop()
     unsent_bytes, progress_at = count_unsent_bytes(writer), loop.time()
+    has_stalled = False
     while True:
         try:
             async with asyncio.timeout(min(max_stall_seconds, STALL_SECONDS)):
                 await writer.drain()
-                return
+            if has_stalled:
+                enable_dead_peer_detection(writer)
+            return
         except TimeoutError:
             previous_bytes, unsent_bytes = unsent_bytes, count_unsent_bytes(writer)
             if unsent_bytes < previous_bytes:
@@ -61,6 +64,7 @@
             elif loop.time() - progress_at >= max_stall_seconds:
                 raise
             tolerate_closed_window(writer, max_stall_seconds)
+            has_stalled = True
 
 
 async def close_gracefully(
--- a/fireflyquay/links/tests/test_http_server.py
+++ b/fireflyquay/links/tests/test_http_server.py
@@ -420,3 +420,25 @@
         assert split_response(raw)[0] == 200
 
     run_with_server(scenario)
+
+
+def test_dead_peers_are_detected_as_before_once_a_client_reads_on():
+    async def scenario(harness):
+        harness.server.set_limits(replace(LIMITS, idle_timeout=9.0))
+        with socket.socket() as client:
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+            client.setblocking(False)
+            loop = asyncio.get_running_loop()
+            await loop.sock_connect(client, ("127.0.0.1", harness.port))
+            await loop.sock_sendall(client, GET_REQUEST % b"/large")
+            await asyncio.sleep(1.4)
+            (connection,) = harness.server._connections.values()
+            sock = connection._writer.get_extra_info("socket")
+            option = socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT
+            assert sock.getsockopt(*option) == 9000
+            written_bytes = harness.written_bytes
+            while harness.written_bytes < written_bytes + 100_000:
+                await loop.sock_recv(client, 65536)
+            assert sock.getsockopt(*option) == 3000
+
+    run_with_server(scenario)
