Heed a version that the record names, however well the registry was observed

A version may join and leave between two confirmations that are less than two seconds apart. The record now goes first.

test_record_names_a_version_that_joined_and_left_between_two_confirmations failed before, and passes.

--- a/fireflyquay/dispatch/_backend_registry.py
+++ b/fireflyquay/dispatch/_backend_registry.py
@@ -184,16 +184,17 @@
         }
         if len(versions) != 1:
             return False
+        version, reading = versions.pop(), self._version_reading
+        since_ms = unix_ms - seconds * MILLISECONDS_PER_SECOND
+        # It may have joined and left between two confirmations.
+        if reading is not None and reading.names_other(service, version, since_ms):
+            return False
         if self._observed_since is not None and self._observed_since <= since:
             return True
-        reading, since_ms = (
-            self._version_reading,
-            unix_ms - seconds * MILLISECONDS_PER_SECOND,
-        )
         return (
             reading is not None
             and self.is_record_current
-            and reading.proves_one_version(service, versions.pop(), since_ms)
+            and reading.proves_one_version(service, version, since_ms)
         )
 
     def list_mixed_services(self, seconds: float, now: float) -> set[ServiceId]:
--- a/fireflyquay/dispatch/_version_record.py
+++ b/fireflyquay/dispatch/_version_record.py
@@ -100,6 +100,16 @@
     sent_at: float
     sent_ms: float
 
+    def names_other(
+        self, service: ServiceId, version: SoftwareVersion, since_ms: float
+    ) -> bool:
+        """Return whether another version was seen later than the given time."""
+        return any(
+            seen_ms + MAX_CLOCK_SKEW_MS > since_ms
+            for other, seen_ms in self.record.seen_ms.get(service, {}).items()
+            if other != version
+        )
+
     def proves_one_version(
         self, service: ServiceId, version: SoftwareVersion, since_ms: float
     ) -> bool:
--- a/fireflyquay/dispatch/tests/test_software_versions.py
+++ b/fireflyquay/dispatch/tests/test_software_versions.py
@@ -298,6 +298,16 @@
     assert registry.had_one_version(SERVICE, LIFETIME, 100.0, NOW_MS) is expected
 
 
+def test_record_names_a_version_that_joined_and_left_between_two_confirmations():
+    registry = make_registry((0.0, [make_server("e1", OLD)]))
+    assert registry.had_one_version(SERVICE, LIFETIME, 100.0, NOW_MS)
+    registry.apply_version_reading(make_reading({OLD: NOW_MS, NEW: NOW_MS - 500}))
+    assert not registry.had_one_version(SERVICE, LIFETIME, 100.0, NOW_MS)
+    long_ago = NOW_MS - 1000 * (LIFETIME + 5)
+    registry.apply_version_reading(make_reading({OLD: NOW_MS, NEW: long_ago}))
+    assert registry.had_one_version(SERVICE, LIFETIME, 100.0, NOW_MS)
+
+
 def test_record_does_not_hide_a_version_that_is_registered():
     entries = [make_server("e1", OLD), make_server("e2", NEW)]
     registry = make_registry((100.0, entries))
