Let the soak's settings be read by the build in production

It refuses settings that it does not know, and the soak wrote all of them, so its gateways never started. Only settings that differ from their defaults are written there.

--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -15,6 +15,8 @@
 
 from ._relay import Relay
 
+# The default, which a build that does not know the setting accepts.
+QUOTA_WINDOW_SECONDS = 8.0
 PLAIN_SERVICE, ENGINE_SERVICE = "plain", "engines"
 # Software versions that serve side by side; each names itself in its events.
 VERSIONS = ("v1", "v2")
@@ -126,9 +128,15 @@
         await relay.start()
         self.store_relays.append(relay)
         host = f"127.0.0.{number + 1}"
-        settings = make_settings(host, self.ports, relay.port, stop_grace=3.0)
+        settings = make_settings(
+            host,
+            self.ports,
+            relay.port,
+            stop_grace=3.0,
+            quota_window=QUOTA_WINDOW_SECONDS,
+        )
         path = Path(self._directory.name) / f"{number}.toml"
-        path.write_text(write_toml(settings))
+        path.write_text(write_toml(settings, states_defaults=False))
         gateway = GatewayProcess(path, host, self._mutant, self._production)
         self.gateways.append(gateway)
         await gateway.start()
