Accept a quota window that is shorter than the resolution of charges

It takes a window of less than 0.1 s, which the tests' cluster states (0.05 s) and no deployment does; the setting allows it.

The new test failed before with the same error.

--- a/fireflyquay/dispatch/_token_bucket.py
+++ b/fireflyquay/dispatch/_token_bucket.py
@@ -95,7 +95,7 @@
             self._charges.append((charged_at, before + units))
         else:
             self._charges.append((now, units))
-        while self._charges[0][0] < now - self.window_seconds:
+        while self._charges and self._charges[0][0] < now - self.window_seconds:
             at, units = self._charges.popleft()
             self._anchor = at, self._replay(self._anchor, (), at) - units
 
--- a/fireflyquay/dispatch/tests/test_fairness.py
+++ b/fireflyquay/dispatch/tests/test_fairness.py
@@ -5,6 +5,7 @@
 import random
 
 from fireflyquay.dispatch import Grant, QuotaLimiter, QuotaMargin, RunEnded
+from fireflyquay.dispatch._token_bucket import TokenBucket
 
 from .builders import (
     OWN_VM,
@@ -101,3 +102,11 @@
     # All of the quota is granted.
     assert 0.95 < sum(size * n for size, n in charged.items()) / (3_200_000 + 30_000)
     assert sum(size * n for size, n in charged.items()) <= 3_200_000 + 30_000
+
+
+def test_window_shorter_than_the_resolution_of_charges_is_accepted():
+    bucket = TokenBucket(0.05, level=100.0, refilled_at=0.0)
+    for at in (0.0, 0.08, 0.2):
+        bucket.refill(1.0, 100.0, 0.0, 1.0, at)
+        bucket.charge(10.0)
+    assert round(bucket.level, 6) == 70.2
