--- a/fireflyquay/gateway/_stream_locator.py
+++ b/fireflyquay/gateway/_stream_locator.py
@@ -53,8 +53,9 @@
     """Find where a stream began that a client resumes.
 
     The VM that sent the stream and the one that granted its slot know, and a third one
-    if both are the same. A VM that finds no one who knows refuses, unless all backend
-    servers have run one version for as long as a stream may last.
+    if both are the same; if all of them ended, the archive in the store tells. A VM
+    that finds no one who knows refuses, unless it proves that the service has run one
+    version for as long as a stream may last.
     """
 
     def __init__(
--- a/fireflyquay/gateway/_version_keeper.py
+++ b/fireflyquay/gateway/_version_keeper.py
@@ -74,7 +74,7 @@
         self, joining: set[VersionKey], snapshot: BackendsSnapshot
     ) -> bool:
         """Record versions that join; return whether slots may be granted there."""
-        return await self._try_record(joining, snapshot)
+        return await self._try_record(joining, snapshot, confirms=False)
 
     async def confirm(self, snapshot: BackendsSnapshot) -> None:
         """Confirm the record on behalf of the fleet, or read it if that is due."""
@@ -95,7 +95,7 @@
         self,
         joining: set[VersionKey],
         snapshot: BackendsSnapshot,
-        confirms: bool = False,
+        confirms: bool,
     ) -> bool:
         """Record versions that join, and confirm the others; return whether it did."""
         try:
