Prove a single version by a record that was read after the client resumed

What callers could see: a stream that began at a version which joined and left within a second or two went on at another version, and looked complete (ORDER).

Cause: a VM that had observed the registry for long without a gap of two seconds took one version for proven by its own lists. A version that another VM granted slots in between two of these lists, and that left again, was in none of them. The record in the store named it, but this VM had read the record at its start.

Evidence: the example ("serve", 0, 60), join, ("poll", 1), leave, 0.1 s, ("poll", 0) of test_no_order_of_events_hides_a_version_that_was_granted_slots failed: the VM proved the first version while the second one had been granted slots.

Change: a proof names the time until which it holds, and needs a reading of the record sent since then. A client that resumes a stream of unknown origin causes one read of the record beside that of the registry; many share it. Any build that keeps the record writes it before the first slot, so the reading names each version that was granted one.

--- a/fireflyquay/dispatch/_backend_registry.py
+++ b/fireflyquay/dispatch/_backend_registry.py
@@ -161,20 +161,36 @@
     @property
     def is_record_current(self) -> bool:
         """Return whether all since the last reading of the record was observed."""
-        since, reading = self._observed_since, self._version_reading
-        return since is None or (reading is not None and reading.sent_at >= since)
+        since = self._observed_since
+        return since is None or self.is_record_read_since(since)
+
+    def is_record_read_since(self, since: float) -> bool:
+        """Return whether the store's record of versions was read since a time."""
+        reading = self._version_reading
+        return reading is not None and reading.sent_at >= since
 
     def had_one_version(
-        self, service: ServiceId, seconds: float, now: float, unix_ms: float
+        self,
+        service: ServiceId,
+        seconds: float,
+        until: float,
+        now: float,
+        unix_ms: float,
     ) -> bool:
         """Return whether a service surely ran one software version for some seconds.
 
-        What this VM did not observe itself, the store's record must prove: the absence
-        of a version from the registry proves nothing of the time before.
+        That is, from so many seconds ago until the given time. What this VM did not
+        observe itself, the store's record must prove: the absence of a version from the
+        registry proves nothing of the time before. Between two reads of this VM another
+        one may have granted slots at a version, and recorded it.
         """
         since = now - seconds
         if self.freshness.compute_age(now) > MAX_VERSIONS_AGE_SECONDS:
             return False
+        if self.freshness.confirmed_at < until:
+            return False
+        if self._version_reading is not None and not self.is_record_read_since(until):
+            return False
         entries = [it for it in self._entries.values() if it.service == service]
         versions = {it.version for it in entries}
         versions |= {
--- a/fireflyquay/dispatch/tests/test_software_versions.py
+++ b/fireflyquay/dispatch/tests/test_software_versions.py
@@ -243,26 +243,28 @@
 )
 def test_service_had_one_version(lists, expected):
     registry = make_registry(*lists)
-    assert registry.had_one_version(SERVICE, LIFETIME, 100.0, 200_000.0) is expected
+    assert (
+        registry.had_one_version(SERVICE, LIFETIME, 100.0, 100.0, 200_000.0) is expected
+    )
 
 
 def test_outdated_registry_proves_no_single_version():
     registry = make_registry((0.0, [make_server("e1", OLD)]), until=50.0)
-    assert not registry.had_one_version(SERVICE, LIFETIME, 100.0, 200_000.0)
+    assert not registry.had_one_version(SERVICE, LIFETIME, 50.0, 100.0, 200_000.0)
 
 
 def test_version_that_joins_and_leaves_while_the_registry_is_old_is_not_passed_over():
     registry = make_registry((0.0, [make_server("e1", OLD)]), until=77.0)
     registry.mark_confirmed(Freshness(0, 80.0))
     confirm(registry, 100.0)
-    assert not registry.had_one_version(SERVICE, LIFETIME, 100.0, 200_000.0)
+    assert not registry.had_one_version(SERVICE, LIFETIME, 100.0, 100.0, 200_000.0)
     confirm(registry, 110.0)
-    assert registry.had_one_version(SERVICE, LIFETIME, 110.0, 210_000.0)
+    assert registry.had_one_version(SERVICE, LIFETIME, 110.0, 110.0, 210_000.0)
 
 
 def test_new_registry_proves_no_single_version_by_the_age_of_its_servers():
     registry = make_registry((100.0, [make_server("e1", OLD, born_ms=1)]))
-    assert not registry.had_one_version(SERVICE, LIFETIME, 100.0, NOW_MS)
+    assert not registry.had_one_version(SERVICE, LIFETIME, 100.0, 100.0, NOW_MS)
 
 
 def make_reading(
@@ -295,24 +297,24 @@
 def test_new_registry_proves_a_single_version_by_the_record(reading, expected):
     registry = make_registry((100.0, [make_server("e1", OLD)]))
     registry.apply_version_reading(reading)
-    assert registry.had_one_version(SERVICE, LIFETIME, 100.0, NOW_MS) is expected
+    assert registry.had_one_version(SERVICE, LIFETIME, 100.0, 100.0, NOW_MS) is expected
 
 
 def test_record_names_a_version_that_joined_and_left_between_two_confirmations():
     registry = make_registry((0.0, [make_server("e1", OLD)]))
-    assert registry.had_one_version(SERVICE, LIFETIME, 100.0, NOW_MS)
+    assert registry.had_one_version(SERVICE, LIFETIME, 100.0, 100.0, NOW_MS)
     registry.apply_version_reading(make_reading({OLD: NOW_MS, NEW: NOW_MS - 500}))
-    assert not registry.had_one_version(SERVICE, LIFETIME, 100.0, NOW_MS)
+    assert not registry.had_one_version(SERVICE, LIFETIME, 100.0, 100.0, NOW_MS)
     long_ago = NOW_MS - 1000 * (LIFETIME + 5)
     registry.apply_version_reading(make_reading({OLD: NOW_MS, NEW: long_ago}))
-    assert registry.had_one_version(SERVICE, LIFETIME, 100.0, NOW_MS)
+    assert registry.had_one_version(SERVICE, LIFETIME, 100.0, 100.0, NOW_MS)
 
 
 def test_record_does_not_hide_a_version_that_is_registered():
     entries = [make_server("e1", OLD), make_server("e2", NEW)]
     registry = make_registry((100.0, entries))
     registry.apply_version_reading(make_reading({OLD: NOW_MS}))
-    assert not registry.had_one_version(SERVICE, LIFETIME, 100.0, NOW_MS)
+    assert not registry.had_one_version(SERVICE, LIFETIME, 100.0, 100.0, NOW_MS)
 
 
 def test_record_that_was_not_confirmed_for_long_begins_anew():
--- a/fireflyquay/gateway/_state_replicas.py
+++ b/fireflyquay/gateway/_state_replicas.py
@@ -90,14 +90,18 @@
         return self._is_store_available
 
     async def confirm_backends(self, since: float) -> None:
-        """Wait until a read sent since a time on the age clock confirms the registry.
+        """Wait until reads sent since a time confirm the registry and its versions.
 
-        Never returns while the store can't be read.
+        The time is on the age clock. Never returns while the store can't be read.
         """
-        while self.backends.freshness.confirmed_at < since:
+        self._versions.request_reading(since)
+        while not (
+            self.backends.freshness.confirmed_at >= since
+            and self._versions.is_confirmed(since)
+        ):
             if self._backends_read_at < since:
                 self._backends_requested.set()
-            # Another VM may confirm it meanwhile.
+            # Another VM may confirm the registry meanwhile.
             await _wait(self._backends_read_ended, AGE_CHECK_INTERVAL_SECONDS)
 
     def compute_config_age(self) -> float:
@@ -175,7 +179,7 @@
     async def _read_backends(self) -> None:
         sent_at = self._backends_read_at = self._clock.read()
         try:
-            snapshot = await self._source.list_backends()
+            await self._read_backends_and_versions(sent_at)
         finally:
             self._backends_read_at = float("-inf")
             ended, self._backends_read_ended = (
@@ -183,6 +187,10 @@
                 asyncio.Event(),
             )
             ended.set()
+        self.on_backends_read()
+
+    async def _read_backends_and_versions(self, sent_at: float) -> None:
+        snapshot = await self._source.list_backends()
         now = self._clock.read()
         self.backends.detect_outage(sent_at, now)
         # Other VMs may have confirmed the state since the restore.
@@ -205,7 +213,6 @@
             extra = {"names": names, "count": len(snapshot.unreadable)}
             LOG.warning("registrations unreadable", extra=extra)
         await self._versions.confirm(snapshot)
-        self.on_backends_read()
 
     def _apply_backends(
         self, entries: Sequence[BackendEntry], freshness: Freshness
--- a/fireflyquay/gateway/_stream_locator.py
+++ b/fireflyquay/gateway/_stream_locator.py
@@ -67,7 +67,7 @@
     ) -> None:
         self._origins = origins
         self._backends = backends
-        # Returns once the registry is confirmed by a read sent since a time.
+        # Returns once reads sent since a time confirm the registry and its versions.
         self._confirm_backends = confirm_backends
         self._clock = clock
         self._peers: Peers | None = None
@@ -193,10 +193,12 @@
             # One of them mostly knows, which saves a read.
             await asyncio.sleep(LOOKUP_INTERVAL_SECONDS)
         await self._confirm_backends(since)
-        origin = self._find_only_origin(call, shares[0].service)
+        origin = self._find_only_origin(call, shares[0].service, since)
         return None if origin is None else (origin, _OriginSource.SINGLE_VERSION)
 
-    def _find_only_origin(self, call: Call, service: ServiceId) -> StreamOrigin | None:
+    def _find_only_origin(
+        self, call: Call, service: ServiceId, resumed_at: float
+    ) -> StreamOrigin | None:
         """Return where a stream of a service must have begun, by what is registered.
 
         What the client has left of its time the stream can't have lasted yet.
@@ -206,6 +208,7 @@
         if len(versions) != 1 or not self._backends.had_one_version(
             service,
             max(0.0, self._origins.lifetime - seconds_left),
+            resumed_at,
             self._clock.read(),
             self._clock.read_unix_ms(),
         ):
--- a/fireflyquay/gateway/_version_keeper.py
+++ b/fireflyquay/gateway/_version_keeper.py
@@ -49,6 +49,8 @@
         self._confirms_for_fleet = confirms_for_fleet
         # The record as last read or written; None if it may have changed unnoticed.
         self._reading: VersionReading | None = None
+        # Time on the age clock since which a reading was requested.
+        self._requested_since = float("-inf")
         self._is_available = True
 
     @property
@@ -56,6 +58,14 @@
         """Return whether the record must be read since the registry has a gap."""
         return self._is_needed and not self._backends.is_record_current
 
+    def request_reading(self, since: float) -> None:
+        """Read the record beside the registry unless that was done since a time."""
+        self._requested_since = max(self._requested_since, since)
+
+    def is_confirmed(self, since: float) -> bool:
+        """Return whether the record, if one is kept, was read since a time."""
+        return not self._is_needed or self._backends.is_record_read_since(since)
+
     @property
     def _is_needed(self) -> bool:
         return (
@@ -80,7 +90,7 @@
         """Confirm the record on behalf of the fleet, or read it if that is due."""
         if not self._is_needed:
             return
-        if self.is_due:
+        if self.is_due or not self.is_confirmed(self._requested_since):
             self._reading = None
         confirms = self._confirms_for_fleet()
         if self._reading is None or (confirms and self._is_confirmation_due()):
--- a/fireflyquay/gateway/tests/test_version_keeper.py
+++ b/fireflyquay/gateway/tests/test_version_keeper.py
@@ -144,9 +144,26 @@
             if it.phase is BackendPhase.READY
         }
 
+    async def prove(self):
+        """Read what a client that resumes a stream needs."""
+        self.replicas._versions.request_reading(self.store.now)
+        await self.poll(False)
+
+    def get_confirmed_at(self):
+        """Return the latest time until which this VM could prove anything."""
+        confirmed_at = self.registry.freshness.confirmed_at
+        if self.source.takes_records:
+            reading = self.registry._version_reading
+            confirmed_at = min(confirmed_at, reading.sent_at if reading else 0.0)
+        return confirmed_at
+
     def proves_one_version(self):
         return self.registry.had_one_version(
-            SERVICE, PROVEN_SECONDS, self.store.now, self.clock.read_unix_ms()
+            SERVICE,
+            PROVEN_SECONDS,
+            self.get_confirmed_at(),
+            self.store.now,
+            self.clock.read_unix_ms(),
         )
 
 
@@ -178,7 +195,7 @@
             if not vm.proves_one_version():
                 continue
             # What happens after the last confirmation can't be known.
-            until = vm.registry.freshness.confirmed_at
+            until = vm.get_confirmed_at()
             granted = {
                 version
                 for version, times in self.granted_at.items()
@@ -200,6 +217,9 @@
     async def poll(self, vm, coordinates):
         await self.vms[vm].poll(coordinates)
 
+    async def prove(self, vm):
+        await self.vms[vm].prove()
+
     async def copy_registry(self, vm, other):
         self.vms[vm].copy_registry(self.vms[other])
 
@@ -250,6 +270,7 @@
 EVENTS = st.one_of(
     st.tuples(st.just("serve"), vms, st.sampled_from([1, 2, 10, 60, 200])),
     st.tuples(st.just("poll"), vms, st.booleans()),
+    st.tuples(st.just("prove"), vms),
     st.tuples(st.just("copy_registry"), vms, vms),
     st.tuples(st.just("join"), versions),
     st.tuples(st.just("leave"), versions),
@@ -296,6 +317,18 @@
         ("serve", 2, 2),
     ]
 )
+# The second version joins and leaves between two reads of a VM that has served for
+# long, while another VM coordinates.
+@example(
+    [
+        ("serve", 0, 60),
+        ("join", NEW),
+        ("poll", 1, True),
+        ("leave", NEW),
+        ("wait", 0.1),
+        ("prove", 0),
+    ]
+)
 def test_no_order_of_events_hides_a_version_that_was_granted_slots(events):
     asyncio.run(World().play(events))
 
