Record versions that an older build granted slots without recording them

What callers could see: beside a coordinator of a build that keeps no record of versions, a version joins, serves streams and leaves within 30 s; after a kill of all VMs, a VM of this build takes the other version for the only one, and streams go on there (ORDER).

Cause: only the VM that reads the registry for the others records versions. One that follows took over what its coordinator lists without asking whether that was recorded, and the record, confirmed within the last 30 s by an earlier coordinator, seemed whole.

Change: a VM remembers which ready versions its reading of the record does not hold, and reads the record, and adds them if need be. That costs each VM two calls for each version that joins; after a failure it waits a second.

--- a/fireflyquay/dispatch/__init__.py
+++ b/fireflyquay/dispatch/__init__.py
@@ -1,6 +1,10 @@
 """Assignment of requests to slots on backend servers, and its replicated state."""
 
-from ._backend_registry import REREGISTRATION_SECONDS, BackendRegistry
+from ._backend_registry import (
+    REREGISTRATION_SECONDS,
+    BackendRegistry,
+    list_ready_versions,
+)
 from ._config_replica import ConfigReplica
 from ._control_message import (
     ActiveRun,
@@ -67,6 +71,7 @@
     "CrashTracker",
     "EvidenceRecord",
     "SuspicionChange",
+    "list_ready_versions",
     "list_suspects",
     "make_stored_news",
     "Decision",
--- a/fireflyquay/dispatch/_backend_registry.py
+++ b/fireflyquay/dispatch/_backend_registry.py
@@ -54,6 +54,8 @@
         self._observed_since: float | None = None
         # The last reading of the store's record of software versions.
         self._version_reading: VersionReading | None = None
+        # Versions that accepted requests and may be missing from that record.
+        self.unrecorded_versions: frozenset[VersionKey] = frozenset()
         self.freshness = Freshness(0, float("-inf"))
 
     def replace_all(
@@ -79,6 +81,7 @@
         changes += _describe_changes(self._entries, entries_by_id)
         self._observe(freshness.confirmed_at)
         self._record_versions(entries_by_id, freshness.confirmed_at)
+        self._find_unrecorded(entries_by_id, freshness.confirmed_at)
         self._entries = entries_by_id
         self._digest = None
         self.freshness = freshness
@@ -146,17 +149,15 @@
         """Return the software versions of a service's registered backend servers."""
         return {it.version for it in self._entries.values() if it.service == service}
 
-    def list_ready_versions(self) -> set[VersionKey]:
-        """Return the versions of the backend servers that accept requests."""
-        return {
-            (it.service, it.version)
-            for it in self._entries.values()
-            if it.phase is BackendPhase.READY
-        }
-
     def apply_version_reading(self, reading: VersionReading) -> None:
         """Use a reading of the store's record of software versions."""
         self._version_reading = reading
+        ready = list_ready_versions(self._entries.values())
+        self.unrecorded_versions = frozenset(
+            it
+            for it in ready | self.unrecorded_versions
+            if not reading.record.holds(it, reading.sent_ms)
+        )
 
     @property
     def is_record_current(self) -> bool:
@@ -237,6 +238,19 @@
             if key not in present and now - left_at < VERSION_MEMORY_SECONDS
         }
 
+    def _find_unrecorded(
+        self, new: dict[BackendServerId, BackendEntry], now: float
+    ) -> None:
+        """Add the versions that join without being held by a later reading."""
+        ready = list_ready_versions(new.values())
+        joining = ready - list_ready_versions(self._entries.values())
+        reading = self._version_reading
+        if reading is not None and reading.sent_at >= now:
+            joining = frozenset(
+                it for it in joining if not reading.record.holds(it, reading.sent_ms)
+            )
+        self.unrecorded_versions |= joining
+
     @staticmethod
     def _is_reverted(known: BackendEntry, listed: BackendEntry | None) -> bool:
         """Return whether a listed entry is from before its backend server's leave."""
@@ -266,6 +280,13 @@
         ]
 
 
+def list_ready_versions(entries: Iterable[BackendEntry]) -> frozenset[VersionKey]:
+    """Return the versions of the backend servers that accept requests."""
+    return frozenset(
+        (it.service, it.version) for it in entries if it.phase is BackendPhase.READY
+    )
+
+
 def _describe_changes(
     old: dict[BackendServerId, BackendEntry], new: dict[BackendServerId, BackendEntry]
 ) -> list[str]:
--- a/fireflyquay/gateway/_version_keeper.py
+++ b/fireflyquay/gateway/_version_keeper.py
@@ -12,6 +12,7 @@
     VersionKey,
     VersionReading,
     VersionRecord,
+    list_ready_versions,
 )
 from fireflyquay.links import HttpFailure
 from fireflyquay.world import BackendEntry, BackendPhase, Code
@@ -25,6 +26,8 @@
 CONFIRM_INTERVAL_MS = 10_000
 # Number of tries to write the record while other VMs write it too.
 MAX_TRIES = 4
+# Seconds after a failure in which versions that may lack a record cause no read.
+RETRY_SECONDS = 1.0
 
 
 class VersionKeeper:
@@ -52,11 +55,22 @@
         # Time on the age clock since which a reading was requested.
         self._requested_since = float("-inf")
         self._is_available = True
+        # Time of the last failure on the age clock.
+        self._failed_at = float("-inf")
 
     @property
     def is_due(self) -> bool:
-        """Return whether the record must be read since the registry has a gap."""
-        return self._is_needed and not self._backends.is_record_current
+        """Return whether the record must be read.
+
+        That is after a gap of the registry, and where other VMs grant slots at a
+        version that an older build may not have recorded.
+        """
+        if not self._is_needed:
+            return False
+        if not self._backends.is_record_current:
+            return True
+        has_waited = self._clock.read() - self._failed_at >= RETRY_SECONDS
+        return bool(self._backends.unrecorded_versions) and has_waited
 
     def request_reading(self, since: float) -> None:
         """Read the record beside the registry unless that was done since a time."""
@@ -72,16 +86,15 @@
             self._source.keeps_record(VersionRecord) and self._has_resumable_streams()
         )
 
-    def find_joining(self, snapshot: BackendsSnapshot) -> set[VersionKey]:
+    def find_joining(self, snapshot: BackendsSnapshot) -> frozenset[VersionKey]:
         """Return the versions that must be recorded before their first slot."""
         if not self._is_needed:
-            return set()
-        accepting = BackendPhase.READY
-        ready = {_get_key(it) for it in snapshot.entries if it.phase is accepting}
-        return ready - self._backends.list_ready_versions()
+            return frozenset()
+        ready = list_ready_versions(snapshot.entries)
+        return ready - list_ready_versions(self._backends.list_backends())
 
     async def record(
-        self, joining: set[VersionKey], snapshot: BackendsSnapshot
+        self, joining: frozenset[VersionKey], snapshot: BackendsSnapshot
     ) -> bool:
         """Record versions that join; return whether slots may be granted there."""
         return await self._try_record(joining, snapshot, confirms=False)
@@ -94,7 +107,8 @@
             self._reading = None
         confirms = self._confirms_for_fleet()
         if self._reading is None or (confirms and self._is_confirmation_due()):
-            await self._try_record(set(), snapshot, confirms)
+            unrecorded = self._backends.unrecorded_versions
+            await self._try_record(unrecorded, snapshot, confirms)
 
     def _is_confirmation_due(self) -> bool:
         assert self._reading is not None
@@ -103,7 +117,7 @@
 
     async def _try_record(
         self,
-        joining: set[VersionKey],
+        joining: frozenset[VersionKey],
         snapshot: BackendsSnapshot,
         confirms: bool,
     ) -> bool:
@@ -113,6 +127,7 @@
         except HttpFailure as failure:
             # A write without a response may have been executed.
             self._reading = None
+            self._failed_at = self._clock.read()
             self._report(False, failure.sentence)
             # Where the store takes no such objects, no record can be wrong.
             return not self._source.keeps_record(VersionRecord)
@@ -120,9 +135,9 @@
         return True
 
     async def _record(
-        self, joining: set[VersionKey], snapshot: BackendsSnapshot, confirms: bool
+        self, joining: frozenset[VersionKey], snapshot: BackendsSnapshot, confirms: bool
     ) -> None:
-        present = {_get_key(it) for it in snapshot.entries}
+        present = {_get_key(it) for it in snapshot.entries} | joining
         for _ in range(MAX_TRIES):
             sent_at, now_ms = self._clock.read(), self._clock.read_unix_ms()
             if self._reading is None:
@@ -178,7 +193,7 @@
 
 
 def withhold(
-    entries: Sequence[BackendEntry], joining: set[VersionKey]
+    entries: Sequence[BackendEntry], joining: frozenset[VersionKey]
 ) -> list[BackendEntry]:
     """Return the entries, those of versions that join as leaving."""
     return [
--- a/fireflyquay/gateway/tests/test_version_keeper.py
+++ b/fireflyquay/gateway/tests/test_version_keeper.py
@@ -344,6 +344,27 @@
     asyncio.run(run())
 
 
+def test_version_that_an_older_build_granted_slots_unrecorded_is_recorded_by_others():
+    # A VM that starts after a kill of all would prove the other version.
+    async def run():
+        world = World()
+        await world.play([("serve", 0, 100)])
+        world.vms[0].source.takes_records = False
+        await world.play([("join", NEW), ("serve", 0, 1)])
+        assert world.vms[0].list_granted() == {OLD, NEW}
+        for vm in world.vms[1:]:
+            if vm.replicas._versions.is_due:
+                await vm.poll(False)
+        calls = [it.source.calls for it in world.vms]
+        await world.play([("serve", 0, 4)])
+        assert not any(it.replicas._versions.is_due for it in world.vms[1:])
+        assert [it.source.calls for it in world.vms[1:]] == calls[1:]
+        await world.play([("leave", NEW), ("kill_all",), ("prove", 2)])
+        assert not world.vms[2].proves_one_version()
+
+    asyncio.run(run())
+
+
 def test_version_that_can_not_be_recorded_gets_no_slot_until_it_is():
     async def run():
         world = World()
