Archive the streams of each service from its own time on

What callers saw: their streams were refused after a kill of all VMs (503, LOST where a release went before), though several versions had served for long: an earlier archive, of another service, had moved the time up to which streams count as archived.

Cause: one such time for all services. A service that came to run two versions later was archived only from then on.

Change: a time for each service.

--- a/fireflyquay/dispatch/_stream_origins.py
+++ b/fireflyquay/dispatch/_stream_origins.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from fireflyquay.world import AttemptId, Incarnation, ServiceId, SoftwareVersion
@@ -76,14 +78,19 @@
             while len(self._begun_at) > MAX_ORIGINS:
                 self._begun_at.popitem(last=False)
 
-    def list_begun(self, since: float) -> list[tuple[AttemptId, StreamOrigin]]:
-        """Return the origins of the streams that began later than the given time."""
+    def list_begun(
+        self, since: Mapping[ServiceId, float]
+    ) -> list[tuple[AttemptId, StreamOrigin]]:
+        """Return the origins of streams that began later than a time per service."""
         found = []
+        earliest = min(since.values(), default=math.inf)
         for stream, begun_at in reversed(self._begun_at.items()):
-            if begun_at <= since:
+            if begun_at <= earliest:
                 break
             entry = self._entries.get(stream)
-            if entry is not None:
+            if entry is None:
+                continue
+            if begun_at > since.get(entry.origin.service, math.inf):
                 found.append((stream, entry.origin))
         return found
 
--- a/fireflyquay/dispatch/tests/test_software_versions.py
+++ b/fireflyquay/dispatch/tests/test_software_versions.py
@@ -24,7 +24,13 @@
     VersionRecord,
 )
 from fireflyquay.dispatch._origin_archive import MAX_ARCHIVED_STREAMS
-from fireflyquay.world import AttemptId, BackendServerId, Code, SoftwareVersion
+from fireflyquay.world import (
+    AttemptId,
+    BackendServerId,
+    Code,
+    ServiceId,
+    SoftwareVersion,
+)
 
 from .builders import (
     OTHER_VM,
@@ -183,13 +189,16 @@
     for number, excluded in ((1, ("e2",)), (2, ("e1",))):
         request = make_request(number, stream=STREAM, excluded=excluded)
         coordinator.submit(request, float(number))
-        assert not coordinator.origins.list_begun(0.0)
+        assert not coordinator.origins.list_begun({SERVICE: 0.0})
     output = FirstOutput(2, BackendServerId("e2"))
     coordinator.handle_message(OWN_VM, output, 3.0)
-    assert coordinator.origins.list_begun(0.0) == [(STREAM, StreamOrigin(SERVICE, NEW))]
-    assert not coordinator.origins.list_begun(3.0)
+    assert coordinator.origins.list_begun({SERVICE: 0.0}) == [
+        (STREAM, StreamOrigin(SERVICE, NEW))
+    ]
+    assert not coordinator.origins.list_begun({SERVICE: 3.0})
+    assert not coordinator.origins.list_begun({ServiceId("other"): 0.0})
     coordinator.origins.expire(3.0 + 2 * coordinator.origins.lifetime)
-    assert not coordinator.origins.list_begun(0.0)
+    assert not coordinator.origins.list_begun({SERVICE: 0.0})
 
 
 def test_archive_drops_what_no_client_can_resume_and_stays_small():
--- a/fireflyquay/gateway/_origin_archiver.py
+++ b/fireflyquay/gateway/_origin_archiver.py
@@ -49,8 +49,8 @@
         self._is_coordinating = is_coordinating
         # The archive as last read or written; None if it may have changed.
         self._stored: StoredRecord[OriginArchive] | None = None
-        # Loop time up to which streams are archived.
-        self._archived_until = float("-inf")
+        # Loop time up to which the streams of each service are archived.
+        self._archived_until: dict[ServiceId, float] = {}
         self._read_requested = asyncio.Event()
         self._writes_requested = asyncio.Event()
 
@@ -110,12 +110,11 @@
     async def _write(self) -> None:
         now, services = asyncio.get_running_loop().time(), self._list_services()
         lifetime = self._origins.lifetime
-        since = max(self._archived_until, now - lifetime)
-        begun = [
-            (stream, origin)
-            for stream, origin in self._origins.list_begun(since)
-            if origin.service in services
-        ]
+        since = {
+            it: max(self._archived_until.get(it, float("-inf")), now - lifetime)
+            for it in services
+        }
+        begun = self._origins.list_begun(since)
         if not begun:
             return
         if self._stored is None:
@@ -126,4 +125,4 @@
         revision, self._stored = self._stored.revision, None
         self._stored = await self._source.write_record(archive, revision)
         if self._stored is not None:
-            self._archived_until = now
+            self._archived_until |= dict.fromkeys(services, now)
