Count a VM that joins once in the division of limits

What callers saw: right after VMs had joined, a client account within its quota could be refused (429): the coordinator granted 0.6 of it.

Cause: the VMs that a coordinator expects at its start, or has lost, are forgotten as missing up to a quarter of a second after they join; until then they counted as live and as missing: three of five in place of three of three.

Measured: test_vm_that_has_just_joined_counts_once_in_the_division_of_limits fails before (0.5) and passes after.

--- a/fireflyquay/gateway/_fleet.py
+++ b/fireflyquay/gateway/_fleet.py
@@ -393,6 +393,8 @@
         if share != self._coordinator.share:
             self._coordinator.set_share(share)
         now = asyncio.get_running_loop().time()
+        # A VM that has joined since the last check would count twice.
+        self._forget_missing_vms(now)
         heard_since = now - FOLLOWER_SILENT_SECONDS
         reached_count = 1 + sum(
             self._last_heard_at.get(it, -math.inf) >= heard_since
