Refund a grant that comes too late for its request

What callers could see: a client account within its quota is refused (429) after a change of coordinators, the other side of quotas that are granted again.

Cause: the charge of a grant was final once the coordinator had decided. A grant that arrives after its VM has changed to another coordinator, or after the client has left, is given back, but its charge stayed, and the next coordinator, told by the ledger, counted the request twice.

Change: a VM that gets a grant which no request waits for says so as it gives it back; the coordinator then refunds what it charged within the last two seconds. A build before this one ignores the new field, and its VMs refund nothing, as before. A request that asks for another slot without being charged again is not refunded.

Measured: test_grant_that_comes_after_a_change_of_coordinators_is_charged_once fails before (two of four requests refused) and passes after; dispatch, gateway/test_slot_client and the test of message compatibility pass. Found by reading, while another failure was traced; no run of real processes showed it.

--- a/fireflyquay/dispatch/_control_message.py
+++ b/fireflyquay/dispatch/_control_message.py
@@ -35,6 +35,8 @@
     """Cancel a slot request, waiting or granted, that is no longer needed."""
 
     number: int
+    # Whether the request got no slot from its grant, nor is charged by it.
+    refunds: bool = False
 
 
 class FirstOutput(Message):
--- a/fireflyquay/dispatch/_coordinator.py
+++ b/fireflyquay/dispatch/_coordinator.py
@@ -45,6 +45,9 @@
 # Retry-After of a client account at its in-flight limit, which may have fewer requests
 # in progress after this time: a few typical runs.
 IN_FLIGHT_RETRY_AFTER_SECONDS = 0.5
+# Time within which a VM returns a grant that came too late: a delivery each way, by a
+# connection that loses a packet, and some tenths on a busy VM.
+MAX_REFUND_SECONDS = 2.0
 
 
 class Coordinator:
@@ -74,6 +77,10 @@
         self.followers: set[Incarnation] = set()
         # Client account and charged quota tokens of each waiting request.
         self._charges: dict[SlotRequestKey, tuple[ClientAccountId, float]] = {}
+        # Loop time of recent grants, and what they charged.
+        self._granted_charges: dict[
+            SlotRequestKey, tuple[float, ClientAccountId, float]
+        ] = {}
         # Fraction of the slots that may be granted here.
         self.share = 1.0
         # Fraction of quotas, extra retries and stated limits that may be granted here.
@@ -153,13 +160,19 @@
             case SlotRequest():
                 self.followers.add(sender)
                 return self.submit(message, now)
-            case Cancellation(number):
+            case Cancellation(number, refunds):
                 self._refund((sender, number))
-                return self._settle_charges(scheduler.cancel((sender, number), now))
+                if refunds:
+                    self._refund_granted((sender, number), now)
+                return self._settle_charges(
+                    scheduler.cancel((sender, number), now), now
+                )
             case FirstOutput(number, backend, version):
                 scheduler.record_first_output((sender, number), backend, now, version)
             case RunEnded():
-                return self._settle_charges(scheduler.end_run(sender, message, now))
+                return self._settle_charges(
+                    scheduler.end_run(sender, message, now), now
+                )
             case BackendPause():
                 self._pause(message, now)
             case BackendNews():
@@ -167,7 +180,9 @@
             case Handover():
                 return self._apply_handover(sender, message, now)
             case ActiveRunsReport(runs):
-                return self._settle_charges(self._reconcile_runs(sender, runs, now))
+                return self._settle_charges(
+                    self._reconcile_runs(sender, runs, now), now
+                )
             case Detach():
                 return self.remove_vm(sender, now)
         return []
@@ -187,27 +202,43 @@
         self.followers.discard(owner)
         for key in [key for key in self._charges if key[0] == owner]:
             self._refund(key)
-        return self._settle_charges(self._scheduler.remove_vm(owner, now))
+        return self._settle_charges(self._scheduler.remove_vm(owner, now), now)
 
     def advance(self, now: float) -> list[Decision]:
         """Grant free slots; refuse expired requests and late ones under overload."""
-        return self._settle_charges(self._scheduler.advance(now))
+        return self._settle_charges(self._scheduler.advance(now), now)
 
     def _enqueue(self, request: SlotRequest, now: float) -> list[Decision]:
         account = self._config.get_account(request.account)
         weight = None if account is None else account.share
-        return self._settle_charges(self._scheduler.submit(request, now, weight))
+        return self._settle_charges(self._scheduler.submit(request, now, weight), now)
 
-    def _settle_charges(self, decisions: list[Decision]) -> list[Decision]:
-        """Refund the charges of refused requests; those of granted ones are final."""
+    def _settle_charges(self, decisions: list[Decision], now: float) -> list[Decision]:
+        """Refund the charges of refused requests; those of used grants are final."""
         for decision in decisions:
             key = (decision.owner, decision.number)
             if isinstance(decision, Refusal):
                 self._refund(key)
-            else:
-                self._charges.pop(key, None)
+                continue
+            charged = self._charges.pop(key, None)
+            if charged is not None:
+                self._granted_charges[key] = (now, *charged)
+        self._forget_granted(now)
         return decisions
 
+    def _refund_granted(self, key: SlotRequestKey, now: float) -> None:
+        """Refund the charge of a grant that came too late for its request."""
+        self._forget_granted(now)
+        granted = self._granted_charges.pop(key, None)
+        if granted is not None:
+            self.quotas.refund(*granted[1:])
+
+    def _forget_granted(self, now: float) -> None:
+        for key, granted in list(self._granted_charges.items()):
+            if now - granted[0] <= MAX_REFUND_SECONDS:
+                return
+            del self._granted_charges[key]
+
     def _refund(self, key: SlotRequestKey) -> None:
         charged = self._charges.pop(key, None)
         if charged is not None:
@@ -271,7 +302,7 @@
             origin = StreamOrigin(it.service, it.version)
             self.origins.record(it.stream, origin, now)
         self.limits.apply_handover(sender, handover, now)
-        return self._settle_charges(decisions)
+        return self._settle_charges(decisions, now)
 
     def _pause(self, pause: BackendPause, now: float) -> None:
         scheduler, seconds = self._scheduler, pause.seconds
--- a/fireflyquay/dispatch/tests/builders.py
+++ b/fireflyquay/dispatch/tests/builders.py
@@ -131,10 +131,11 @@
     account: ClientAccount | None = None,
     retry_budget: RetryBudget | None = None,
     settings: SlotSchedulerSettings | None = None,
+    own: Incarnation = OWN_VM,
 ) -> Coordinator:
     config = ConfigReplica()
     accounts = (account,) if account else ()
     config.apply_config(make_config(accounts=accounts), Freshness(1, 0.0))
     scheduler = SlotScheduler(settings or SlotSchedulerSettings(), random.Random(1))
     budget = retry_budget or RetryBudget(0.2, 10, 10)
-    return Coordinator(OWN_VM, config, scheduler, budget, QuotaLimiter())
+    return Coordinator(own, config, scheduler, budget, QuotaLimiter())
--- a/fireflyquay/gateway/_slot_client.py
+++ b/fireflyquay/gateway/_slot_client.py
@@ -306,7 +306,7 @@
             return
         if pending is None or pending.target != sender:
             if isinstance(message, Grant) and self._peers is not None:
-                self._peers.send(sender, Cancellation(message.number))
+                self._peers.send(sender, Cancellation(message.number, True))
             return
         if isinstance(message, Grant):
             # The local coordinator tracks all runs of this VM so that it can take over.
@@ -339,7 +339,7 @@
             if pending is not None and pending.target == self._own:
                 self._resolve(decision, now)
             elif isinstance(decision, Grant):
-                cancellation = Cancellation(decision.number)
+                cancellation = Cancellation(decision.number, True)
                 self.deliver_decisions(
                     self._local_coordinator.handle_message(self._own, cancellation, now)
                 )
--- a/fireflyquay/gateway/tests/test_slot_client.py
+++ b/fireflyquay/gateway/tests/test_slot_client.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from fireflyquay.dispatch import Grant, Handover, Refusal
+from fireflyquay.dispatch import Cancellation, Detach, Grant, Handover, Refusal
 from fireflyquay.dispatch.tests.builders import (
     ACCOUNT,
     OTHER_VM,
@@ -86,3 +86,45 @@
         assert isinstance(await client.acquire(make_request(4)), Grant)
 
     run_with_client(scenario)
+
+
+def test_grant_that_comes_after_a_change_of_coordinators_is_charged_once():
+    # Both coordinators charged it, and the account was refused within its quota.
+    async def scenario(client, coordinator, peers):
+        account = make_account(100.0, 5000.0)
+        request, other = make_request(1), make_coordinator(account, own=OTHER_VM)
+        other.set_backends([make_backend_entry("e1", slots=50)])
+        task = asyncio.ensure_future(client.acquire(request))
+        await asyncio.sleep(0)
+        now = asyncio.get_running_loop().time()
+        [late] = other.handle_message(OWN_VM, request, now)
+        peers.coordinator = OWN_VM
+        client._follow_coordinator(now)
+        assert isinstance(await task, Grant)
+        peers.sent.clear()
+        client.handle_message_to_follower(OTHER_VM, late)
+        [(target, cancellation)] = peers.sent
+        assert target == OTHER_VM
+        other.handle_message(OWN_VM, Detach(), now)
+        other.handle_message(OWN_VM, cancellation, now)
+        # The other VM tells the coordinator what is left.
+        coordinator.limits.adopt_ledger(other.limits.make_ledger(now), now)
+        decisions = [await client.acquire(make_request(n)) for n in (2, 3, 4, 5)]
+        assert [isinstance(it, Refusal) for it in decisions] == [False] * 3 + [True]
+
+    run_with_client(scenario)
+
+
+def test_late_grant_that_a_request_was_charged_for_is_not_refunded():
+    # The request asks for another slot, which it is not charged for.
+    coordinator = make_coordinator(make_account(10.0, 5000.0))
+    coordinator.set_backends([make_backend_entry("e1", slots=50)])
+    for number in range(4):
+        coordinator.handle_message(OTHER_VM, make_request(number), 0.0)
+        coordinator.handle_message(OTHER_VM, Cancellation(number), 0.0)
+    [refusal] = coordinator.handle_message(OTHER_VM, make_request(5), 0.0)
+    assert isinstance(refusal, Refusal)
+    # Too late to be refunded.
+    coordinator.handle_message(OTHER_VM, Cancellation(3, True), 3.0)
+    [refusal] = coordinator.handle_message(OTHER_VM, make_request(6), 3.0)
+    assert isinstance(refusal, Refusal)
