Hand over which backend servers may have restarted unnoticed

A worker that checks X-Expect-Instance refuses it; one that comes back under its id doesn't.

Cause: the doubt about a worker that refused connections was known to the coordinator of that moment only; its successor began without any.

--- a/fireflyquay/dispatch/_control_message.py
+++ b/fireflyquay/dispatch/_control_message.py
@@ -174,7 +174,8 @@
     news: tuple[BackendNews, ...] = ()
     # Origins of the streams that the sender sends to clients.
     origins: tuple[OriginResponse, ...] = ()
-    # Pauses that backend servers requested from the sender.
+    # Pauses that backend servers requested from the sender, and those of backend
+    # servers that may have restarted unnoticed.
     rests: tuple[BackendPause, ...] = ()
     # What the sender knows of recent usage; None from a VM that keeps no history.
     history: UsageHistory | None = None
--- a/fireflyquay/dispatch/_coordinator.py
+++ b/fireflyquay/dispatch/_coordinator.py
@@ -128,6 +128,10 @@
         """Return the rests that backend servers requested from a VM."""
         return self._scheduler.list_rests(vm, now)
 
+    def list_doubts(self, now: float) -> tuple[BackendPause, ...]:
+        """Return the pauses of backend servers that may have restarted unnoticed."""
+        return self._scheduler.list_doubts(now)
+
     def get_limit_rate(self, backend: BackendServerId, born_ms: int) -> float | None:
         """Return the requests per second that a limit allows; None without one."""
         belief = self.beliefs.get(backend, born_ms)
--- a/fireflyquay/dispatch/_scheduler.py
+++ b/fireflyquay/dispatch/_scheduler.py
@@ -254,6 +254,15 @@
             load.rest(vm, now + seconds, now)
             load.pause(now + min(seconds, MAX_SHARED_REST_SECONDS))
 
+    def list_doubts(self, now: float) -> tuple[BackendPause, ...]:
+        """Return the pauses of backend servers that may have restarted unnoticed."""
+        return tuple(
+            BackendPause(load.entry.id, 0.0, True)
+            for state in self._states.values()
+            for load in state.loads.values()
+            if now < load.doubted_until
+        )
+
     def list_rests(self, vm: Incarnation, now: float) -> tuple[BackendPause, ...]:
         """Return the rests that backend servers requested from a VM."""
         return tuple(
--- a/fireflyquay/gateway/_slot_client.py
+++ b/fireflyquay/gateway/_slot_client.py
@@ -465,7 +465,10 @@
                     self._own
                 )
             ),
-            self._local_coordinator.list_rests(self._own, now),
+            (
+                *self._local_coordinator.list_rests(self._own, now),
+                *self._local_coordinator.list_doubts(now),
+            ),
             self._local_coordinator.limits.make_history(granted, now),
         )
 
--- a/fireflyquay/gateway/tests/test_slot_client.py
+++ b/fireflyquay/gateway/tests/test_slot_client.py
@@ -14,6 +14,7 @@
     make_vm,
 )
 from fireflyquay.gateway._slot_client import Peers, SlotClient
+from fireflyquay.world import AttemptId, BackendServerId
 
 
 class FakePeers(Peers):
@@ -128,3 +129,24 @@
     coordinator.handle_message(OTHER_VM, Cancellation(3, True), 3.0)
     [refusal] = coordinator.handle_message(OTHER_VM, make_request(6), 3.0)
     assert isinstance(refusal, Refusal)
+
+
+def test_next_coordinator_continues_no_stream_at_a_server_that_may_have_restarted():
+    # A process of another version may answer there until its registration follows.
+    async def scenario(client, coordinator, peers):
+        peers.coordinator = OWN_VM
+        await client.acquire(make_request(1))
+        client.pause(BackendServerId("e1"), 0.0, True)
+        peers.coordinator = OTHER_VM
+        now = asyncio.get_running_loop().time()
+        client._follow_coordinator(now)
+        [handover] = [it for _, it in peers.sent if isinstance(it, Handover)]
+        successor = make_coordinator(own=OTHER_VM)
+        successor.set_backends([make_backend_entry("e1", slots=50)])
+        successor.handle_message(OWN_VM, handover, now)
+        version = make_backend_entry("e1").version
+        request = make_request(2, stream=AttemptId("stream"), version=version)
+        assert not successor.submit(request, now)
+        assert successor.submit(make_request(3), now)
+
+    run_with_client(scenario)
