--- a/fireflyquay/dispatch/_run_durations.py
+++ b/fireflyquay/dispatch/_run_durations.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import statistics
 from collections import deque
 from dataclasses import dataclass
 
@@ -10,6 +11,9 @@
 MAX_RUNS = 128
 # Number of remembered runs that a forecast compares: those nearest in size.
 COMPARED_RUNS = 16
+# By how much another run may take longer than the longest of them: a share of how far
+# that one lies above their median.
+SPREAD_MARGIN = 0.5
 # Prompt tokens that take about as long as one output token.
 PROMPT_TOKENS_PER_OUTPUT_TOKEN = 10.0
 
@@ -42,14 +46,19 @@
     def forecast(
         self, route: str, prompt_tokens: int, output_tokens: int
     ) -> float | None:
-        """Return the seconds of the longest similar run; None if none is known."""
+        """Return the seconds that a run may take; None if no run is known.
+
+        Runs that are alike leave little margin, those that differ leave more.
+        """
         runs = self._runs.get(route)
         if not runs:
             return None
         size = _compute_size(prompt_tokens, output_tokens)
         # The sort is stable, so that of equally near runs the latest come first.
         nearest = sorted(reversed(runs), key=lambda it: abs(math.log(it.size / size)))
-        return max(it.seconds for it in nearest[:COMPARED_RUNS])
+        seconds = [it.seconds for it in nearest[:COMPARED_RUNS]]
+        longest = max(seconds)
+        return longest + SPREAD_MARGIN * (longest - statistics.median(seconds))
 
 
 def _compute_size(prompt_tokens: int, output_tokens: int) -> float:
--- a/fireflyquay/gateway/_gateway.py
+++ b/fireflyquay/gateway/_gateway.py
@@ -68,7 +68,7 @@
 # connections, which takes a few tens of milliseconds, more on a busy machine.
 CLOSE_MARGIN_SECONDS = 0.5
 # Seconds before that in which requests without a response are answered.
-RESPONSE_MARGIN_SECONDS = 0.25
+RESPONSE_MARGIN_SECONDS = 0.15
 # Seconds between checks whether a stop is complete; much shorter than the grace period.
 STOP_POLL_INTERVAL_SECONDS = 0.05
 # Seconds beyond the configured idle timeout for which a client's connection is kept, so
--- a/fireflyquay/gateway/_stop_guard.py
+++ b/fireflyquay/gateway/_stop_guard.py
@@ -18,10 +18,10 @@
 
 LOG = logbook.Logger("requests")
 
-# By how much a run may take longer than the longest similar one: a share of that, and
-# seconds for connecting and for sending the response.
-DURATION_MARGIN_FACTOR = 1.25
-DURATION_MARGIN_SECONDS = 0.25
+# By how much a run may take longer than forecast: a factor, and seconds for connecting
+# and for sending the response.
+DURATION_MARGIN_FACTOR = 1.05
+DURATION_MARGIN_SECONDS = 0.1
 # Duration of a plain run of a route of which no run is known: a multiple of its target
 # latency, and of what the coordinator forecasts.
 UNKNOWN_DURATION_TARGET_FACTOR = 4.0
