End all unanswered calls of a stop, and forget old grants without copying them

A call that had reached its own deadline and was still cleaning up when a stop answers what has no response made that loop fail (RuntimeError: an expiring timeout can't be rescheduled), so that the calls after it were reset without an answer: test_call_that_has_just_timed_out_keeps_no_other_from_an_answer fails before.

The coordinator copied the grants of the last two seconds with each decision, which grows with the square of the load. They are forgotten from the oldest on now.

--- a/fireflyquay/dispatch/_control_message.py
+++ b/fireflyquay/dispatch/_control_message.py
@@ -35,7 +35,7 @@
     """Cancel a slot request, waiting or granted, that is no longer needed."""
 
     number: int
-    # Whether the request got no slot from its grant, nor is charged by it.
+    # Whether the grant came too late for its request, so that its charge is refunded.
     refunds: bool = False
 
 
--- a/fireflyquay/dispatch/_coordinator.py
+++ b/fireflyquay/dispatch/_coordinator.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from collections.abc import Iterable
 
 from fireflyquay.world import (
@@ -78,9 +79,9 @@
         # Client account and charged quota tokens of each waiting request.
         self._charges: dict[SlotRequestKey, tuple[ClientAccountId, float]] = {}
         # Loop time of recent grants, and what they charged.
-        self._granted_charges: dict[
+        self._granted_charges: OrderedDict[
             SlotRequestKey, tuple[float, ClientAccountId, float]
-        ] = {}
+        ] = OrderedDict()
         # Fraction of the slots that may be granted here.
         self.share = 1.0
         # Fraction of quotas, extra retries and stated limits that may be granted here.
@@ -238,10 +239,11 @@
             self.quotas.refund(*granted[1:])
 
     def _forget_granted(self, now: float) -> None:
-        for key, granted in list(self._granted_charges.items()):
-            if now - granted[0] <= MAX_REFUND_SECONDS:
+        while self._granted_charges:
+            granted_at = next(iter(self._granted_charges.values()))[0]
+            if now - granted_at <= MAX_REFUND_SECONDS:
                 return
-            del self._granted_charges[key]
+            self._granted_charges.popitem(last=False)
 
     def _refund(self, key: SlotRequestKey) -> None:
         charged = self._charges.pop(key, None)
--- a/fireflyquay/gateway/_stop_guard.py
+++ b/fireflyquay/gateway/_stop_guard.py
@@ -161,7 +161,8 @@
     def _end_unanswered_calls(self) -> None:
         now = asyncio.get_running_loop().time()
         for call, timeout in list(self._timeouts.items()):
-            if not call.responder.started:
+            # One that has just expired can't be rescheduled.
+            if not call.responder.started and not timeout.expired():
                 timeout.reschedule(now)
 
     def _make_rejection(self, reason: str) -> RejectionError:
