Split placement and refusals from the slot scheduler

The scheduler held a service's state, the order of grants, the choice of the server and the forms of refusals (574 lines). Placement and RefusalPolicy are modules of their own now, without a change of behaviour: dispatch, emulator and proofs pass (366 tests).

--- a/emulator/_policies.py
+++ b/emulator/_policies.py
@@ -10,6 +10,7 @@
 
 from fireflyquay.dispatch import SlotScheduler
 from fireflyquay.dispatch._backend_load import BackendLoad
+from fireflyquay.dispatch._placement import Placement
 from fireflyquay.dispatch._slot_queue import QueuedRequest, SlotQueue
 from fireflyquay.gateway._fleet import Fleet
 from fireflyquay.world import BackendEntry, Incarnation
@@ -58,12 +59,12 @@
         """Return the methods to replace, with their replacements."""
         return [
             (Fleet, "choose_coordinator", _choose_own_vm),
-            (SlotScheduler, "_choose_backend", self._choose_backend),
+            (Placement, "choose", self._choose_backend),
         ]
 
     @staticmethod
     def _choose_backend(
-        scheduler: SlotScheduler,
+        placement: Placement,
         loads: Sequence[BackendLoad],
         item: QueuedRequest,
         now: float,
@@ -71,7 +72,7 @@
         candidates = [it for it in loads if it.entry.id not in item.request.excluded]
         return min(
             candidates,
-            key=lambda it: (len(it.runs), scheduler._rng.random()),
+            key=lambda it: (len(it.runs), placement._rng.random()),
             default=None,
         )
 
@@ -91,7 +92,7 @@
             self._reported_loads[CURRENT_MACHINE.get(), server.entry.id] = count
 
         def choose_backend(
-            scheduler: SlotScheduler,
+            placement: Placement,
             loads: Sequence[BackendLoad],
             item: QueuedRequest,
             now: float,
@@ -99,7 +100,7 @@
             candidates = [
                 load for load in loads if load.entry.id not in item.request.excluded
             ]
-            drawn = scheduler._rng.sample(
+            drawn = placement._rng.sample(
                 candidates, min(CHOICE_COUNT, len(candidates))
             )
             return min(drawn, key=self._estimate_load, default=None)
@@ -107,7 +108,7 @@
         self._reported_loads.clear()
         return [
             (Fleet, "choose_coordinator", _choose_own_vm),
-            (SlotScheduler, "_choose_backend", choose_backend),
+            (Placement, "choose", choose_backend),
             (EmulatedBackendClient, "record_load", record_load),
         ]
 
--- a/emulator/_ways.py
+++ b/emulator/_ways.py
@@ -5,7 +5,7 @@
 from contextlib import AbstractContextManager, nullcontext
 from dataclasses import dataclass, replace
 
-from fireflyquay.dispatch import SlotSchedulerSettings
+from fireflyquay.dispatch import PlacementSettings, SlotSchedulerSettings
 
 from ._policies import (
     ArrivalOrder,
@@ -48,7 +48,7 @@
     Way(
         "no-hope",
         "use any available server, even if the request will be late",
-        replace(DEFAULT_SETTINGS, max_placement_wait_share=0.0),
+        replace(DEFAULT_SETTINGS, placement=PlacementSettings(max_wait_share=0.0)),
     ),
     Way(
         "patient",
@@ -77,7 +77,7 @@
     Way(
         "first-output",
         "choose servers by time to first output",
-        replace(DEFAULT_SETTINGS, occupancy_weight=0.0),
+        replace(DEFAULT_SETTINGS, placement=PlacementSettings(occupancy_weight=0.0)),
     ),
     Way("arrival", "first come, first served", DEFAULT_SETTINGS, ArrivalOrder()),
     Way("objective", "order by latest start", DEFAULT_SETTINGS, LatestStartOrder()),
--- a/fireflyquay/dispatch/__init__.py
+++ b/fireflyquay/dispatch/__init__.py
@@ -41,6 +41,7 @@
 from ._fleet_knowledge import FleetKnowledge
 from ._freshness import Freshness
 from ._origin_archive import OriginArchive
+from ._placement import PlacementSettings
 from ._quota_limiter import (
     QUOTA_WINDOW_SECONDS,
     UNKNOWN_STARTS_PER_WINDOW,
@@ -91,6 +92,7 @@
     "Probe",
     "ProbeResponse",
     "Queued",
+    "PlacementSettings",
     "QuotaLimiter",
     "QuotaMargin",
     "QUOTA_WINDOW_SECONDS",
--- a/fireflyquay/dispatch/_scheduler.py
+++ b/fireflyquay/dispatch/_scheduler.py
@@ -3,9 +3,8 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
-from enum import StrEnum
+from collections.abc import Iterable
+from dataclasses import dataclass, field
 
 from msgspec.structs import replace
 
@@ -13,7 +12,6 @@
     BackendEntry,
     BackendServerId,
     ClientAccountId,
-    Code,
     Incarnation,
     ServiceId,
     SoftwareVersion,
@@ -22,8 +20,14 @@
 from ._backend_beliefs import BackendBeliefs
 from ._backend_load import FAILING_BACKEND_PAUSE_SECONDS, BackendLoad, SlotRequestKey
 from ._control_message import BackendNews, BackendPause, RunEnded
+from ._placement import Placement, PlacementSettings
+from ._refusal_policy import (
+    RefusalCause,
+    RefusalPolicy,
+    make_no_backend_refusal,
+    make_version_refusal,
+)
 from ._refused_requests import RefusedRequests
-from ._retry_after_schedule import HONORED_TIME_SHARE
 from ._service_state import ServiceState
 from ._slot_messages import Decision, Grant, Refusal, SlotRequest
 from ._slot_queue import QueuedRequest
@@ -32,17 +36,12 @@
 # Time within which a grant reaches the requesting VM, even if a lost packet delays it
 # by 200 ms.
 MAX_GRANT_DELIVERY_SECONDS = 0.5
-# Maximum number of backend servers compared for one request. Bounds the cost of a grant
-# in a large fleet; the best of a sample of this size is close to the best of all.
-MAX_CANDIDATE_BACKENDS = 24
 # Time within which a backend server that refused connections has registered its new
 # process, or has lost its registration.
 DOUBT_SECONDS = 4.0
 # Seconds for which a backend server gets nothing from any VM after it has requested a
 # rest from one.
 MAX_SHARED_REST_SECONDS = 1.0
-# Retry-After for a service without backend servers, which may have one by then.
-NO_BACKEND_RETRY_AFTER_SECONDS = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,12 +50,7 @@
 
     # Runs granted per slot of a backend server.
     runs_per_slot: float = 1.0
-    # Weight of the time that a run occupies its slot, relative to the time to its first
-    # output.
-    occupancy_weight: float = 0.2
-    # Fraction of its time on time for which a waiting request passes over free slots on
-    # backend servers that would miss its objectives.
-    max_placement_wait_share: float = 0.3
+    placement: PlacementSettings = field(default_factory=PlacementSettings)
     # Fractions of the time until the client gives up, and until the deadline, for which
     # a request may wait for a slot: a client with little time left is better refused at
     # once.
@@ -71,16 +65,6 @@
     max_forecast_wait_share: float = 1.0
 
 
-class _RefusalCause(StrEnum):
-    """Name the condition on which a queued request is refused."""
-
-    NO_SLOT_EXPECTED = "no slot is expected within its objective"
-    LIMITED = "all backend servers state request limits"
-    RESTING = "all backend servers requested a rest"
-    LATE = "it is late and its rank is overloaded"
-    WAIT_EXPIRED = "its longest wait is over"
-
-
 class SlotScheduler:
     """Assign slots on backend servers to the requests of several entry VMs.
 
@@ -92,10 +76,14 @@
     def __init__(self, settings: SlotSchedulerSettings, rng: random.Random) -> None:
         self._settings = settings
         self._rng = rng
+        self._placement = Placement(settings.placement, rng)
         self._states: dict[ServiceId, ServiceState] = {}
         self._services_by_backend: dict[BackendServerId, ServiceId] = {}
         # Includes those that were refused for the quota of their client account.
         self.refused_requests = RefusedRequests()
+        self._refusals = RefusalPolicy(
+            self.refused_requests, settings.max_forecast_wait_share
+        )
         # Fraction of the slots of each backend server that this scheduler may grant.
         self.share = 1.0
         # Fraction of each stated request limit that it may grant.
@@ -134,9 +122,9 @@
         """
         state = self._states.get(request.service)
         if state is None or not state.loads:
-            return [self._make_no_backend_refusal(request)]
+            return [make_no_backend_refusal(request)]
         if state.is_version_gone(request):
-            return [self._make_version_refusal(request)]
+            return [make_version_refusal(request)]
         settings = self._settings
         was_refused = self.refused_requests.was_refused_recently(
             request.fingerprint, now
@@ -162,10 +150,10 @@
         # The client of a request that was refused before treats another refusal as
         # final.
         if not item.is_done and not was_refused:
-            cause = self._find_refusal(state, request, now)
+            cause = self._refusals.find_cause(state, request, self.limit_share, now)
         if cause is not None:
             state.queue.remove(item.key)
-            decisions.append(self._refuse_queued(state, item, cause, now))
+            decisions.append(self._refuse(state, item, cause, now))
         return decisions
 
     def _recognize_retry(
@@ -367,8 +355,7 @@
             return []
         if not state.loads:
             return [
-                self._make_no_backend_refusal(item.request)
-                for item in state.queue.pop_all()
+                make_no_backend_refusal(item.request) for item in state.queue.pop_all()
             ]
         decisions = self._refuse_gone_versions(state)
         median_failure_rate = state.compute_median_failure_rate()
@@ -383,7 +370,7 @@
         for item in state.queue.iter_candidates(now, starved_rank):
             if not available_loads:
                 break
-            load = self._choose_backend(available_loads, item, now)
+            load = self._placement.choose(available_loads, item, now)
             if load is None:
                 continue
             state.queue.remove(item.key)
@@ -392,9 +379,7 @@
             if not self._can_grant(load, now):
                 available_loads.remove(load)
         for item in state.queue.pop_expired(now):
-            decisions.append(
-                self._refuse_queued(state, item, _RefusalCause.WAIT_EXPIRED, now)
-            )
+            decisions.append(self._refuse(state, item, RefusalCause.WAIT_EXPIRED, now))
         return decisions
 
     def _refuse_gone_versions(self, state: ServiceState) -> list[Decision]:
@@ -406,7 +391,7 @@
         for item in state.queue.list_all():
             if state.is_version_gone(item.request):
                 state.queue.remove(item.key)
-                decisions.append(self._make_version_refusal(item.request))
+                decisions.append(make_version_refusal(item.request))
         return decisions
 
     def _refuse_late(self, state: ServiceState, now: float) -> list[Decision]:
@@ -431,49 +416,13 @@
                     waiting += 1
                     continue
                 state.queue.remove(item.key)
-                decisions.append(
-                    self._refuse_queued(state, item, _RefusalCause.LATE, now)
-                )
+                decisions.append(self._refuse(state, item, RefusalCause.LATE, now))
         return decisions
 
     def _can_grant(self, load: BackendLoad, now: float) -> bool:
         slots = load.entry.slots * self._settings.runs_per_slot * self.share
         return load.can_grant(max(1.0, slots), self.limit_share, now)
 
-    def _choose_backend(
-        self, available_loads: Sequence[BackendLoad], item: QueuedRequest, now: float
-    ) -> BackendLoad | None:
-        """Return the best backend server, or None if waiting for another is better."""
-        request, waited = item.request, now - item.queued_at
-        candidates = available_loads
-        if len(candidates) > MAX_CANDIDATE_BACKENDS:
-            candidates = self._rng.sample(available_loads, MAX_CANDIDATE_BACKENDS)
-        best: BackendLoad | None = None
-        best_score = (False, 0.0, False, 0.0)
-        for load in candidates:
-            if load.entry.id in request.excluded:
-                continue
-            if load.is_resting(request.owner, now):
-                continue
-            if request.version is not None and not load.can_continue(
-                request.version, now
-            ):
-                continue
-            run_cost = self._settings.occupancy_weight * load.forecast_run(request)
-            score = (
-                not load.would_meet_objectives(request, waited, now),
-                round(load.forecast_first_output(request, now) + run_cost, 3),
-                load.entry.zone != request.zone,
-                self._rng.random(),
-            )
-            if best is None or score < best_score:
-                best, best_score = load, score
-        is_late = best_score[0]
-        max_wait = self._settings.max_placement_wait_share * (
-            item.latest_start - item.queued_at
-        )
-        return None if is_late and waited < max_wait else best
-
     def _make_grant(
         self, state: ServiceState, load: BackendLoad, item: QueuedRequest, now: float
     ) -> Grant:
@@ -502,73 +451,15 @@
         origin = StreamOrigin(request.service, version)
         self.origins.record(request.stream, origin, now, request.owner)
 
-    def _find_refusal(
-        self, state: ServiceState, request: SlotRequest, now: float
-    ) -> _RefusalCause | None:
-        """Return why a request can't meet its objective, or None if it may.
-
-        A stream that continues is queued regardless: what its client has would be lost,
-        and the forecast counts slots of other versions.
-        """
-        if request.version is not None:
-            return None
-        waiting = state.queue.count_on_time(request.rank, now)
-        statistics = state.ranks[request.rank]
-        seconds = statistics.limit_to_shortest_objective(request.seconds_to_objective)
-        max_wait = self._settings.max_forecast_wait_share * max(0.0, seconds)
-        if statistics.estimate_wait(waiting, now) > max_wait:
-            return _RefusalCause.NO_SLOT_EXPECTED
-        if state.estimate_limited_wait(waiting, self.limit_share) > max_wait:
-            return _RefusalCause.LIMITED
-        if state.estimate_rest(request.owner, now) > max_wait:
-            return _RefusalCause.RESTING
-        return None
-
-    def _refuse_queued(
+    def _refuse(
         self,
         state: ServiceState,
         item: QueuedRequest,
-        cause: _RefusalCause,
+        cause: RefusalCause,
         now: float,
     ) -> Refusal:
-        request = item.request
-        statistics = state.ranks[request.rank]
-        statistics.record_refusal()
         slots = sum(
-            load.count_usable_slots(request, self.share, self.limit_share)
+            load.count_usable_slots(item.request, self.share, self.limit_share)
             for load in state.loads.values()
         )
-        load = next(iter(state.loads.values()))
-        backlog = load.forecast_work(
-            len(state.queue), state.queue.prompt_tokens, state.queue.output_tokens
-        )
-        backlog, work = backlog / slots, load.forecast_run(request) / slots
-        seconds = state.retry_schedule.schedule_retry(
-            backlog + state.estimate_rest(request.owner, now),
-            work,
-            request.seconds_to_deadline,
-            now,
-            statistics.is_overloaded(now),
-        )
-        self.refused_requests.record(
-            request.fingerprint, item.arrived_at, now + seconds, now
-        )
-        waited = now - item.queued_at
-        reason = f"waited {waited:.2f} s among {len(state.queue)}: {cause}"
-        return Refusal(request.owner, request.number, Code.OVERLOADED, seconds, reason)
-
-    def _make_version_refusal(self, request: SlotRequest) -> Refusal:
-        reason = f"no backend server of version {request.version} is left"
-        code = Code.STREAM_VERSION_GONE
-        return Refusal(request.owner, request.number, code, None, reason)
-
-    def _make_no_backend_refusal(self, request: SlotRequest) -> Refusal:
-        seconds = min(
-            NO_BACKEND_RETRY_AFTER_SECONDS,
-            HONORED_TIME_SHARE * request.seconds_to_deadline,
-        )
-        code, reason = (
-            Code.NO_BACKEND_SERVER,
-            "no backend server is registered",
-        )
-        return Refusal(request.owner, request.number, code, seconds, reason)
+        return self._refusals.refuse(state, item, cause, slots, now)
--- a/proofs/tests/test_mutations.py
+++ b/proofs/tests/test_mutations.py
@@ -9,12 +9,14 @@
     BackendRegistry,
     ConfigReplica,
     CrashTracker,
+    PlacementSettings,
     QuotaLimiter,
     ReplicaSync,
     RetryBudget,
     SlotScheduler,
     SlotSchedulerSettings,
 )
+from fireflyquay.dispatch._refusal_policy import RefusalPolicy
 from fireflyquay.dispatch._slot_queue import SlotQueue
 from fireflyquay.gateway import Gateway, _gateway, _ingress
 from fireflyquay.gateway._ingress import Ingress
@@ -23,7 +25,7 @@
 from proofs._fault_actions import replace_all_vms, send_poison
 
 STRICT_PRIORITY_SETTINGS = SlotSchedulerSettings(
-    min_grant_share=0.0, max_placement_wait_share=0.0
+    min_grant_share=0.0, placement=PlacementSettings(max_wait_share=0.0)
 )
 
 
@@ -143,7 +145,7 @@
 
 
 def wait_for_ever(patch):
-    patch.setattr(SlotScheduler, "_find_refusal", lambda *_: None)
+    patch.setattr(RefusalPolicy, "find_cause", lambda *_: None)
     patch.setattr(SlotScheduler, "_refuse_late", lambda *_: [])
     patch.setattr(SlotQueue, "pop_expired", lambda *_: [])
     original = Ingress._open_call
