--- a/fireflyquay/world/__init__.py
+++ b/fireflyquay/world/__init__.py
@@ -50,6 +50,7 @@
 )
 from ._key import is_valid_request_key
 from ._numbers import MAX_COUNT, MAX_PORT, parse_count
+from ._rollout import RolloutOrder, RolloutState
 from ._verdict import Verdict
 
 __all__ = [
@@ -71,6 +72,8 @@
     "ModelName",
     "PromptPartId",
     "RepeatRule",
+    "RolloutOrder",
+    "RolloutState",
     "Route",
     "Service",
     "ServiceId",
