Retry server errors before resumable streams within the retry budget

Callers of resumable streams got a server's own 500 although their requests may run again: only idempotent plain requests were resent after a 5xx. A 5xx that comes before the first event now counts as a failed attempt of any request that may run again; after the last attempt, the server's response is passed on as before.

test_server_error_before_a_resumable_stream_is_retried_on_another_worker failed before (500, 200, 500, 500) and passes; streams that can't be resumed still run once. test_failing_workers, test_errors_after_broken_streams and test_resumed_streams: 79 passed.

--- a/fireflyquay/gateway/_forwarder.py
+++ b/fireflyquay/gateway/_forwarder.py
@@ -454,7 +454,7 @@
             ends_with_connection=stream.ends_with_connection,
         )
         rule = self._call.admission.route.repeat_rule
-        if status >= 500 and rule is RepeatRule.IDEMPOTENT:
+        if status >= 500 and rule is not RepeatRule.AT_MOST_ONCE:
             self._call.failure_response = response
             return Outcome.FAILED
         await self._call.send(response)
--- a/fireflyquay/world/_fleet_config.py
+++ b/fireflyquay/world/_fleet_config.py
@@ -15,8 +15,8 @@
     IDEMPOTENT = "IDEMPOTENT"
     # The request is not resent if it may have run.
     AT_MOST_ONCE = "AT_MOST_ONCE"
-    # The request is resent if it may have run, and a cut stream is resumed after its
-    # last event.
+    # The request is resent if it may have run, also after a response of status 5xx, and
+    # a cut stream is resumed after its last event.
     RESUMABLE = "RESUMABLE"
 
 
