State once a second what a planned stop waits for

Two processes of a fleet were counted as still there at the end of their grace. The log could not tell a stop that waits for streams from one that hangs.

--- a/fireflyquay/gateway/_gateway.py
+++ b/fireflyquay/gateway/_gateway.py
@@ -71,6 +71,8 @@
 RESPONSE_MARGIN_SECONDS = 0.15
 # Seconds between checks whether a stop is complete; much shorter than the grace period.
 STOP_POLL_INTERVAL_SECONDS = 0.05
+# Seconds between log lines that state what a stop waits for.
+STOP_REPORT_INTERVAL_SECONDS = 1.0
 # Seconds beyond the configured idle timeout for which a client's connection is kept, so
 # that a request that is in transit when the timeout expires still finds it open.
 IDLE_MARGIN_SECONDS = 2.0
@@ -409,21 +411,30 @@
         )
         accepts_until = started_at + ACCEPT_WHILE_STOPPING_SECONDS
         self._stop_guard.begin(deadline - RESPONSE_MARGIN_SECONDS, accepts_until)
+        report_at = started_at + STOP_REPORT_INTERVAL_SECONDS
         while loop.time() < deadline:
+            if loop.time() >= report_at:
+                report_at += STOP_REPORT_INTERVAL_SECONDS
+                LOG.info("still stopping", extra=self._describe_unfinished())
             if loop.time() > accepts_until:
                 self._client_server.stop_accepting()
                 self._client_server.stop_keep_alive()
                 if not self._client_server.connection_count + self.fleet.carried_count:
                     break
             await asyncio.sleep(STOP_POLL_INTERVAL_SECONDS)
-        cut_off = {
-            "cut_off": self._ingress.in_progress + self.fleet.carried_count,
+        unfinished = self._describe_unfinished()
+        cut_off = unfinished.pop("in_progress")
+        await self._shut_down(deadline)
+        taken = round(loop.time() - started_at, 2)
+        LOG.info("stopped", extra={"cut_off": cut_off, **unfinished, "taken": taken})
+
+    def _describe_unfinished(self) -> dict[str, int]:
+        """Return the log fields of what a stop waits for."""
+        return {
+            "in_progress": self._ingress.in_progress + self.fleet.carried_count,
             "connections": self._client_server.count_busy_connections(),
             "unsent_bytes": self._client_server.count_unsent_bytes(),
         }
-        await self._shut_down(deadline)
-        taken = round(loop.time() - started_at, 2)
-        LOG.info("stopped", extra={**cut_off, "taken": taken})
 
     async def abort(self) -> None:
         """Close at once and abort the requests in progress."""
