Add the stored record of roll-outs and its store methods

This adds the record RolloutProgress and the methods by which a store is read and written; sources without them keep working, since the defaults state that no orders are kept.

--- a/fireflyquay/dispatch/__init__.py
+++ b/fireflyquay/dispatch/__init__.py
@@ -50,6 +50,13 @@
 )
 from ._replica_sync import ReplicaSync
 from ._retry_budget import RetryBudget
+from ._rollout_messages import (
+    PartId,
+    ProgressPart,
+    RolloutPhase,
+    RolloutProgress,
+    ServerEvidence,
+)
 from ._run_durations import RunDurations
 from ._scheduler import SlotScheduler, SlotSchedulerSettings
 from ._slot_messages import Decision, Grant, Refusal, SlotRequest
@@ -108,6 +115,11 @@
     "BackendNews",
     "Rejection",
     "RetryBudget",
+    "PartId",
+    "ProgressPart",
+    "RolloutPhase",
+    "RolloutProgress",
+    "ServerEvidence",
     "RunDurations",
     "RunEnded",
     "SlotRequest",
--- a/fireflyquay/gateway/_dialect.py
+++ b/fireflyquay/gateway/_dialect.py
@@ -7,7 +7,12 @@
 from dataclasses import dataclass
 from typing import Generic, TypeVar
 
-from fireflyquay.dispatch import EvidenceRecord, OriginArchive, VersionRecord
+from fireflyquay.dispatch import (
+    EvidenceRecord,
+    OriginArchive,
+    RolloutProgress,
+    VersionRecord,
+)
 from fireflyquay.links import HttpRequest, RawHeaders
 from fireflyquay.world import (
     AttemptId,
@@ -18,11 +23,14 @@
     FleetConfig,
     ModelName,
     PromptPartId,
+    RolloutOrder,
+    RolloutState,
+    ServiceId,
     VmListing,
 )
 
 # A record that VMs keep in the store.
-R = TypeVar("R", VersionRecord, OriginArchive, EvidenceRecord)
+R = TypeVar("R", VersionRecord, OriginArchive, EvidenceRecord, RolloutProgress)
 HeaderPairs = list[tuple[bytes | str, bytes | str]]
 
 
@@ -303,3 +311,29 @@
     async def write_record(self, record: R, revision: int) -> StoredRecord[R] | None:
         """Replace the record; return None if its revision is another by now."""
         raise NotImplementedError
+
+    def keeps_rollouts(self) -> bool:
+        """Return whether the store takes orders of roll-outs, as far as is known."""
+        return False
+
+    async def list_rollouts(self) -> tuple[RolloutOrder, ...]:
+        """Return all readable orders of roll-outs, with the states written last."""
+        return ()
+
+    async def write_rollout_status(
+        self, order: RolloutOrder, state: RolloutState
+    ) -> RolloutOrder | None:
+        """Write an order's state; return None if the order has changed since."""
+        raise NotImplementedError
+
+    async def read_rollout_progress(
+        self, service: ServiceId
+    ) -> StoredRecord[RolloutProgress]:
+        """Return the progress of a service's roll-out; empty if none is stored."""
+        raise NotImplementedError
+
+    async def write_rollout_progress(
+        self, service: ServiceId, progress: RolloutProgress, revision: int
+    ) -> StoredRecord[RolloutProgress] | None:
+        """Replace the progress; return None if its revision is another by now."""
+        raise NotImplementedError
