Add the operators' commands for roll-outs

Operators had no command for roll-outs and had to write objects by hand.

The store's access is passed in by the platform's program, platform/operate.py, as the product names nothing of the platform's protocol.

--- a/fireflyquay/daemons/_cli.py
+++ b/fireflyquay/daemons/_cli.py
@@ -18,6 +18,8 @@
 from ._entry_commands import add_entry_commands
 from ._output import ExitCode, format_error, get_exit_code
 from ._request_commands import add_request_command
+from ._rollout_commands import add_rollout_commands
+from ._rollout_orders import OrdersOpener
 
 INTERRUPTED_EXIT_CODE = 130
 EXIT_CODES_HELP = """\
@@ -31,7 +33,9 @@
 """
 
 
-def main(argv: Sequence[str] | None = None) -> int:
+def main(
+    argv: Sequence[str] | None = None, open_orders: OrdersOpener | None = None
+) -> int:
     """Run one command and return its exit code."""
     try:
         arguments = make_parser().parse_args(argv)
@@ -40,7 +44,7 @@
     if not arguments.handles_signals:
         admit_signals()
     try:
-        return asyncio.run(run_command(make_context(arguments)))
+        return asyncio.run(run_command(make_context(arguments, open_orders)))
     except KeyboardInterrupt:
         return INTERRUPTED_EXIT_CODE
 
@@ -70,6 +74,7 @@
     add_entry_commands(commands)
     add_contract_commands(commands)
     add_backend_commands(commands)
+    add_rollout_commands(commands)
     add_diagnostic_commands(commands)
     add_request_command(commands)
     return parser
--- a/fireflyquay/daemons/_context.py
+++ b/fireflyquay/daemons/_context.py
@@ -17,10 +17,13 @@
 from fireflyquay.world import MAX_PORT, ChangeId, Code, parse_count
 
 from ._output import UsageError, format_json
+from ._record_repository import STORE_REQUEST_TIMEOUT_SECONDS
 
 if TYPE_CHECKING:
     from fireflyquay.links import HttpClient, Store
 
+    from ._rollout_orders import OrdersOpener, RolloutOrders
+
 STORE_VARIABLE = "FIREFLYQUAY_STORE"
 ENTRIES_VARIABLE = "FIREFLYQUAY_ENTRIES"
 TOKEN_VARIABLE = "FIREFLYQUAY_TOKEN"  # noqa: S105
@@ -31,10 +34,15 @@
     """Provide a command with its options, connections and output."""
 
     def __init__(
-        self, arguments: argparse.Namespace, environment: Mapping[str, str]
+        self,
+        arguments: argparse.Namespace,
+        environment: Mapping[str, str],
+        open_orders: OrdersOpener | None = None,
     ) -> None:
         self.arguments = arguments
         self._environment = environment
+        # None if the program that runs the command has no access to orders.
+        self._open_orders = open_orders
 
     def make_http_client(self) -> HttpClient:
         """Return a new HTTP client."""
@@ -44,18 +52,23 @@
 
     def make_store_client(self) -> Store:
         """Return a client of the store; raise UsageError unless one address is set."""
-        text = self._get_option("store", STORE_VARIABLE)
-        addresses = parse_addresses(text)
-        if len(addresses) != 1:
-            raise UsageError(
-                Code.BAD_SETTINGS,
-                f"Set the store's address with --store HOST:PORT or {STORE_VARIABLE}.",
-            )
+        host, port = self._get_store_address()
         from fireflyquay.links import HttpStore
 
-        host, port = addresses[0]
         return HttpStore(self.make_http_client(), host, port)
 
+    def make_rollout_orders(self) -> RolloutOrders:
+        """Return access to orders of roll-outs; raise UsageError without any."""
+        if self._open_orders is None:
+            raise UsageError(
+                Code.BAD_SETTINGS,
+                "Orders of roll-outs are kept on the platform only; run the command by "
+                "the platform's operate.py.",
+            )
+        host, port = self._get_store_address()
+        client = self.make_http_client()
+        return self._open_orders(client, host, port, STORE_REQUEST_TIMEOUT_SECONDS)
+
     def get_token(self) -> str:
         """Return the bearer token, or an empty string if none is set."""
         return self._get_option("token", TOKEN_VARIABLE)
@@ -90,14 +103,25 @@
         """Print the value as JSON if --json is set, otherwise the text."""
         print(format_json(value) if self.arguments.json else text)
 
+    def _get_store_address(self) -> tuple[str, int]:
+        addresses = parse_addresses(self._get_option("store", STORE_VARIABLE))
+        if len(addresses) != 1:
+            raise UsageError(
+                Code.BAD_SETTINGS,
+                f"Set the store's address with --store HOST:PORT or {STORE_VARIABLE}.",
+            )
+        return addresses[0]
+
     def _get_option(self, name: str, variable: str) -> str:
         value = getattr(self.arguments, name, None)
         return value or self._environment.get(variable, "")
 
 
-def make_context(arguments: argparse.Namespace) -> Context:
+def make_context(
+    arguments: argparse.Namespace, open_orders: OrdersOpener | None = None
+) -> Context:
     """Return a context with the environment of this process."""
-    return Context(arguments, os.environ)
+    return Context(arguments, os.environ, open_orders)
 
 
 def parse_addresses(text: str) -> list[tuple[str, int]]:
