--- a/emulator/__init__.py
+++ b/emulator/__init__.py
@@ -4,9 +4,26 @@
 """
 
 from ._emulation import Emulation, emulate
-from ._history import Attempt, ClientRequest, Fault, History, PlannedChange, Run
+from ._exposure import RolloutSummary, summarize_rollouts
+from ._history import (
+    Attempt,
+    ClientRequest,
+    Fault,
+    History,
+    PlannedChange,
+    RolloutRecord,
+    Run,
+)
 from ._loop import VirtualLoop, run_virtual
-from ._site import EngineModel, Kind, ServiceModel, Site, Wave
+from ._site import (
+    EngineModel,
+    Kind,
+    RolloutPlan,
+    ServiceModel,
+    Site,
+    VersionFault,
+    Wave,
+)
 from ._sites import SITES, find_site
 from ._summary import KindSummary, Summary, summarize
 
@@ -21,14 +38,19 @@
     "Kind",
     "KindSummary",
     "PlannedChange",
+    "RolloutPlan",
+    "RolloutRecord",
+    "RolloutSummary",
     "Run",
     "ServiceModel",
     "Site",
     "Summary",
+    "VersionFault",
     "VirtualLoop",
     "Wave",
     "emulate",
     "find_site",
     "run_virtual",
     "summarize",
+    "summarize_rollouts",
 ]
--- a/emulator/__main__.py
+++ b/emulator/__main__.py
@@ -11,7 +11,14 @@
 from pathlib import Path
 
 from ._emulation import emulate
-from ._report import EmulationResult, format_kinds, format_ways, plot_ways
+from ._exposure import summarize_rollouts
+from ._report import (
+    EmulationResult,
+    format_kinds,
+    format_rollouts,
+    format_ways,
+    plot_ways,
+)
 from ._sites import DAYS, SITES, find_site
 from ._summary import summarize
 from ._ways import WAYS, find_way
@@ -35,6 +42,8 @@
             results.append(run_emulation(arguments, way, seed))
             if not arguments.ways:
                 print(format_kinds(results[-1]), end="\n\n")
+            if results[-1].rollouts:
+                print(format_rollouts(results[-1]), end="\n\n")
     print(format_ways(results))
     if arguments.plot:
         plot_ways(results, Path(arguments.plot))
@@ -50,7 +59,12 @@
     with variant.install():
         history = emulate(site, arguments.seconds, seed, variant.settings)
     return EmulationResult(
-        site.name, arguments.day, way, seed, summarize(site, history)
+        site.name,
+        arguments.day,
+        way,
+        seed,
+        summarize(site, history),
+        tuple(summarize_rollouts(history)),
     )
 
 
--- a/emulator/_backend_client.py
+++ b/emulator/_backend_client.py
@@ -19,13 +19,19 @@
 
 from ._history import History, Run
 from ._network import Network
-from ._servers import ConnectionLost, EmulatedServer, Job, RequestDeclined, iter_output
+from ._servers import (
+    FAILURE_OUTPUT,
+    ConnectionLost,
+    EmulatedServer,
+    Job,
+    RequestDeclined,
+    iter_output,
+)
 
 UNAVAILABLE_STATUS = 503
 MISDIRECTED_STATUS = 421
-# Status of a failed run, and the output by which the server marks it.
+# Status of a failed run.
 FAILURE_STATUS = 500
-FAILURE_BODY = b"!failed"
 # Seconds after which the kernel gives up to connect to an unreachable host.
 UNREACHABLE_SECONDS = 60.0
 
@@ -119,6 +125,8 @@
             asyncio.get_running_loop().time(),
             headers["account"],
             int(headers["last"] or 0),
+            kind=headers.get("kind", ""),
+            version=server.entry.version,
         )
         self._history.runs.append(run)
         job = _make_job(run, headers)
@@ -136,7 +144,7 @@
         try:
             async with asyncio.timeout(timeout):
                 first = await self._read_first_chunk(job)
-                status = FAILURE_STATUS if first == FAILURE_BODY else 200
+                status = FAILURE_STATUS if first == FAILURE_OUTPUT else 200
                 self.record_load(server)
                 headers = server.make_headers()
                 yield HttpStream(
--- a/emulator/_clients.py
+++ b/emulator/_clients.py
@@ -201,6 +201,7 @@
             "parts": ",".join((*request.shared_parts, str(request.number))),
             "work": str(kind.work),
             "crashes": "1" if request.poison else "0",
+            "kind": kind.name,
         }
         path = f"/{kind.name}/0"
         body = (request.poison or str(request.number)).encode()
--- a/emulator/_configuration.py
+++ b/emulator/_configuration.py
@@ -7,6 +7,7 @@
 from fireflyquay.gateway import (
     GatewaySettings,
     PromiseSettings,
+    RolloutSettings,
     StoreSettings,
     VmSettings,
 )
@@ -34,6 +35,9 @@
 TOKENS_PER_PLAIN_REQUEST = 200.0
 # Burst of a quota, in seconds of its rate.
 BURST_SECONDS = 4.0
+# Bounds of roll-outs: requests to an untried version as a share of its service's, and
+# besides, and the seconds from a proof that it is bad until it receives nothing.
+EXPOSURE_SHARE, EXPOSURE_SLACK, ROLLBACK_SECONDS = 0.1, 50.0, 5.0
 
 
 def make_settings(
@@ -65,7 +69,10 @@
         **site.promises,
     }
     store = StoreSettings("10.200.0.1:1", 1.0)
-    return GatewaySettings(vm, store, PromiseSettings(**promises))
+    rollout = None
+    if site.rollouts:
+        rollout = RolloutSettings(EXPOSURE_SHARE, EXPOSURE_SLACK, ROLLBACK_SECONDS)
+    return GatewaySettings(vm, store, PromiseSettings(**promises), rollout=rollout)
 
 
 def make_config(site: Site, version: int, keys: Mapping[str, str]) -> FleetConfig:
--- a/emulator/_emulation.py
+++ b/emulator/_emulation.py
@@ -10,23 +10,36 @@
 
 from fireflyquay.dispatch import SlotSchedulerSettings
 from fireflyquay.gateway import Gateway, LoopClock
-from fireflyquay.world import BackendPhase, Incarnation, ZoneId
+from fireflyquay.world import (
+    BackendPhase,
+    Incarnation,
+    RolloutState,
+    ServiceId,
+    SoftwareVersion,
+    ZoneId,
+)
 
 from ._backend_client import EmulatedBackendClient
 from ._clients import Clients, GatewayAccess
 from ._configuration import get_quotas, make_config, make_settings
 from ._dialect import EmulatedDialect
-from ._history import Fault, History, PlannedChange
+from ._history import Fault, History, PlannedChange, RolloutRecord
 from ._loop import VirtualLoop, run_virtual
 from ._network import EmulatedLink, Network
 from ._servers import CrashingParts, EmulatedEngine, EmulatedServer, make_servers
-from ._site import Kind, Site
+from ._site import Kind, RolloutPlan, Site
 from ._store import EmulatedSource, EmulatedStore
 
 # Time for which a removed backend server may complete its requests.
 LEAVING_SECONDS = 2.0
 # Time in which all VMs of a new fleet discover each other.
 WARM_UP_SECONDS = 4.0
+# Software version of all backend servers before a roll-out; they state none without.
+OLD_VERSION = "v1"
+# Interval at which the platform looks at the state of orders, and the time from a
+# rollback until the servers of the new version leave.
+ROLLOUT_CHECK_SECONDS = 0.05
+ROLLBACK_DRAIN_SECONDS = 3.0
 
 
 class Emulation:
@@ -62,14 +75,10 @@
         )
 
     async def __aenter__(self) -> Emulation:
-        for name, engine in self.site.engines.items():
-            self._add_servers(
-                make_servers(name, engine, self._derive_rng(), self._list_zones())
-            )
-        for name, service in self.site.services.items():
-            self._add_servers(
-                make_servers(name, service, self._derive_rng(), self._list_zones())
-            )
+        version = OLD_VERSION if self.site.rollouts else ""
+        for name, model in {**self.site.engines, **self.site.services}.items():
+            rng, zones = self._derive_rng(), self._list_zones()
+            self._add_servers(make_servers(name, model, rng, zones, version))
         self.store.config = make_config(self.site, 1, self.clients.keys)
         self.history.quotas = get_quotas(self.store.config)
         self._record_change("version", "1")
@@ -102,6 +111,8 @@
         """Start sending all kinds of requests for some seconds."""
         for kind in self.site.kinds:
             self._spawn(self.clients.generate_traffic(kind, seconds))
+        for plan in self.site.rollouts:
+            self.loop.call_later(plan.start, self.order_rollout, plan)
 
     def get_kind(self, name: str) -> Kind:
         """Return a kind of request by its name."""
@@ -221,6 +232,38 @@
         self._record_change("leaving", server)
         self.loop.call_later(LEAVING_SECONDS + 1.0, self._end_server, server)
 
+    def order_rollout(self, plan: RolloutPlan) -> RolloutRecord:
+        """Order a roll-out, and start the servers of the new version."""
+        now = self.loop.time()
+        is_bad = plan.fault is not None
+        record = RolloutRecord(
+            plan.service, plan.target, is_bad, now, now + plan.duration
+        )
+        self.history.rollouts.append(record)
+        service = ServiceId(plan.service)
+        self.store.order_rollout(service, SoftwareVersion(plan.target), plan.duration)
+        self._record_change("rollout ordered", plan.service)
+        old = self.list_servers(plan.service)
+        models = {**self.site.engines, **self.site.services}
+        servers = make_servers(
+            plan.service,
+            models[plan.service],
+            self._derive_rng(),
+            self._list_zones(),
+            plan.target,
+            len(old),
+        )
+        for server in servers:
+            server.version_fault = plan.fault
+            server.bad_from = now + (plan.fault.delay if plan.fault else 0.0)
+        self._add_servers(servers)
+        self._spawn(self._follow_rollout(record))
+        return record
+
+    def list_servers(self, service: str) -> list[EmulatedServer]:
+        """Return all servers of a service, also those that ended."""
+        return [it for it in self.servers.values() if it.entry.service == service]
+
     def rotate_key(self, account: str, key: str) -> None:
         """Replace an account's API key and revoke the old one."""
         old = self.clients.keys[account]
@@ -253,6 +296,33 @@
             self.network.zones[server.entry.host] = server.entry.zone
         self.store.increment_revision()
 
+    async def _follow_rollout(self, record: RolloutRecord) -> None:
+        """Stop servers as the platform does after the verdict on a roll-out."""
+        while True:
+            await self.run(ROLLOUT_CHECK_SECONDS)
+            order = self.store.rollouts.get(ServiceId(record.service))
+            if order is None or order.target != record.target:
+                return
+            if order.stated_target != record.target or order.state is None:
+                continue
+            if order.state != record.state:
+                record.state, record.stated_at = order.state, self.loop.time()
+            if order.state is not RolloutState.ACTIVE:
+                break
+        targets, others = [], []
+        for server in self.list_servers(record.service):
+            is_target = server.entry.version == record.target
+            (targets if is_target else others).append(server.entry.id)
+        if record.state == RolloutState.COMPLETED:
+            self._record_change("rollout completed", record.service)
+            for name in others:
+                self._end_server(name)
+            return
+        self._record_change("rollout rolled back", record.service)
+        await self.run(ROLLBACK_DRAIN_SECONDS)
+        for name in targets:
+            self.remove(name)
+
     def _find_server(self, address: tuple[str, int]) -> EmulatedServer | None:
         for server in self.servers.values():
             if server.entry.address == address:
--- a/emulator/_history.py
+++ b/emulator/_history.py
@@ -53,6 +53,11 @@
     is_complete: bool = False
     # Prompt tokens that the server had to prefill.
     prefilled_tokens: int = 0
+    kind: str = ""
+    # Software version of the server.
+    version: str = ""
+    # When the server sent a response that its software made fail or slow.
+    bad_at: float | None = None
 
 
 @dataclass(slots=True)
@@ -100,12 +105,29 @@
 class PlannedChange:
     """Represent an acknowledged change by an operator."""
 
-    # One of leaving, gone, key removed, stop, version.
+    # One of leaving, gone, key removed, stop, version, rollout ordered, rollout
+    # completed, rollout rolled back.
     kind: str
     target: str
     at: float
 
 
+@dataclass(slots=True)
+class RolloutRecord:
+    """Represent an operator's order to move a service to a software version."""
+
+    service: str
+    target: str
+    # Whether the target's software fails or is slow.
+    is_bad: bool
+    ordered_at: float
+    # Time limit of the verdict.
+    ends_at: float
+    # State that was written last, and when.
+    state: str = ""
+    stated_at: float | None = None
+
+
 @dataclass(slots=True)
 class History:
     """Hold the records of one emulation."""
@@ -114,6 +136,7 @@
     runs: list[Run] = field(default_factory=list)
     faults: list[Fault] = field(default_factory=list)
     planned_changes: list[PlannedChange] = field(default_factory=list)
+    rollouts: list[RolloutRecord] = field(default_factory=list)
     # Number of calls to the store, and of messages between VMs.
     store_calls: int = 0
     messages: int = 0
--- a/emulator/_report.py
+++ b/emulator/_report.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from ._exposure import RolloutSummary
 from ._summary import Summary
 
 
@@ -19,6 +20,7 @@
     way: str
     seed: int
     summary: Summary
+    rollouts: tuple[RolloutSummary, ...] = ()
 
 
 def format_kinds(result: EmulationResult) -> str:
@@ -43,6 +45,28 @@
     return _align(rows)
 
 
+def format_rollouts(result: EmulationResult) -> str:
+    """Return a table of one emulation with a row for each roll-out."""
+    head = ("service", "target", "bad", "state", "after", "right", "requests")
+    rows = [(*head, "exposed", "allowed", "late")]
+    for it in result.rollouts:
+        rows.append(
+            (
+                it.service,
+                it.target,
+                str(it.is_bad),
+                it.state or "-",
+                "-" if it.seconds is None else f"{it.seconds:.2f}",
+                str(it.is_right),
+                str(it.requests),
+                str(it.exposed),
+                f"{it.allowed:.0f}",
+                str(it.late),
+            )
+        )
+    return _align(rows)
+
+
 def format_ways(results: Sequence[EmulationResult]) -> str:
     """Return a table of the mean results of each scheduler variant over its seeds."""
     # "from" and "to" are the lowest and highest worth. The columns after them are
--- a/emulator/_servers.py
+++ b/emulator/_servers.py
@@ -9,13 +9,21 @@
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 
-from fireflyquay.world import BackendEntry, BackendPhase, BackendServerId, ServiceId
+from fireflyquay.world import (
+    BackendEntry,
+    BackendPhase,
+    BackendServerId,
+    ServiceId,
+    SoftwareVersion,
+)
 
 from ._history import Run
-from ._site import EngineModel, ServiceModel
+from ._site import EngineModel, ServiceModel, VersionFault
 
 # Time for which a server that fell over refuses connections.
 FALL_DOWNTIME_SECONDS = 2.0
+# Output by which a server marks a failed run.
+FAILURE_OUTPUT = b"!failed"
 
 
 class ConnectionLost(Exception):  # noqa: N818
@@ -85,6 +93,9 @@
         self.failure_rate = 0.0
         # Factor on the run time.
         self.slowdown = 1.0
+        # Fault of the software version, and the loop time from which it shows.
+        self.version_fault: VersionFault | None = None
+        self.bad_from = 0.0
         # Whether the server closes the connection at the end of each run.
         self.drops_responses = False
         # Requests per second that the server states to take; None to state no limit.
@@ -188,6 +199,28 @@
         job.send_output()
         self.start_queued()
 
+    def find_version_fault(self, job: Job) -> VersionFault | None:
+        """Return the version's fault if it affects a request now."""
+        fault = self.version_fault
+        if fault is None or asyncio.get_running_loop().time() < self.bad_from:
+            return None
+        is_affected = fault.kind in ("", job.run.kind)
+        has_load = len(self.running) >= fault.min_running
+        return fault if is_affected and has_load else None
+
+    def draw_failure(self, job: Job, rng: random.Random) -> bool:
+        """Return whether the version makes a request fail; record what is bad."""
+        fault = self.find_version_fault(job)
+        if fault is None:
+            return False
+        # A rate of 0 or 1 draws no number, so that other draws stay the same.
+        has_failed = fault.failure_rate >= 1.0 or (
+            fault.failure_rate > 0.0 and rng.random() < fault.failure_rate
+        )
+        if has_failed or fault.slowdown > 1.0:
+            job.run.bad_at = asyncio.get_running_loop().time()
+        return has_failed
+
     @abstractmethod
     def start(self, job: Job) -> None:
         """Run a request that has a slot."""
@@ -215,13 +248,18 @@
         seconds = (
             job.work * self._time_factor * self.slowdown * self._rng.uniform(0.8, 1.2)
         )
+        fault = self.find_version_fault(job)
+        if fault is not None:
+            seconds *= fault.slowdown
         asyncio.get_running_loop().call_later(seconds, self._finish, job)
 
     def _finish(self, job: Job) -> None:
         if job.is_finished:
             return
         if self._rng.random() < self.failure_rate:
-            job.send_output(b"!failed")
+            job.send_output(FAILURE_OUTPUT)
+        elif self.draw_failure(job, self._rng):
+            job.send_output(FAILURE_OUTPUT)
         else:
             job.send_output(b"done " + job.run.attempt.encode())
         self.complete(job)
@@ -280,6 +318,8 @@
             # Prefill and decoding of a step run in parallel.
             seconds = max(seconds, chunk_tokens / model.prefill_rate)
         seconds *= self._time_factor * self.slowdown
+        faults = [self.find_version_fault(job) for job in self.running]
+        seconds *= max((it.slowdown for it in faults if it), default=1.0)
         loop.call_later(seconds, self._finish_step, prefilling, chunk_tokens, decoding)
 
     def _finish_step(
@@ -293,6 +333,9 @@
             prefilling.prompt_tokens_left -= chunk_tokens
             if prefilling.prompt_tokens_left <= 0:
                 self._cache_prefix(prefilling)
+                if self.draw_failure(prefilling, self._rng):
+                    prefilling.send_output(FAILURE_OUTPUT)
+                    self.complete(prefilling)
         for job in decoding:
             if job.is_finished:
                 continue
@@ -344,12 +387,17 @@
 
 
 def make_servers(
-    service: str, model: EngineModel | ServiceModel, rng: random.Random, zones: list
+    service: str,
+    model: EngineModel | ServiceModel,
+    rng: random.Random,
+    zones: list,
+    version: str = "",
+    first_number: int = 0,
 ) -> list[EmulatedServer]:
     """Return the backend servers of a service, from the fastest to the slowest."""
     servers: list[EmulatedServer] = []
-    for number in range(model.count):
-        share = number / max(1, model.count - 1)
+    for number in range(first_number, first_number + model.count):
+        share = (number - first_number) / max(1, model.count - 1)
         time_factor = 1.0 + (model.spread - 1.0) * share
         entry = BackendEntry(
             BackendServerId(f"{service}-{number}"),
@@ -360,6 +408,7 @@
             model.slots,
             BackendPhase.READY,
             1,
+            version=SoftwareVersion(version),
         )
         if isinstance(model, EngineModel):
             servers.append(EmulatedEngine(entry, model, time_factor, rng))
--- a/emulator/_site.py
+++ b/emulator/_site.py
@@ -74,6 +74,34 @@
     spread: float = 1.5
 
 
+@dataclass(frozen=True, slots=True)
+class VersionFault:
+    """Describe how the servers of a software version are bad."""
+
+    # Share of responses that fail, and factor on the run time.
+    failure_rate: float = 0.0
+    slowdown: float = 1.0
+    # Seconds from the start of the servers until they become bad.
+    delay: float = 0.0
+    # Requests that a server runs at the same time when it is bad.
+    min_running: int = 1
+    # Kind of request that is affected; empty for all.
+    kind: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class RolloutPlan:
+    """Describe an operator's order to move a service to a software version."""
+
+    service: str
+    target: str
+    # Seconds from the start of traffic to the order, and from there to its time limit.
+    start: float
+    duration: float
+    # None if the version is good.
+    fault: VersionFault | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class Wave:
     """Describe a period in which some kinds have a higher or lower request rate."""
@@ -116,6 +144,8 @@
     # Values of the gateways' settings section `promises` that replace the emulator's
     # defaults.
     promises: dict[str, float] = field(default_factory=dict)
+    # Orders of roll-outs; the gateways have settings for them if there are any.
+    rollouts: tuple[RolloutPlan, ...] = ()
 
     def shrink(self, divisor: int) -> Site:
         """Return a site with as much traffic for each server, but fewer servers."""
--- a/emulator/_sites.py
+++ b/emulator/_sites.py
@@ -6,7 +6,15 @@
 
 from fireflyquay.world import RepeatRule
 
-from ._site import EngineModel, Kind, ServiceModel, Site, Wave
+from ._site import (
+    EngineModel,
+    Kind,
+    RolloutPlan,
+    ServiceModel,
+    Site,
+    VersionFault,
+    Wave,
+)
 
 LLM, APP = "llm", "app"
 ONCE, AGAIN = RepeatRule.AT_MOST_ONCE, RepeatRule.IDEMPOTENT
@@ -79,7 +87,16 @@
     accounts=19,
 )
 SITES = {site.name: site for site in (BROLGA, TREIPUU, BROLGA_GROWN, TREIPUU_LARGE)}
-DAYS = ("quiet", "scale")
+# Versions that a day with a roll-out brings: a good one, one that fails, and one that
+# turns slow after a while.
+ROLLOUT_FAULTS = {
+    "rollout": None,
+    "rollout-failing": VersionFault(failure_rate=0.4),
+    "rollout-slow": VersionFault(slowdown=5.0, delay=5.0),
+}
+ROLLOUT_TARGET = "v2"
+ROLLOUT_START_SECONDS, ROLLOUT_DURATION_SECONDS = 2.0, 16.0
+DAYS = ("quiet", "scale", *ROLLOUT_FAULTS)
 SCALE_DAY_WAVES = (Wave(4.0, 4.0, 1.8), Wave(14.0, 5.0, 2.2))
 
 
@@ -90,4 +107,11 @@
         return site
     if day == "scale":
         return replace(site, load=1.15, waves=SCALE_DAY_WAVES, disconnect_share=0.05)
-    raise KeyError(day)
+    plan = RolloutPlan(
+        LLM,
+        ROLLOUT_TARGET,
+        ROLLOUT_START_SECONDS,
+        ROLLOUT_DURATION_SECONDS,
+        ROLLOUT_FAULTS[day],
+    )
+    return replace(site, rollouts=(plan,))
