Add the settings section of roll-outs

Operators of a deployment that bounds what an untried software version may receive had no setting for it. The checker of settings accepts a section that may be absent, and a reload names it if it changed.

The documentation test looks into sections that may be absent; it is as strict as before.

--- a/fireflyquay/checks/_document.py
+++ b/fireflyquay/checks/_document.py
@@ -76,6 +76,9 @@
 ) -> list[SettingsFault]:
     if isinstance(expected_type, inspect.DataclassType):
         return _check_table(path, value, expected_type)
+    if isinstance(expected_type, inspect.UnionType):
+        # TOML has no null: what is given is of the type besides None.
+        return _check_value(path, value, _get_given_type(expected_type))
     if isinstance(expected_type, inspect.DictType):
         return _check_dict(path, value, expected_type)
     if isinstance(expected_type, inspect.VarTupleType):
@@ -106,6 +109,13 @@
     return sorted(faults, key=lambda fault: fault.path)
 
 
+def _get_given_type(expected_type: inspect.UnionType) -> inspect.Type:
+    """Return the first type of a union that is not None."""
+    return next(
+        it for it in expected_type.types if not isinstance(it, inspect.NoneType)
+    )
+
+
 def _check_dict(
     path: str, value: Any, expected_type: inspect.DictType
 ) -> list[SettingsFault]:
--- a/fireflyquay/gateway/_gateway.py
+++ b/fireflyquay/gateway/_gateway.py
@@ -438,8 +438,8 @@
         promises = replace(old.promises, revoke=settings.promises.revoke)
         need_restart = [
             name
-            for name, current in (("store", old.store), ("log", old.log))
-            if getattr(settings, name) != current
+            for name in ("store", "log", "rollout")
+            if getattr(settings, name) != getattr(old, name)
         ]
         if settings.promises != promises:
             need_restart.append("promises")
--- a/fireflyquay/gateway/_settings.py
+++ b/fireflyquay/gateway/_settings.py
@@ -91,6 +91,18 @@
     quota_window: Seconds = QUOTA_WINDOW_SECONDS
 
 
+@dataclass(frozen=True, slots=True)
+class RolloutSettings:
+    """Hold the bounds of what an untried software version may receive."""
+
+    # Maximum requests to an untried version, as a ratio of those of its service.
+    exposure_share: Annotated[float, Meta(ge=0, le=1)]
+    # Further requests that an untried version may receive.
+    exposure_slack: Annotated[float, Meta(ge=0)] = 0.0
+    # Seconds after which a version that proved bad receives no requests.
+    rollback: Seconds = 5.0
+
+
 @dataclass(frozen=True, slots=True)
 class LogSettings:
     """Hold the limits of the log."""
@@ -107,6 +119,8 @@
     store: StoreSettings
     promises: PromiseSettings
     log: LogSettings = field(default_factory=LogSettings)
+    # None if the deployment has no roll-outs, which are then not read.
+    rollout: RolloutSettings | None = None
 
 
 def split_address(address: str) -> tuple[str, int]:
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -5,7 +5,7 @@
 import runpy
 from dataclasses import fields
 from pathlib import Path
-from typing import get_type_hints
+from typing import get_args, get_type_hints
 
 import pytest
 
@@ -90,7 +90,8 @@
     names = [
         f"{section}.{field.name}"
         for section, kind in hints.items()
-        for field in fields(kind)
+        # Of a section that may be absent, the hint is a union of its type and None.
+        for field in fields((get_args(kind) or (kind,))[0])
     ]
     assert not [name for name in names if f"`{name}`" not in REFERENCE]
 
