Bound, judge and switch versions on roll-out in the scheduler

Callers of a service got as much from an untried version as from the proven one, since the scheduler knew no orders. Where a roll-out is active, servers of the target version are now granted only from a budget that acknowledged writes have reserved; evidence by version, route and server decides between a switch and a rollback. Without bounds in the settings nothing of this runs.

--- a/fireflyquay/dispatch/__init__.py
+++ b/fireflyquay/dispatch/__init__.py
@@ -38,6 +38,7 @@
     list_suspects,
     make_stored_news,
 )
+from ._exposure_budget import RolloutBounds
 from ._fleet_knowledge import FleetKnowledge
 from ._freshness import Freshness
 from ._origin_archive import OriginArchive
@@ -50,6 +51,7 @@
 )
 from ._replica_sync import ReplicaSync
 from ._retry_budget import RetryBudget
+from ._rollout import ReadProgress, ReserveExposure, RolloutAction, WriteStatus
 from ._rollout_messages import (
     PartId,
     ProgressPart,
@@ -57,6 +59,7 @@
     RolloutProgress,
     ServerEvidence,
 )
+from ._rollouts import RolloutEvent, Rollouts, RolloutView
 from ._run_durations import RunDurations
 from ._scheduler import SlotScheduler, SlotSchedulerSettings
 from ._slot_messages import Decision, Grant, Refusal, SlotRequest
@@ -120,6 +123,14 @@
     "RolloutPhase",
     "RolloutProgress",
     "ServerEvidence",
+    "ReadProgress",
+    "ReserveExposure",
+    "RolloutAction",
+    "RolloutBounds",
+    "RolloutEvent",
+    "RolloutView",
+    "Rollouts",
+    "WriteStatus",
     "RunDurations",
     "RunEnded",
     "SlotRequest",
--- a/fireflyquay/dispatch/_control_message.py
+++ b/fireflyquay/dispatch/_control_message.py
@@ -59,6 +59,13 @@
     # Longest time between two stream events in seconds.
     longest_gap: float
     failed: bool
+    # Whether the response was whole and no error, whether it was an error or broken by
+    # the server itself, and whether its process ended; all False if nothing is known.
+    is_sound: bool = False
+    is_faulty: bool = False
+    has_crashed: bool = False
+    # From sending the request to the end; None if not stated.
+    seconds: float | None = None
 
 
 class BackendPause(Message, tag="Pause"):
--- a/fireflyquay/dispatch/_scheduler.py
+++ b/fireflyquay/dispatch/_scheduler.py
@@ -28,6 +28,8 @@
     make_version_refusal,
 )
 from ._refused_requests import RefusedRequests
+from ._rollout_placement import RolloutPlacement
+from ._rollouts import Rollouts
 from ._service_state import ServiceState
 from ._slot_messages import Decision, Grant, Refusal, SlotRequest
 from ._slot_queue import QueuedRequest
@@ -73,8 +75,15 @@
     usage and arrival.
     """
 
-    def __init__(self, settings: SlotSchedulerSettings, rng: random.Random) -> None:
+    def __init__(
+        self,
+        settings: SlotSchedulerSettings,
+        rng: random.Random,
+        rollouts: Rollouts | None = None,
+    ) -> None:
         self._settings = settings
+        # Software versions that may be granted.
+        self.rollouts = rollouts or Rollouts(Incarnation(""))
         self._rng = rng
         self._placement = Placement(settings.placement, rng)
         self._states: dict[ServiceId, ServiceState] = {}
@@ -96,6 +105,7 @@
     def set_backends(self, entries: Iterable[BackendEntry]) -> None:
         """Replace the backend servers that may receive requests, if they have slots."""
         entries_by_id = {entry.id: entry for entry in entries if entry.slots > 0}
+        self.rollouts.set_backends(entries_by_id.values())
         for backend_id in self._services_by_backend.keys() - entries_by_id.keys():
             state = self._states[self._services_by_backend.pop(backend_id)]
             state.loads.pop(backend_id, None)
@@ -172,6 +182,7 @@
 
     def cancel(self, key: SlotRequestKey, now: float) -> list[Decision]:
         """Cancel a waiting or running request."""
+        self.rollouts.discard(key)
         for state in self._states.values():
             state.queue.remove(key)
             for load in state.loads.values():
@@ -190,6 +201,7 @@
 
         A grant alone tells nothing: it may come too late for its VM to use it.
         """
+        self.rollouts.record_first_output(key, now)
         load = self._find_load(backend)
         run = None if load is None else load.record_first_output(key, now)
         if load is not None and run is not None:
@@ -202,10 +214,11 @@
         self, owner: Incarnation, ended: RunEnded, now: float
     ) -> list[Decision]:
         """End a run and grant its slot to the next request."""
+        key = (owner, ended.number)
+        self.rollouts.record_end(key, ended, now)
         load = self._find_load(ended.backend)
         if load is None:
             return []
-        key = (owner, ended.number)
         state = self._states[self._services_by_backend[ended.backend]]
         run = load.runs.get(key)
         load.record_end(key, now, ended.event_count, ended.longest_gap, ended.failed)
@@ -311,6 +324,7 @@
                     is_older = run.granted_at < recent_since
                     if key[0] == owner and key not in reported and is_older:
                         load.discard_run(key, now)
+                        self.rollouts.discard(key)
             decisions += self._assign_slots(state, now)
         return decisions
 
@@ -322,6 +336,7 @@
             for load in state.loads.values():
                 for key in [key for key in load.runs if key[0] == owner]:
                     load.discard_run(key, now)
+                    self.rollouts.discard(key)
             decisions += self._assign_slots(state, now)
         return decisions
 
@@ -338,6 +353,13 @@
         state = self._states.get(service)
         return 0 if state is None else len(state.queue)
 
+    def count_runs(self, service: ServiceId) -> dict[BackendServerId, int]:
+        """Return the number of runs on each backend server of a service."""
+        state = self._states.get(service)
+        if state is None:
+            return {}
+        return {it: len(load.runs) for it, load in state.loads.items()}
+
     def count_in_flight(self, account: ClientAccountId) -> int:
         """Return the number of waiting and running requests of a client account."""
         return sum(
@@ -363,14 +385,16 @@
             load
             for load in state.loads.values()
             if self._can_grant(load, now)
+            and self.rollouts.may_continue(load.entry, now)
             # A failing backend server is tested with one request at a time.
             and not (load.runs and load.is_failing(median_failure_rate))
         ]
+        placement = RolloutPlacement(self.rollouts, self._placement, available_loads)
         starved_rank = state.find_starved_rank(self._settings.min_grant_share)
         for item in state.queue.iter_candidates(now, starved_rank):
             if not available_loads:
                 break
-            load = self._placement.choose(available_loads, item, now)
+            load = placement.choose(item, now)
             if load is None:
                 continue
             state.queue.remove(item.key)
@@ -430,6 +454,7 @@
         forecast = load.forecast_first_output(request, now)
         occupancy = len(load.runs)
         load.add_run(item.key, request, now)
+        self.rollouts.record_grant(load.entry, request, occupancy, now)
         if load.limit is not None:
             load.limit.charge(self.limit_share, now)
         if load.occupancy_limit is not None:
@@ -458,8 +483,11 @@
         cause: RefusalCause,
         now: float,
     ) -> Refusal:
+        loads = list(state.loads.values())
         slots = sum(
             load.count_usable_slots(item.request, self.share, self.limit_share)
-            for load in state.loads.values()
+            # All may be held back until the orders of roll-outs are read.
+            for load in [it for it in loads if self.rollouts.may_grant(it.entry, now)]
+            or loads
         )
         return self._refusals.refuse(state, item, cause, slots, now)
--- a/fireflyquay/dispatch/_slot_messages.py
+++ b/fireflyquay/dispatch/_slot_messages.py
@@ -61,6 +61,9 @@
     # Whether an earlier grant of this request, which was never sent to a backend
     # server, was charged to its client account.
     is_charged: bool = False
+    # Name of the route, by which software versions are compared; empty from a VM that
+    # does not state it.
+    route: str = ""
 
     @property
     def age(self) -> float:
