Follow orders of roll-outs in the gateway

The coordinator reads the orders twice a second and writes progress and state; other VMs read them once a version registers that is new to them. Runs tell the coordinator whether the response was sound, faulty by the server itself or lost with its process. Metrics and log lines show phase, exposure and evidence. Nothing of this runs without the section [rollout].

--- a/fireflyquay/dispatch/_coordinator.py
+++ b/fireflyquay/dispatch/_coordinator.py
@@ -12,6 +12,7 @@
     Code,
     Incarnation,
     QuotaUnit,
+    ServiceId,
 )
 
 from ._backend_beliefs import BackendBeliefs
@@ -33,6 +34,7 @@
 from ._limit_history import LimitHistory
 from ._quota_limiter import QuotaLimiter, QuotaShortage
 from ._retry_budget import RetryBudget
+from ._rollouts import Rollouts
 from ._scheduler import SlotScheduler
 from ._slot_messages import Decision, Refusal, SlotRequest
 from ._stream_origins import StreamOrigin, StreamOrigins
@@ -92,6 +94,15 @@
         self.share = share
         self._scheduler.share = share
 
+    @property
+    def rollouts(self) -> Rollouts:
+        """Return the roll-outs that bound which versions are granted."""
+        return self._scheduler.rollouts
+
+    def count_runs(self, service: ServiceId) -> dict[BackendServerId, int]:
+        """Return the number of runs on each backend server of a service."""
+        return self._scheduler.count_runs(service)
+
     @property
     def origins(self) -> StreamOrigins:
         """Return where recent streams began."""
--- a/fireflyquay/gateway/_coordinator_factory.py
+++ b/fireflyquay/gateway/_coordinator_factory.py
@@ -12,12 +12,14 @@
     QuotaLimiter,
     QuotaMargin,
     RetryBudget,
+    RolloutBounds,
+    Rollouts,
     SlotScheduler,
     SlotSchedulerSettings,
 )
 from fireflyquay.world import Incarnation
 
-from ._settings import PromiseSettings
+from ._settings import PromiseSettings, RolloutSettings
 
 # Share of the retry budget that coordinators use. The rest covers retries that no VM
 # knows of any more: those granted just before a change, and before all VMs were killed.
@@ -34,6 +36,7 @@
     config: ConfigReplica,
     settings: SlotSchedulerSettings | None,
     rng: random.Random,
+    rollout: RolloutSettings | None = None,
 ) -> Coordinator:
     """Return a coordinator that keeps the bounds also when another VM takes over."""
     knowledge = FleetKnowledge()
@@ -53,5 +56,11 @@
         promises.quota_slack - allowance.units,
     )
     quotas = QuotaLimiter(allowance, reserve, promises.quota_window, knowledge)
-    scheduler = SlotScheduler(settings or SlotSchedulerSettings(), rng)
+    bounds = None
+    if rollout is not None:
+        bounds = RolloutBounds(
+            rollout.exposure_share, rollout.exposure_slack, rollout.rollback
+        )
+    rollouts = Rollouts(own, bounds)
+    scheduler = SlotScheduler(settings or SlotSchedulerSettings(), rng, rollouts)
     return Coordinator(own, config, scheduler, retries, quotas, knowledge)
--- a/fireflyquay/gateway/_forwarder.py
+++ b/fireflyquay/gateway/_forwarder.py
@@ -24,7 +24,7 @@
 from ._dialect import BrokenResponseError, EventReader, ResponseMetadata
 from ._gateway_metrics import GatewayMetrics
 from ._quarantine import Quarantine
-from ._slot_client import SlotClient
+from ._slot_client import RunResult, SlotClient
 from ._stop_guard import StopGuard
 
 LOG = logbook.Logger("forwarder")
@@ -54,6 +54,12 @@
     Outcome.NOT_SENT,
     Outcome.UNSENDABLE,
 )
+# What a broken response tells of the backend server's software; nothing if its path is
+# down.
+RESULTS_BY_FINDING = {
+    Finding.REACHABLE: RunResult.FAULTY,
+    Finding.SERVER_DOWN: RunResult.CRASHED,
+}
 # Seconds without new requests for a backend server that closes new connections, and
 # for one that declines a request.
 CLOSED_PAUSE_SECONDS = 0.5
@@ -97,6 +103,7 @@
                 self.stop_guard.record_run(call, loop.time() - started_at)
             is_wasted = outcome not in HEALTHY_OUTCOMES
             failed = is_wasted or attempt.status >= 500
+            attempt.result = _classify(outcome, attempt.status)
             if attempt.was_broken_off:
                 call.crash_check = self._start_crash_check(attempt)
             return outcome
@@ -159,6 +166,8 @@
         self._first_output_at: float | None = None
         self._last_output_at: float | None = None
         self._was_sound = False
+        # What the run tells of the backend server's software.
+        self.result = RunResult.UNKNOWN
         # Whether the connection ended before the response did, and after how many
         # seconds from the first output; None without output.
         self.was_broken_off = False
@@ -262,6 +271,8 @@
             self.event_count,
             self.longest_gap,
             failed,
+            self.result,
+            asyncio.get_running_loop().time() - self._sent_at,
         )
 
     async def check_crash(self) -> None:
@@ -273,6 +284,7 @@
         try:
             finding = await self._paths.examine(self._backend.address)
         finally:
+            self.result = RESULTS_BY_FINDING.get(finding, RunResult.UNKNOWN)
             self.release(finding in (Finding.REACHABLE, Finding.SERVER_DOWN))
         if finding is not Finding.SERVER_DOWN:
             return
@@ -534,6 +546,14 @@
             await responder.write(data)
 
 
+def _classify(outcome: Outcome, status: int) -> RunResult:
+    """Return what an attempt tells of the backend server's software."""
+    if outcome in (Outcome.NOT_RUN, Outcome.NOT_SENT, Outcome.UNSENDABLE):
+        return RunResult.UNKNOWN
+    is_sound = outcome is Outcome.DELIVERED and 200 <= status < 300
+    return RunResult.SOUND if is_sound else RunResult.FAULTY
+
+
 def _may_hold_events(headers: dict[str, str]) -> bool:
     """Return whether a body is an event stream or of no stated type."""
     media_type = headers.get("content-type", EVENT_STREAM).partition(";")[0]
--- a/fireflyquay/gateway/_gateway.py
+++ b/fireflyquay/gateway/_gateway.py
@@ -49,6 +49,7 @@
 from ._ingress import DEFAULT_TIMEOUT_SECONDS, Ingress
 from ._origin_archiver import OriginArchiver
 from ._quarantine import Quarantine
+from ._rollout_keeper import RolloutKeeper
 from ._settings import GatewaySettings, VmSettings, split_address
 from ._slot_client import SlotClient
 from ._state_replicas import StateReplicas
@@ -126,7 +127,12 @@
         )
         self.replicas.on_change = self._apply_replicas
         self._coordinator = make_coordinator(
-            self.incarnation, promises, self.replicas.config, scheduler_settings, rng
+            self.incarnation,
+            promises,
+            self.replicas.config,
+            scheduler_settings,
+            rng,
+            settings.rollout if source.keeps_rollouts() else None,
         )
         self._coordinator.beliefs.on_leaving = self._exclude_leaving
         self._slot_client = SlotClient(self.incarnation, self._coordinator)
@@ -134,6 +140,13 @@
         self._evidence = EvidenceKeeper(
             source, self._quarantine, self._clock, lambda: self.fleet.is_coordinating
         )
+        self._rollouts = RolloutKeeper(
+            source,
+            self._coordinator.rollouts,
+            self._coordinator.count_runs,
+            self._clock,
+            lambda: self.fleet.is_coordinating,
+        )
         self._stream_locator = StreamLocator(
             self._coordinator.origins,
             self.replicas.backends,
@@ -311,6 +324,7 @@
             "Messages of other VMs that can't be read.",
             lambda: traffic.messages_rejected,
         )
+        self.metrics.add_rollouts(self._coordinator.rollouts.list_views)
 
     def is_ready(self) -> bool:
         """Return whether this VM accepts requests and has a fresh configuration."""
@@ -390,6 +404,7 @@
             self.paths.test_paths,
             self._quarantine.spread_evidence,
             self._evidence.keep,
+            self._rollouts.keep,
             self._archiver.write_archive,
             self._archiver.read_archive,
         ):
--- a/fireflyquay/gateway/_gateway_metrics.py
+++ b/fireflyquay/gateway/_gateway_metrics.py
@@ -2,16 +2,20 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from prometheus_client import (
     CollectorRegistry,
     Counter,
     Gauge,
     Histogram,
+    Metric,
     generate_latest,
 )
+from prometheus_client.core import GaugeMetricFamily
+from prometheus_client.registry import Collector
 
+from fireflyquay.dispatch import RolloutPhase, RolloutView
 from fireflyquay.links import HttpRequest, HttpResponder
 
 # Upper bounds from a fraction to several times the usual latency objectives.
@@ -19,6 +23,38 @@
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
 
+class _RolloutCollector(Collector):
+    """Collect the phase, exposure and evidence of each roll-out."""
+
+    def __init__(self, list_views: Callable[[], list[RolloutView]]) -> None:
+        self._list_views = list_views
+
+    def collect(self) -> Iterator[Metric]:
+        """Yield the metrics of all roll-outs."""
+        phase = self._make_gauge(
+            "phase", "Whether a roll-out is in a phase.", "target", "phase"
+        )
+        exposure = self._make_gauge(
+            "exposure", "Requests of a service, and those of its target.", "kind"
+        )
+        evidence = self._make_gauge(
+            "responses", "Responses of a target by what they prove.", "kind"
+        )
+        for view in self._list_views():
+            for it in RolloutPhase:
+                labels = (view.service, view.target, it.value)
+                phase.add_metric(labels, float(view.phase is it))
+            for kind in ("seen", "reserved", "granted"):
+                exposure.add_metric((view.service, kind), getattr(view, kind))
+            for kind in ("responses", "failures", "slow"):
+                evidence.add_metric((view.service, kind), getattr(view, kind))
+        yield from (phase, exposure, evidence)
+
+    def _make_gauge(self, name: str, help_text: str, *labels: str) -> GaugeMetricFamily:
+        name = f"fireflyquay_gateway_rollout_{name}"
+        return GaugeMetricFamily(name, help_text, labels=("service", *labels))
+
+
 class GatewayMetrics:
     """Collect metrics of requests and of the gateway's state."""
 
@@ -78,6 +114,10 @@
         gauge = Gauge(f"fireflyquay_gateway_{name}", help_text, registry=self.registry)
         gauge.set_function(read)
 
+    def add_rollouts(self, list_views: Callable[[], list[RolloutView]]) -> None:
+        """Register metrics of the roll-outs, which are listed on each scrape."""
+        self.registry.register(_RolloutCollector(list_views))
+
     async def serve(self, request: HttpRequest, responder: HttpResponder) -> None:
         """Respond with all metrics."""
         headers = {"Content-Type": CONTENT_TYPE}
--- a/fireflyquay/gateway/_slot_client.py
+++ b/fireflyquay/gateway/_slot_client.py
@@ -7,6 +7,7 @@
 from abc import ABC, abstractmethod
 from collections.abc import Sequence
 from dataclasses import dataclass
+from enum import Enum
 
 import logbook
 from msgspec.structs import replace
@@ -58,6 +59,17 @@
 UNREACHABLE_PAUSE_SECONDS = 0.5
 
 
+class RunResult(Enum):
+    """Name what a run tells of the backend server's software."""
+
+    UNKNOWN = "UNKNOWN"
+    SOUND = "SOUND"
+    # The response was an error, broken or too late by the server's own doing.
+    FAULTY = "FAULTY"
+    # The server's process ended.
+    CRASHED = "CRASHED"
+
+
 class Peers(ABC):
     """Send messages to other VMs and choose the coordinator."""
 
@@ -166,11 +178,23 @@
         event_count: int = 0,
         longest_gap: float = 0.0,
         failed: bool = False,
+        result: RunResult = RunResult.UNKNOWN,
+        seconds: float | None = None,
     ) -> None:
         """Report the end of a run, which frees its slot."""
         self._runs.pop(slot_request.number, None)
         self._notify(
-            RunEnded(slot_request.number, backend, event_count, longest_gap, failed)
+            RunEnded(
+                slot_request.number,
+                backend,
+                event_count,
+                longest_gap,
+                failed,
+                result is RunResult.SOUND,
+                result is RunResult.FAULTY,
+                result is RunResult.CRASHED,
+                seconds,
+            )
         )
 
     def cancel(self, slot_request: SlotRequest) -> None:
