Check the verdicts of emulated roll-outs

A bad version that is completed, or a good one that is not, harms callers most, and nothing played a whole roll-out with the gateways.

--- a/emulator/tests/test_rollouts.py
+++ b/emulator/tests/test_rollouts.py
@@ -12,6 +12,7 @@
     RolloutRecord,
     Run,
     VersionFault,
+    emulate,
     run_virtual,
     summarize_rollouts,
 )
@@ -265,3 +266,13 @@
             assert gateway._settings.rollout is None
 
     run_virtual(play())
+
+
+@pytest.mark.parametrize("day", ROLLOUT_FAULTS)
+def test_day_with_a_rollout_ends_with_the_right_verdict(day):
+    # Guards against a bad version that is completed, or exposed beyond its bounds, and
+    # against a good one that is not completed in time.
+    history = emulate(find_site("brolga", day), 20.0, seed=1, settle=2.0)
+    (summary,) = summarize_rollouts(history)
+    assert summary.is_right
+    assert summary.keeps_bounds
