--- a/fireflyquay/daemons/__init__.py
+++ b/fireflyquay/daemons/__init__.py
@@ -1,6 +1,7 @@
 """Command line: operator commands, requests and the entry VM's daemon."""
 
 from ._cli import main
-from ._rollout_orders import OrdersOpener, RolloutOrders
+from ._platform_access import PlatformAccess
+from ._rollout_orders import RolloutOrders
 
-__all__ = ["OrdersOpener", "RolloutOrders", "main"]
+__all__ = ["PlatformAccess", "RolloutOrders", "main"]
--- a/fireflyquay/daemons/_cli.py
+++ b/fireflyquay/daemons/_cli.py
@@ -17,9 +17,9 @@
 from ._diagnostic_commands import add_diagnostic_commands
 from ._entry_commands import add_entry_commands
 from ._output import ExitCode, format_error, get_exit_code
+from ._platform_access import PlatformAccess
 from ._request_commands import add_request_command
 from ._rollout_commands import add_rollout_commands
-from ._rollout_orders import OrdersOpener
 
 INTERRUPTED_EXIT_CODE = 130
 EXIT_CODES_HELP = """\
@@ -34,7 +34,7 @@
 
 
 def main(
-    argv: Sequence[str] | None = None, open_orders: OrdersOpener | None = None
+    argv: Sequence[str] | None = None, platform: PlatformAccess | None = None
 ) -> int:
     """Run one command and return its exit code."""
     try:
@@ -44,7 +44,7 @@
     if not arguments.handles_signals:
         admit_signals()
     try:
-        return asyncio.run(run_command(make_context(arguments, open_orders)))
+        return asyncio.run(run_command(make_context(arguments, platform)))
     except KeyboardInterrupt:
         return INTERRUPTED_EXIT_CODE
 
--- a/fireflyquay/daemons/_context.py
+++ b/fireflyquay/daemons/_context.py
@@ -22,7 +22,8 @@
 if TYPE_CHECKING:
     from fireflyquay.links import HttpClient, Store
 
-    from ._rollout_orders import OrdersOpener, RolloutOrders
+    from ._platform_access import PlatformAccess
+    from ._rollout_orders import RolloutOrders
 
 STORE_VARIABLE = "FIREFLYQUAY_STORE"
 ENTRIES_VARIABLE = "FIREFLYQUAY_ENTRIES"
@@ -37,12 +38,12 @@
         self,
         arguments: argparse.Namespace,
         environment: Mapping[str, str],
-        open_orders: OrdersOpener | None = None,
+        platform: PlatformAccess | None = None,
     ) -> None:
         self.arguments = arguments
         self._environment = environment
-        # None if the program that runs the command has no access to orders.
-        self._open_orders = open_orders
+        # None if the program that runs the command knows no platform.
+        self._platform = platform
 
     def make_http_client(self) -> HttpClient:
         """Return a new HTTP client."""
@@ -59,15 +60,20 @@
 
     def make_rollout_orders(self) -> RolloutOrders:
         """Return access to orders of roll-outs; raise UsageError without any."""
-        if self._open_orders is None:
+        platform = self.get_platform()
+        host, port = self._get_store_address()
+        client = self.make_http_client()
+        return platform.open_orders(client, host, port, STORE_REQUEST_TIMEOUT_SECONDS)
+
+    def get_platform(self) -> PlatformAccess:
+        """Return access to the platform; raise UsageError without any."""
+        if self._platform is None:
             raise UsageError(
                 Code.BAD_SETTINGS,
-                "Orders of roll-outs are kept on the platform only; run the command by "
-                "the platform's operate.py.",
+                "This command works on the platform only; run it by the platform's "
+                "operate.py.",
             )
-        host, port = self._get_store_address()
-        client = self.make_http_client()
-        return self._open_orders(client, host, port, STORE_REQUEST_TIMEOUT_SECONDS)
+        return self._platform
 
     def get_token(self) -> str:
         """Return the bearer token, or an empty string if none is set."""
@@ -118,10 +124,10 @@
 
 
 def make_context(
-    arguments: argparse.Namespace, open_orders: OrdersOpener | None = None
+    arguments: argparse.Namespace, platform: PlatformAccess | None = None
 ) -> Context:
     """Return a context with the environment of this process."""
-    return Context(arguments, os.environ, open_orders)
+    return Context(arguments, os.environ, platform)
 
 
 def parse_addresses(text: str) -> list[tuple[str, int]]:
--- a/fireflyquay/daemons/_rollout_orders.py
+++ b/fireflyquay/daemons/_rollout_orders.py
@@ -31,7 +31,6 @@
 if TYPE_CHECKING:
     from fireflyquay.dispatch import RolloutProgress
     from fireflyquay.gateway import StoredRecord
-    from fireflyquay.links import HttpClient
 
 T = TypeVar("T")
 FINAL_STATES = (RolloutState.COMPLETED, RolloutState.ROLLED_BACK)
@@ -74,10 +73,6 @@
         """Remove an order; return False if its revision is another by now."""
 
 
-# Opens the orders in the store at a host and port.
-OrdersOpener = Callable[["HttpClient", str, int, float], RolloutOrders]
-
-
 class EvidenceView(msgspec.Struct, frozen=True):
     """Hold what is known of a version on a route, at one server or at all."""
 
--- a/fireflyquay/daemons/tests/test_rollout_commands.py
+++ b/fireflyquay/daemons/tests/test_rollout_commands.py
@@ -5,7 +5,12 @@
 
 import pytest
 
-from fireflyquay.daemons import RolloutOrders, _rollout_orders, main
+from fireflyquay.daemons import (
+    PlatformAccess,
+    RolloutOrders,
+    _rollout_orders,
+    main,
+)
 from fireflyquay.dispatch import (
     PartId,
     ProgressPart,
@@ -102,7 +107,8 @@
 
 
 def run(orders, *arguments):
-    return main(arguments, lambda client, host, port, timeout: orders)
+    access = PlatformAccess(lambda client, host, port, timeout: orders, None, None)
+    return main(arguments, access)
 
 
 def make_order(target="v2", duration=45, state=None, stated_target=None):
