Replay roll-outs over a fleet, and compare what can be compared

The seeded walk found a slow version that completed, since the first responses had no old ones to be compared with, and single bad servers that hid a bad version's share of failures. The trial starts once there are responses of the other versions, takes at most every other grant, and leaves a server out only if it differs from the rest.

--- a/fireflyquay/dispatch/_exposure_budget.py
+++ b/fireflyquay/dispatch/_exposure_budget.py
@@ -8,8 +8,6 @@
 
 from dataclasses import dataclass
 
-from fireflyquay.world import Incarnation
-
 from ._rollout_messages import PartId, ProgressPart, RolloutProgress, ServerEvidence
 
 # Parts of the stated share and slack that coordinators reserve. The rest covers counts
@@ -46,8 +44,8 @@
     Nothing is granted beyond the reservations of an acknowledged record.
     """
 
-    def __init__(self, own: Incarnation, bounds: RolloutBounds) -> None:
-        self.part = PartId(own)
+    def __init__(self, part: PartId, bounds: RolloutBounds) -> None:
+        self.part = part
         self._bounds = bounds
         self.seen = 0
         self.granted = 0
@@ -104,11 +102,14 @@
         return ProgressPart(seen, known.reserved, evidence)
 
     def reserve(self, progress: RolloutProgress) -> RolloutProgress:
-        """Return the record with another block, as far as the bound allows."""
+        """Return the record with another block, if the bound allows a whole one.
+
+        What is reserved can't be used by another coordinator.
+        """
         part = progress.parts[self.part]
         room = self.compute_allowance(progress) - progress.reserved
         missing = self._block - max(0, part.reserved - self.granted)
-        block = max(0, min(room, missing))
+        block = missing if 0 < missing <= room else 0
         grown = ProgressPart(part.seen, part.reserved + block, part.evidence)
         return replace_part(progress, self.part, grown)
 
--- a/fireflyquay/dispatch/_rollout.py
+++ b/fireflyquay/dispatch/_rollout.py
@@ -16,7 +16,6 @@
 from fireflyquay.world import (
     BackendEntry,
     BackendServerId,
-    Incarnation,
     RolloutOrder,
     RolloutState,
     ServiceId,
@@ -25,7 +24,7 @@
 
 from ._exposure_budget import ExposureBudget, RolloutBounds, merge_parts, replace_part
 from ._rollout_evidence import Assessment, Finding, RolloutEvidence
-from ._rollout_messages import RolloutPhase, RolloutProgress
+from ._rollout_messages import PartId, RolloutPhase, RolloutProgress
 
 # Seconds without a reading of the record after which nothing more is granted to a
 # version on trial, and the same as a share of the time for a rollback: another
@@ -126,13 +125,15 @@
     """Follow one order: bound its target's exposure, judge it, switch or roll back."""
 
     def __init__(
-        self, own: Incarnation, bounds: RolloutBounds, order: RolloutOrder, now: float
+        self, part: PartId, bounds: RolloutBounds, order: RolloutOrder, now: float
     ) -> None:
         self.order = order
         self.is_withdrawn = False
         # Whether the order was withdrawn after its target had taken over.
         self.was_completed = False
-        self.budget = ExposureBudget(own, bounds)
+        # Whether the target served before its order, and no other proven version does.
+        self.is_established = False
+        self.budget = ExposureBudget(part, bounds)
         self.evidence = RolloutEvidence(order.target)
         self.assessment = Assessment(Finding.SOUND)
         # Seconds of the longest run that ended.
@@ -150,6 +151,8 @@
         # Why this coordinator found the target bad; empty if it did not.
         self._fault = ""
         self._switched_at: float | None = None
+        # Whether the target got the last grant.
+        self._owes_others = False
         self._in_flight = False
         self._retry_at = -math.inf
         self._written_at = -math.inf
@@ -180,7 +183,6 @@
 
     def set_order(self, order: RolloutOrder, sent_at: float) -> None:
         """Follow the order as read by a call that was sent at a loop time."""
-        self.is_withdrawn = self.was_completed = False
         self._orders_sent_at = max(self._orders_sent_at, sent_at)
         if order.revision >= self.order.revision or order.target == self.order.target:
             self.order = order
@@ -194,17 +196,21 @@
     @property
     def is_settled(self) -> bool:
         """Return whether nothing is left to write of a withdrawn order."""
-        is_written = self.progress is None or (
-            self.progress.phase is RolloutPhase.WITHDRAWN
+        if not self.is_withdrawn:
+            return False
+        is_replaced = self._base is not None and self._base.target != self.order.target
+        return (
+            self.progress is None
+            or self.progress.phase is RolloutPhase.WITHDRAWN
+            or (self.was_completed and is_replaced)
         )
-        return self.is_withdrawn and is_written
 
     def may_grant(self, version: SoftwareVersion, now: float, has_others: bool) -> bool:
         """Return whether a version may get new requests.
 
         ``has_others`` tells whether other versions serve that could take them.
         """
-        if self.was_completed:
+        if self.was_completed or (self.is_established and version == self.order.target):
             return True
         if version != self.order.target:
             return not self._has_switched or not has_others
@@ -222,10 +228,17 @@
         has_verdict = self.phase in (RolloutPhase.SWITCH, RolloutPhase.COMPLETED)
         return has_verdict and not self.is_stopped and not self.is_withdrawn
 
+    def record_grant(self, version: SoftwareVersion) -> None:
+        """Charge a grant to the budget; at most every other one goes to the target."""
+        self._owes_others = version == self.order.target
+        if self._owes_others:
+            self.budget.granted += 1
+
     def is_on_trial(self, version: SoftwareVersion) -> bool:
         """Return whether a version gets requests from the budget only."""
         is_target = version == self.order.target
-        return is_target and not self._has_switched and not self.was_completed
+        is_proven = self._has_switched or self.was_completed or self.is_established
+        return is_target and not is_proven
 
     def rank_trial(self, backends: Collection[BackendServerId], now: float) -> list:
         """Return the target's backend servers, those to fill first at the front.
@@ -321,12 +334,15 @@
         service, base = self.order.service, self._base
         if self.phase.is_final and self.is_state_written and not self.is_withdrawn:
             return None
-        if base is None or now - base.sent_at > REFRESH_SECONDS:
+        if base is None:
             return ReadProgress(service)
         is_known = base.target == self.order.target
-        if not is_known and base.target and self._orders_sent_at <= base.sent_at:
-            # Another VM may know a later order.
-            return None
+        if not is_known and base.target:
+            if self._orders_sent_at <= base.sent_at:
+                # Another VM may know a later order.
+                return None
+        elif now - base.sent_at > REFRESH_SECONDS:
+            return ReadProgress(service)
         progress = self.progress
         if progress is None:
             if self.is_withdrawn:
@@ -334,18 +350,25 @@
             started = self._start(load, now, unix_ms, base)
             return None if started is None else self._write(started, base, now)
         if self.is_withdrawn:
-            if is_known and progress.phase is RolloutPhase.WITHDRAWN:
-                return None
-            withdrawn = replace(
-                progress, phase=RolloutPhase.WITHDRAWN, reason="the order is gone"
-            )
-            return self._write(withdrawn, base, now)
+            return self._forget(progress, base, now)
         if progress.phase.is_final or not self._is_active_stated:
             if not is_known:
                 return self._write(progress, base, now)
             return WriteStatus(service, STATES[progress.phase], self.order)
         return self._advance(progress, base, load, now, unix_ms)
 
+    def _forget(
+        self, progress: RolloutProgress, base: _Base, now: float
+    ) -> RolloutAction | None:
+        """Return the write by which a later order of the same version starts anew."""
+        if self.is_settled or base.target != self.order.target:
+            return None
+        if self.was_completed:
+            return self._write(RolloutProgress(), base, now)
+        reason = "the order is gone"
+        withdrawn = replace(progress, phase=RolloutPhase.WITHDRAWN, reason=reason)
+        return self._write(withdrawn, base, now)
+
     @property
     def _is_active_stated(self) -> bool:
         is_same = self.order.stated_target == self.order.target
@@ -473,7 +496,10 @@
         is_fresh = base is not None and now - base.sent_at <= self._max_age
         is_same = base is not None and base.target == self.order.target
         is_active = self._is_active_stated and not self.is_withdrawn
-        return is_fresh and is_same and is_active and self.budget.may_spend
+        # Without responses of the other versions there is nothing to compare with.
+        is_comparable = self.evidence.has_comparison and not self._owes_others
+        may_expose = is_fresh and is_same and is_active and is_comparable
+        return may_expose and self.budget.may_spend
 
     def _write(
         self, progress: RolloutProgress, base: _Base, now: float
--- a/fireflyquay/dispatch/_rollout_evidence.py
+++ b/fireflyquay/dispatch/_rollout_evidence.py
@@ -20,11 +20,11 @@
 SLOW_FACTOR = 2.5
 # The same where the old version has no responses under the same load.
 UNMATCHED_SLOW_FACTOR = 4.0
-# Number of the old version's latest times that the median is taken from, and the least.
+# Number of the old version's latest times that the median is taken from, the least, and
+# the most of the target's times that wait for it.
 MAX_TIMES = 200
 MIN_TIMES = 10
-# Part of the occupied slots from which a backend server counts as busy.
-BUSY_SHARE = 0.5
+MAX_PENDING = 500
 # Least share of bad responses that is assumed of the old version.
 MIN_FAILURE_SHARE = 0.005
 MIN_SLOW_SHARE = 0.05
@@ -36,9 +36,11 @@
 # Least number of bad responses that make a version bad.
 MIN_BAD_RESPONSES = 4
 # Natural logarithm of the improbability of as many bad responses by chance: for a
-# verdict, which is considered many times a second, and for holding back a switch.
+# verdict, which is considered many times a second, for holding back a switch, and for
+# leaving out one backend server.
 SIGNIFICANCE = math.log(1e5)
 DOUBT_SIGNIFICANCE = math.log(1e3)
+OUTLIER_SIGNIFICANCE = math.log(1e2)
 # Seconds of the window in which a version that was sound at first is judged.
 WINDOW_SECONDS = 6.0
 BUCKET_SECONDS = 1.0
@@ -67,6 +69,16 @@
 CellKey = tuple[SoftwareVersion, str, BackendServerId]
 
 
+@dataclass(slots=True)
+class Response:
+    """Hold what a response is compared by."""
+
+    cell: CellKey
+    # Whether the backend server had many other runs.
+    is_busy: bool
+    is_slow: bool = False
+
+
 @dataclass(slots=True)
 class Tally:
     """Count responses, and those that are bad."""
@@ -129,37 +141,58 @@
         self._times: defaultdict[tuple[TimeKind, str, bool], _Times] = defaultdict(
             _Times
         )
+        # Times of the target that can't be compared yet.
+        self._pending: deque[tuple[Response, TimeKind, float]] = deque(
+            maxlen=MAX_PENDING
+        )
+        self._other_responses = 0
         self._crashed_at: dict[BackendServerId, float] = {}
 
-    def is_slow(
-        self,
-        version: SoftwareVersion,
-        route: str,
-        kind: TimeKind,
-        is_busy: bool,
-        seconds: float,
+    def record_time(
+        self, response: Response, kind: TimeKind, seconds: float, now: float
+    ) -> None:
+        """Count a response as slow if its time is far above the old version's.
+
+        Without times of the old version to compare with, that is decided later.
+        """
+        version, route, _ = response.cell
+        if not self._judge(response, kind, seconds, now):
+            self._pending.append((response, kind, seconds))
+        if version != self._target:
+            self._times[kind, route, response.is_busy].add(seconds)
+
+    def _judge(
+        self, response: Response, kind: TimeKind, seconds: float, now: float
     ) -> bool:
-        """Return whether a time is far above the old version's; learn from that one."""
-        times = self._times[kind, route, is_busy]
-        factor = SLOW_FACTOR
-        reference = times
+        """Return whether times of the old version to compare with are known."""
+        version, route, _ = response.cell
+        factor, times = SLOW_FACTOR, self._times[kind, route, response.is_busy]
         if len(times.values) < MIN_TIMES:
-            reference = self._times[kind, route, not is_busy]
             factor = UNMATCHED_SLOW_FACTOR
-        is_known = len(reference.values) >= MIN_TIMES
-        is_slow = is_known and seconds > factor * reference.median
-        if version != self._target:
-            times.add(seconds)
-        return is_slow
+            times = self._times[kind, route, not response.is_busy]
+        if len(times.values) < MIN_TIMES:
+            return version != self._target
+        if seconds > factor * times.median and not response.is_slow:
+            response.is_slow = True
+            self._add(response.cell, Tally(slow=1), now)
+        return True
+
+    def _judge_pending(self, now: float) -> None:
+        pending, self._pending = self._pending, deque(maxlen=MAX_PENDING)
+        for response, kind, seconds in pending:
+            if not self._judge(response, kind, seconds, now):
+                self._pending.append((response, kind, seconds))
+
+    @property
+    def has_comparison(self) -> bool:
+        """Return whether enough responses of other versions were recorded here."""
+        return self._other_responses >= MIN_TIMES
 
     def count_response(self, key: CellKey, now: float) -> None:
         """Count a response that has begun."""
+        self._other_responses += key[0] != self._target
         self._add(key, Tally(responses=1), now)
 
-    def count_slow(self, key: CellKey, now: float) -> None:
-        """Count a response that began before as slow."""
-        self._add(key, Tally(slow=1), now)
-
     def count_failure(self, key: CellKey, now: float) -> None:
         """Count a response that began before as a failure of the server."""
         self._add(key, Tally(failures=1), now)
@@ -204,6 +237,7 @@
         ``target_servers`` is the number of its backend servers that accept requests.
         Times mean nothing once the target has all the load.
         """
+        self._judge_pending(now)
         whole = self._merge_all()
         recent = self._merge_recent(now)
         if not judges_times:
@@ -238,9 +272,12 @@
         if not sums:
             return result
         worst = max(sums, key=lambda it: (sums[it].bad, it))
+        is_left_out = _is_outlier(
+            sums[worst], _sum(it for name, it in sums.items() if name != worst)
+        )
         others: dict[str, Tally] = {}
         for backend, routes in by_server.items():
-            if backend == worst:
+            if backend == worst and is_left_out:
                 continue
             for route, tally in routes.items():
                 others.setdefault(route, Tally()).add(tally)
@@ -312,6 +349,14 @@
     return ""
 
 
+def _is_outlier(worst: Tally, others: Tally) -> bool:
+    """Return whether one server's responses may be bad though the others' are not."""
+    if others.responses < max(MIN_TIMES, worst.responses / 2):
+        return True
+    usual = (others.bad + 1) / (others.responses + PRIOR_RESPONSES)
+    return _is_worse(worst.bad, worst.responses, usual, 0.0, OUTLIER_SIGNIFICANCE)
+
+
 def _compute_usual_share(old: Tally, kind: str, floor: float) -> float:
     bad = getattr(old, kind)
     return max(floor, (bad + 1) / (old.responses + PRIOR_RESPONSES))
--- a/fireflyquay/dispatch/_rollouts.py
+++ b/fireflyquay/dispatch/_rollouts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import math
 from collections import deque
 from collections.abc import Callable, Collection, Iterable, Sequence
@@ -20,8 +21,8 @@
 from ._control_message import RunEnded
 from ._exposure_budget import RolloutBounds
 from ._rollout import Rollout, RolloutAction, ServiceLoad
-from ._rollout_evidence import CellKey, TimeKind
-from ._rollout_messages import RolloutPhase, RolloutProgress
+from ._rollout_evidence import Response, TimeKind
+from ._rollout_messages import PartId, RolloutPhase, RolloutProgress
 from ._slot_messages import SlotRequest
 from ._version_record import VersionKey
 
@@ -32,6 +33,12 @@
 BUSY_SHARE = 0.5
 # Longest time limit of an order in seconds.
 MAX_DURATION_SECONDS = 86_400.0
+# Phases of an order in which its target is not proven.
+UNPROVEN_PHASES = (
+    RolloutPhase.TRIAL,
+    RolloutPhase.ROLLED_BACK,
+    RolloutPhase.WITHDRAWN,
+)
 # Events of a stream from which its seconds per event are judged.
 MIN_EVENTS = 3
 
@@ -66,13 +73,11 @@
     """Hold a run that this coordinator granted during a roll-out."""
 
     rollout: Rollout
-    cell: CellKey
-    is_busy: bool
+    response: Response
     is_retry: bool
     granted_at: float
     first_output_at: float | None = None
     is_counted: bool = False
-    is_slow: bool = False
 
 
 class Rollouts:
@@ -92,6 +97,8 @@
         # Targets of replaced orders, which no verdict has proven.
         self._held: set[VersionKey] = set()
         self._has_read_orders = False
+        # A new part for each order: what an earlier one reserved may be spent.
+        self._part_numbers = itertools.count(1)
         self._runs: dict[SlotRequestKey, _FollowedRun] = {}
         self._events: deque[RolloutEvent] = deque(maxlen=MAX_EVENTS)
         self._odd: set[tuple[ServiceId, int]] = set()
@@ -141,12 +148,18 @@
                 continue
             found.add(order.service)
             known = self._rollouts.get(order.service)
-            if known is None or known.order.target != order.target:
+            if (
+                known is None
+                or known.is_withdrawn
+                or known.order.target != (order.target)
+            ):
                 if known is not None:
                     self._hold_replaced(known)
-                known = Rollout(self._own, self._bounds, order, now)
+                part = PartId(f"{self._own}/{next(self._part_numbers)}")
+                known = Rollout(part, self._bounds, order, now)
                 self._rollouts[order.service] = known
                 self._held.discard((order.service, order.target))
+                known.is_established = self._is_established(order)
                 self._report("roll-out ordered", known)
             known.set_order(order, sent_at)
         for service, rollout in list(self._rollouts.items()):
@@ -168,6 +181,12 @@
         rollout = self._rollouts.get(service)
         if rollout is None:
             return
+        if (
+            progress.target != rollout.order.target
+            and progress.phase in UNPROVEN_PHASES
+        ):
+            # Its servers may still run.
+            self._held |= {(service, progress.target)} & self._list_versions()
         before = rollout.phase
         rollout.apply_progress(progress, revision, restore_count, sent_at, now)
         if rollout.phase is not before:
@@ -232,14 +251,15 @@
         rollout = self._rollouts.get(entry.service)
         if rollout is None:
             return
-        if entry.version == rollout.order.target:
-            rollout.budget.granted += 1
+        rollout.record_grant(entry.version)
         if len(self._runs) >= MAX_RUNS:
             del self._runs[next(iter(self._runs))]
         self._runs[request.owner, request.number] = _FollowedRun(
             rollout,
-            (entry.version, request.route, entry.id),
-            occupancy >= BUSY_SHARE * entry.slots,
+            Response(
+                (entry.version, request.route, entry.id),
+                occupancy >= BUSY_SHARE * entry.slots,
+            ),
             request.is_retry,
             now,
         )
@@ -251,22 +271,25 @@
             return
         run.first_output_at = now
         self._count(run, now)
-        self._judge(run, TimeKind.FIRST_OUTPUT, now - run.granted_at, now)
+        seconds = now - run.granted_at
+        run.rollout.evidence.record_time(
+            run.response, TimeKind.FIRST_OUTPUT, seconds, now
+        )
 
     def record_end(self, key: SlotRequestKey, ended: RunEnded, now: float) -> None:
         """Record the end of a run, as far as it tells of the backend server."""
         run = self._runs.pop(key, None)
         if run is None:
             return
-        evidence = run.rollout.evidence
+        evidence, cell = run.rollout.evidence, run.response.cell
         if not (ended.is_sound or ended.is_faulty or ended.has_crashed):
             return
         self._count(run, now)
         if ended.has_crashed:
-            evidence.count_crash(run.cell, now)
+            evidence.count_crash(cell, now)
         elif ended.is_faulty:
-            if not run.is_slow:
-                evidence.count_failure(run.cell, now)
+            if not run.response.is_slow:
+                evidence.count_failure(cell, now)
         else:
             self._record_sound(run, ended, now)
 
@@ -281,7 +304,11 @@
         unix_ms = now * 1000.0 + self._unix_offset_ms
         actions = []
         for service, rollout in list(self._rollouts.items()):
-            entries = self._entries.get(service, [])
+            entries = [
+                it
+                for it in self._entries.get(service, ())
+                if (service, it.version) not in self._held
+            ]
             has_target = any(it.version == rollout.order.target for it in entries)
             if rollout.is_settled and (rollout.was_completed or not has_target):
                 del self._rollouts[service]
@@ -311,29 +338,20 @@
         if run.is_counted:
             return
         run.is_counted = True
-        run.rollout.evidence.count_response(run.cell, now)
+        run.rollout.evidence.count_response(run.response.cell, now)
         if not run.is_retry:
             run.rollout.budget.seen += 1
 
-    def _judge(
-        self, run: _FollowedRun, kind: TimeKind, seconds: float, now: float
-    ) -> None:
-        evidence = run.rollout.evidence
-        version, route, _ = run.cell
-        is_slow = evidence.is_slow(version, route, kind, run.is_busy, seconds)
-        if is_slow and not run.is_slow:
-            run.is_slow = True
-            evidence.count_slow(run.cell, now)
-
     def _record_sound(self, run: _FollowedRun, ended: RunEnded, now: float) -> None:
         rollout = run.rollout
         rollout.longest_run = max(rollout.longest_run, now - run.granted_at)
-        if run.first_output_at is None:
-            seconds = ended.seconds or now - run.granted_at
-            self._judge(run, TimeKind.FIRST_OUTPUT, seconds, now)
-        elif ended.event_count >= MIN_EVENTS:
+        kind, seconds = TimeKind.FIRST_OUTPUT, ended.seconds or now - run.granted_at
+        if run.first_output_at is not None:
+            if ended.event_count < MIN_EVENTS:
+                return
+            kind = TimeKind.EVENT
             seconds = (now - run.first_output_at) / (ended.event_count - 1)
-            self._judge(run, TimeKind.EVENT, seconds, now)
+        rollout.evidence.record_time(run.response, kind, seconds, now)
 
     def _list_versions(self) -> frozenset[VersionKey]:
         return frozenset(
@@ -357,6 +375,12 @@
             self._events.append(RolloutEvent("roll-out unreadable", fields))
         return is_plain
 
+    def _is_established(self, order: RolloutOrder) -> bool:
+        """Return whether an order names the only version in use that is not held."""
+        service = order.service
+        keys = {it for it in self._cleared if it[0] == service} - self._held
+        return bool(self._held) and keys == {(service, order.target)}
+
     def _hold_replaced(self, rollout: Rollout) -> None:
         order = rollout.order
         if rollout.phase is not RolloutPhase.COMPLETED:
--- a/fireflyquay/dispatch/tests/rollout_fleet.py
+++ b/fireflyquay/dispatch/tests/rollout_fleet.py
@@ -41,6 +41,7 @@
 from .builders import SERVICE, make_backend_entry, make_config, make_request
 
 OLD, NEW = SoftwareVersion("old"), SoftwareVersion("new")
+THIRD = SoftwareVersion("third")
 ROUTES = ("reports", "captions")
 BOUNDS = RolloutBounds(0.1, 50, 5.0)
 TICK_SECONDS = 0.02
@@ -84,11 +85,13 @@
     seed: int = 1
     old: Behavior = field(default_factory=Behavior)
     new: Behavior = field(default_factory=Behavior)
+    third: Behavior = field(default_factory=Behavior)
     duration: float = 30.0
     rate: float = 60.0
     vms: int = 4
     servers: int = 8
     new_servers: int = 8
+    third_servers: int = 0
     slots: int = 4
     run_seconds: float = 0.3
     # Grey servers, with the behavior of each.
@@ -108,6 +111,7 @@
     crashes: tuple[tuple[float, str, float], ...] = ()
     # Moments of further changes by an operator.
     changes: tuple[tuple[float, Callable[[Replay], None]], ...] = ()
+    # Multiples of the load from and until some moments.
     bursts: tuple[tuple[float, float, float], ...] = ()
 
 
@@ -243,6 +247,43 @@
     has_ended: bool = False
 
 
+@dataclass
+class Exposure:
+    """Count what reached a version since it was ordered."""
+
+    ordered_at: float
+    deadline: float
+    # Requests that reached the service, and those that reached the version.
+    reached: int = 0
+    exposed: int = 0
+    # Exposures beyond the bound, at the worst moment.
+    excess: float = -math.inf
+    by_server: dict[str, int] = field(default_factory=lambda: defaultdict(int))
+    bad_at: list[float] = field(default_factory=list)
+    last_exposed_at: float = 0.0
+    switched_at: float | None = None
+    completed_at: float | None = None
+    is_withdrawn: bool = False
+
+    def count(self, server: str, is_bad_version: bool, now: float) -> None:
+        """Count a request to the version."""
+        if now > self.deadline or self.is_withdrawn:
+            return
+        self.exposed += 1
+        self.by_server[server] += 1
+        self.last_exposed_at = now
+        if self.switched_at is None or is_bad_version:
+            allowed = BOUNDS.exposure_share * self.reached + BOUNDS.exposure_slack
+            self.excess = max(self.excess, self.exposed - allowed)
+
+    @property
+    def rollback_due_at(self) -> float | None:
+        """Return when the version must get nothing more; None if that is open."""
+        if len(self.bad_at) < COUNTED_BAD_RESPONSES:
+            return None
+        return self.bad_at[COUNTED_BAD_RESPONSES - 1] + BOUNDS.rollback
+
+
 class Replay:
     """Send requests to a fleet, and count what reaches each version."""
 
@@ -263,6 +304,7 @@
             for it in (
                 *self._make_servers(OLD, scenario.servers),
                 *self._make_servers(NEW, scenario.new_servers),
+                *self._make_servers(THIRD, scenario.third_servers),
             )
         }
         self.gone: set[str] = set()
@@ -270,16 +312,11 @@
         self.pending: dict[tuple[Incarnation, int], tuple[SlotRequest, Vm, Vm]] = {}
         self.ordered_at = 2.0
         self.deadline = self.ordered_at + scenario.duration
-        self.reached = self.exposed = self.bad = 0
-        self.exposed_by: dict[str, int] = defaultdict(int)
-        self.bad_at: list[float] = []
-        self.last_exposed_at = 0.0
-        self.switched_at: float | None = None
-        self.completed_at: float | None = None
+        self.behaviors = {OLD: scenario.old, NEW: scenario.new, THIRD: scenario.third}
+        # What reached each version since its last order.
+        self.counts: dict[SoftwareVersion, Exposure] = {}
         self.cut_runs = 0
         self.answered = self.refused = self.failed = 0
-        # Exposures beyond the bound, at the worst moment.
-        self.excess = -math.inf
         self.late_old_grants = 0
 
     def _make_servers(self, version: SoftwareVersion, count: int) -> list[BackendEntry]:
@@ -325,6 +362,11 @@
             action(at)
         return self
 
+    @property
+    def new(self) -> Exposure:
+        """Return what reached the new version."""
+        return self.counts[NEW]
+
     @property
     def state(self) -> RolloutState | None:
         """Return the state that the order has."""
@@ -335,6 +377,8 @@
         """Write an order, as an operator does."""
         self.store.revision += 1
         before = self.store.orders.get(SERVICE)
+        deadline = self.now + (duration or self.scenario.duration)
+        self.counts[target] = Exposure(self.now, deadline)
         self.store.orders[SERVICE] = RolloutOrder(
             SERVICE,
             target,
@@ -344,11 +388,31 @@
             None if before is None else before.stated_target,
         )
 
+    def order_third(self) -> None:
+        """Order the third version in place of the new one."""
+        self.order(THIRD, self.scenario.duration / 2)
+        self._update_registries()
+
+    def withdraw(self) -> None:
+        """Remove the order, as an operator does."""
+        order = self.store.orders.pop(SERVICE, None)
+        if order is not None:
+            self.counts[order.target].is_withdrawn = True
+
+    def lose_progress(self) -> None:
+        """Lose the stored record, as after a restore of the store."""
+        self.store.progress.pop(SERVICE, None)
+
     def choose_coordinator(self, vm: Vm) -> Vm:
         """Return the first VM on the same side of a partition."""
         side = vm.slot in self._cut_off
         return next(
-            it for it in self.vms if it.is_alive and (it.slot in self._cut_off) == side
+            (
+                it
+                for it in self.vms
+                if it.is_alive and (it.slot in self._cut_off) == side
+            ),
+            vm,
         )
 
     def call(
@@ -389,11 +453,11 @@
         self._update_registries()
 
     def _list_registered(self) -> list[BackendEntry]:
-        has_order = self.now >= self.ordered_at
         return [
             it
             for it in self.entries.values()
-            if it.id not in self.gone and (it.version == OLD or has_order)
+            if it.id not in self.gone
+            and (it.version == OLD or it.version in self.counts)
         ]
 
     def _update_registries(self) -> None:
@@ -416,18 +480,23 @@
 
     def _note_phase(self, now: float) -> None:
         stored = self.store.progress.get(SERVICE)
-        if stored and stored[0].target == NEW and self.switched_at is None:
+        count = None if stored is None else self.counts.get(stored[0].target)
+        if stored is not None and count is not None and count.switched_at is None:
             if stored[0].phase in ("SWITCH", "COMPLETED"):
-                self.switched_at = now
+                count.switched_at = now
         order = self.store.orders.get(SERVICE)
-        is_completed = order is not None and order.state is RolloutState.COMPLETED
-        if is_completed and order.stated_target == NEW and self.completed_at is None:
-            self.completed_at = now
+        if order is None or order.state is not RolloutState.COMPLETED:
+            return
+        if order.stated_target != order.target:
+            return
+        count = self.counts[order.target]
+        if count.completed_at is None:
+            count.completed_at = now
             # The platform stops the old servers at once.
             for name, entry in list(self.entries.items()):
-                if entry.version == OLD:
+                if entry.version != order.target:
                     self.cut_runs += len(self.running.pop(name, []))
-                    del self.entries[name]
+                    self.gone.add(name)
             self._update_registries()
 
     def _arrive(self, now: float) -> None:
@@ -481,8 +550,7 @@
 
     def _start(self, sent: Sent) -> None:
         now, entry, scenario = self.now, sent.entry, self.scenario
-        behavior = scenario.new if entry.version == NEW else scenario.old
-        behavior = scenario.grey.get(entry.id, behavior)
+        behavior = scenario.grey.get(entry.id, self.behaviors[entry.version])
         runs = self.running[entry.id]
         self._count_sent(entry, sent.request, now)
         is_faulty = behavior.is_faulty(
@@ -493,33 +561,23 @@
         factor = behavior.slow_factor if is_slow else 1.0
         total = scenario.run_seconds * self.rng.lognormvariate(0, 0.2) * factor
         total *= 1 + 0.5 * len(runs) / scenario.slots
-        if entry.version == NEW and (fails or (is_slow and factor > 1)):
-            self._schedule(now + total, self._note_bad)
+        count = self.counts.get(entry.version)
+        if count is not None and (fails or (is_slow and factor > 1)):
+            self._schedule(now + total, count.bad_at.append)
         runs.append(sent)
         self._schedule(now + 0.2 * total, lambda at: self._send_first(sent, at))
         self._schedule(now + total, lambda at: self._end(sent, fails, False, at))
 
-    def _note_bad(self, now: float) -> None:
-        self.bad += 1
-        self.bad_at.append(now)
-
     def _count_sent(
         self, entry: BackendEntry, request: SlotRequest, now: float
     ) -> None:
-        if now < self.ordered_at:
-            return
-        self.reached += not request.is_retry
-        if entry.version == OLD:
-            if self.completed_at is not None:
-                self.late_old_grants += 1
-            return
-        if now <= self.deadline:
-            self.exposed += 1
-            self.exposed_by[entry.id] += 1
-            self.last_exposed_at = now
-            if self.switched_at is None or self.scenario.new.is_bad:
-                allowed = BOUNDS.exposure_share * self.reached + BOUNDS.exposure_slack
-                self.excess = max(self.excess, self.exposed - allowed)
+        for count in self.counts.values():
+            count.reached += not request.is_retry
+        if entry.id in self.gone:
+            self.late_old_grants += 1
+        count = self.counts.get(entry.version)
+        if count is not None:
+            count.count(entry.id, self.behaviors[entry.version].is_bad, now)
 
     def _send_first(self, sent: Sent, now: float) -> None:
         if sent.has_ended or not sent.owner.is_alive:
@@ -569,11 +627,13 @@
         return {target.name: target}
 
     def _kill_coordinator(self, now: float) -> None:
-        self._kill(next(it for it in self.vms if it.is_alive), now)
-        self._hand_over(now)
+        alive = [it for it in self.vms if it.is_alive]
+        if alive:
+            self._kill(alive[0], now)
+            self._hand_over(now)
 
     def _kill_all(self, now: float) -> None:
-        for vm in list(self.vms):
+        for vm in [it for it in self.vms if it.is_alive]:
             self._kill(vm, now)
 
     def _kill(self, vm: Vm, now: float) -> None:
@@ -627,3 +687,62 @@
         for sent in list(self.running.get(name, ())):
             self._end(sent, False, True, now)
         self._schedule(now + REGISTRY_SECONDS, lambda at: self._update_registries())
+
+
+def make_walk(seed: int) -> Scenario:
+    """Return a random sequence of versions, faults and orders."""
+    rng = random.Random(seed)
+
+    def choose(*values: object) -> object:
+        return rng.choice(values)
+
+    def make_behavior() -> Behavior:
+        return choose(
+            Behavior(),
+            Behavior(rng.uniform(0.2, 1.0)),
+            Behavior(rng.uniform(0.3, 1.0), since=rng.uniform(0.0, 8.0)),
+            Behavior(rng.uniform(0.4, 1.0), route=ROUTES[0]),
+            Behavior(rng.uniform(0.5, 1.0), min_runs=2),
+            Behavior(slow_factor=rng.uniform(4.0, 8.0), slow_share=0.6),
+        )
+
+    def make_times(chance: float, most: int) -> tuple[float, ...]:
+        if rng.random() >= chance:
+            return ()
+        return tuple(rng.uniform(0.0, 28.0) for _ in range(rng.randint(1, most)))
+
+    outages = []
+    for at in make_times(0.4, 2):
+        outages.append((at, min(24.0, at + rng.uniform(3.0, 8.0))))
+    cuts = [
+        (at, at + rng.uniform(1.0, 8.0), rng.randint(1, 3)) for at in make_times(0.4, 1)
+    ]
+    changes = []
+    if rng.random() < 0.2:
+        at = rng.uniform(0.0, 15.0)
+        changes.append((at, choose(Replay.withdraw, Replay.order_third)))
+        if rng.random() < 0.5:
+            changes.append((at + rng.uniform(0.1, 3.0), lambda it: it.order(NEW, 15.0)))
+    if rng.random() < 0.1:
+        # What a VM knows outlives the record; a killed fleet knows nothing.
+        changes.append((rng.uniform(1.0, 20.0), Replay.lose_progress))
+    return Scenario(
+        seed,
+        old=choose(Behavior(), Behavior(), Behavior(rng.uniform(0.0, 0.1))),
+        new=make_behavior(),
+        third=make_behavior(),
+        third_servers=8,
+        vms=rng.randint(2, 6),
+        rate=rng.uniform(20.0, 70.0),
+        outages=tuple(outages),
+        lost_answers=choose(0.0, 0.0, 0.05, 0.2),
+        coordinator_kills=make_times(0.5, 6),
+        fleet_kills=make_times(0.3, 2),
+        cuts=tuple(cuts),
+        cut_reach_store=rng.random() < 0.5,
+        crashes=tuple(
+            (at, f"{choose('old', 'new')}-{rng.randint(0, 7)}", rng.uniform(0.5, 3.0))
+            for at in make_times(0.5, 4)
+        ),
+        bursts=((8.0, 12.0, 2.0),) if rng.random() < 0.3 else (),
+    )
