--- a/fireflyquay/gateway/_gateway.py
+++ b/fireflyquay/gateway/_gateway.py
@@ -49,6 +49,7 @@
 from ._ingress import DEFAULT_TIMEOUT_SECONDS, Ingress
 from ._origin_archiver import OriginArchiver
 from ._quarantine import Quarantine
+from ._rollout_keeper import RolloutKeeper
 from ._settings import GatewaySettings, VmSettings, split_address
 from ._slot_client import SlotClient
 from ._state_replicas import StateReplicas
@@ -128,7 +129,12 @@
         )
         self.replicas.on_change = self._apply_replicas
         self._coordinator = make_coordinator(
-            self.incarnation, promises, self.replicas.config, scheduler_settings, rng
+            self.incarnation,
+            promises,
+            self.replicas.config,
+            scheduler_settings,
+            rng,
+            settings.rollout if source.keeps_rollouts() else None,
         )
         self._coordinator.beliefs.on_leaving = self._exclude_leaving
         self._slot_client = SlotClient(self.incarnation, self._coordinator)
@@ -136,6 +142,13 @@
         self._evidence = EvidenceKeeper(
             source, self._quarantine, self._clock, lambda: self.fleet.is_coordinating
         )
+        self._rollouts = RolloutKeeper(
+            source,
+            self._coordinator.rollouts,
+            self._coordinator.count_runs,
+            self._clock,
+            lambda: self.fleet.is_coordinating,
+        )
         self._stream_locator = StreamLocator(
             self._coordinator.origins,
             self.replicas.backends,
@@ -313,6 +326,7 @@
             "Messages of other VMs that can't be read.",
             lambda: traffic.messages_rejected,
         )
+        self.metrics.add_rollouts(self._coordinator.rollouts.list_views)
 
     def is_ready(self) -> bool:
         """Return whether this VM accepts requests and has a fresh configuration."""
@@ -392,6 +406,7 @@
             self.paths.test_paths,
             self._quarantine.spread_evidence,
             self._evidence.keep,
+            self._rollouts.keep,
             self._archiver.write_archive,
             self._archiver.read_archive,
         ):
@@ -449,8 +464,8 @@
         promises = replace(old.promises, revoke=settings.promises.revoke)
         need_restart = [
             name
-            for name, current in (("store", old.store), ("log", old.log))
-            if getattr(settings, name) != current
+            for name in ("store", "log", "rollout")
+            if getattr(settings, name) != getattr(old, name)
         ]
         if settings.promises != promises:
             need_restart.append("promises")
