--- a/tests/test_wire_names.py
+++ b/tests/test_wire_names.py
@@ -14,6 +14,7 @@
     x-kv-backup kv-from kv-fetch api-key last-event-id
     pathprefix trafficsplit targetlatencyms targetgapms streamresume maxattempts
     apikeys rateperS plaintokens kvcapacity kvtokenbytes currentrev allowstale
+    exposureshare exposureslack rollbackms
     warmupleftms heartbeatms revokems drainms portrange fireflyquay_node_file
 """.lower().split()
 
