Forecast with how slow a backend server's machine is at this moment

Callers saw late first outputs on engines whose machines are 2.5 times slower for fractions of a second: the scheduler knew learned speeds only, and took a slow moment for a slow server.

The fourth figure of the load that responses state is decoded, goes to the coordinator with FirstOutput and RunEnded (no new message), and multiplies forecasts. Its weight falls with age and is learned from measured times, by service and by server, so late or false figures lose it. Speeds are learned relative to the factor.

--- a/fireflyquay/dispatch/__init__.py
+++ b/fireflyquay/dispatch/__init__.py
@@ -40,6 +40,7 @@
 )
 from ._fleet_knowledge import FleetKnowledge
 from ._freshness import Freshness
+from ._machine_load import MachineReading
 from ._origin_archive import OriginArchive
 from ._placement import PlacementSettings
 from ._quota_limiter import (
@@ -83,6 +84,7 @@
     "Freshness",
     "Grant",
     "Handover",
+    "MachineReading",
     "MessageToCoordinator",
     "MessageToFollower",
     "OriginArchive",
--- a/fireflyquay/dispatch/_backend_load.py
+++ b/fireflyquay/dispatch/_backend_load.py
@@ -11,6 +11,7 @@
     SoftwareVersion,
 )
 
+from ._machine_load import MachineLoad, MachineReading, ServiceMachines
 from ._occupancy_limit import OccupancyLimit
 from ._request_limit import RequestLimit
 from ._slot_messages import Run, SlotRequest
@@ -88,23 +89,35 @@
     limit: RequestLimit | None = None
     # Limit of the runs on a backend server that may fall over; None for others.
     occupancy_limit: OccupancyLimit | None = None
+    # Speeds above are those at the mean slowness of the machines.
+    machine: MachineLoad = field(default_factory=lambda: MachineLoad(ServiceMachines()))
 
     def forecast_first_output(self, request: SlotRequest, now: float) -> float:
         """Return the seconds to the first output if the request were granted now."""
         if not request.prompt_tokens:
             occupancy = len(self.runs) / max(1, self.entry.slots)
-            return self.plain.seconds_per_unit * (1.0 + occupancy)
+            seconds = self.plain.seconds_per_unit * (1.0 + occupancy)
+            return seconds * self.machine.forecast_factor(now, seconds)
         backlog = max(0.0, self.prefill_ends_at - now)
         own_prefill = request.prompt_tokens * self.prefill.seconds_per_unit
-        return (
+        seconds = (
             backlog
             + own_prefill
             + DECODE_STEPS_TO_FIRST_OUTPUT * self.decode.seconds_per_unit
         )
+        return seconds * self.machine.forecast_factor(now, seconds)
 
-    def forecast_run(self, request: SlotRequest) -> float:
-        """Return the seconds that the request would occupy a slot without a backlog."""
-        return self.forecast_work(1, request.prompt_tokens, request.max_output_tokens)
+    def forecast_run(self, request: SlotRequest, now: float | None = None) -> float:
+        """Return the seconds that the request would occupy a slot without a backlog.
+
+        Without a loop time, these are the seconds on a machine of the mean slowness.
+        """
+        seconds = self.forecast_work(
+            1, request.prompt_tokens, request.max_output_tokens
+        )
+        if now is None:
+            return seconds
+        return seconds * self.machine.forecast_factor(now, seconds)
 
     def forecast_work(
         self, request_count: int, prompt_tokens: int, output_tokens: int
@@ -139,8 +152,12 @@
                 prefill_start + request.prompt_tokens * self.prefill.seconds_per_unit
             )
 
-    def record_first_output(self, key: SlotRequestKey, now: float) -> Run | None:
+    def record_first_output(
+        self, key: SlotRequestKey, now: float, reading: MachineReading | None = None
+    ) -> Run | None:
         """Update the prefill speed; return the run, or None if it isn't its first."""
+        if reading is not None:
+            self.machine.record_reading(reading, now)
         run = self.runs.get(key)
         if run is None or run.first_output_at is not None:
             return None
@@ -157,7 +174,9 @@
             - started_at
             - DECODE_STEPS_TO_FIRST_OUTPUT * self.decode.seconds_per_unit,
         )
-        self.prefill.record(prefill_seconds, run.request.prompt_tokens)
+        self._record_work(
+            self.prefill, started_at, now, prefill_seconds, run.request.prompt_tokens
+        )
         self._update_prefill_backlog(now)
         return run
 
@@ -168,20 +187,27 @@
         event_count: int,
         longest_gap: float,
         failed: bool,
+        reading: MachineReading | None = None,
     ) -> None:
         """Remove an ended run and update speed, gaps and failure rate from it."""
         run = self.runs.pop(key, None)
         if run is None:
             return
+        if reading is not None and run.first_output_at is None:
+            # Otherwise the first output brought the same reading.
+            self.machine.record_reading(reading, now)
         self.failure_rate += FAILURE_RATE_WEIGHT * (float(failed) - self.failure_rate)
         if failed:
             self._update_prefill_backlog(now)
             return
         if not run.request.prompt_tokens:
-            self.plain.record(now - run.granted_at, 1)
+            seconds = now - run.granted_at
+            self._record_work(self.plain, run.granted_at, now, seconds, 1)
             return
         if run.first_output_at is not None and event_count > 1:
-            self.decode.record(now - run.first_output_at, run.request.max_output_tokens)
+            seconds = now - run.first_output_at
+            factor = self.machine.estimate_factor(run.first_output_at, now)
+            self.decode.record(seconds / factor, run.request.max_output_tokens)
             self.longest_gap = max(longest_gap, self.longest_gap * GAP_DECAY_FACTOR)
 
     def discard_run(self, key: SlotRequestKey, now: float) -> bool:
@@ -249,6 +275,20 @@
         """Suspend grants until the given loop time."""
         self.paused_until = max(self.paused_until, until)
 
+    def _record_work(
+        self,
+        estimator: TimePerUnitEstimator,
+        started_at: float,
+        now: float,
+        seconds: float,
+        units: int,
+    ) -> None:
+        """Update a speed, relative to the slowness of the machine, and its readings."""
+        expected = units * estimator.seconds_per_unit
+        self.machine.record_run(started_at, now, seconds / expected)
+        factor = self.machine.estimate_factor(started_at, now)
+        estimator.record(seconds / factor, units)
+
     def _update_prefill_backlog(self, now: float) -> None:
         pending_tokens = sum(
             run.request.prompt_tokens
--- a/fireflyquay/dispatch/_control_message.py
+++ b/fireflyquay/dispatch/_control_message.py
@@ -21,6 +21,7 @@
     SuspectId,
 )
 
+from ._machine_load import MachineReading
 from ._slot_messages import Grant, Refusal, SlotRequest
 from ._usage_messages import Ledger, UsageHistory
 
@@ -47,6 +48,8 @@
     # Software version that wrote it, as its VM knows; None from a VM that does not
     # state it.
     version: SoftwareVersion | None = None
+    # How slow the machine was; None if the response did not state it.
+    reading: MachineReading | None = None
 
 
 class RunEnded(Message, tag="Ended"):
@@ -59,6 +62,8 @@
     # Longest time between two stream events in seconds.
     longest_gap: float
     failed: bool
+    # How slow the machine was; None if the response did not state it.
+    reading: MachineReading | None = None
 
 
 class BackendPause(Message, tag="Pause"):
--- a/fireflyquay/dispatch/_coordinator.py
+++ b/fireflyquay/dispatch/_coordinator.py
@@ -31,6 +31,7 @@
 )
 from ._fleet_knowledge import FleetKnowledge
 from ._limit_history import LimitHistory
+from ._machine_load import MachineLoads
 from ._quota_limiter import QuotaLimiter, QuotaShortage
 from ._retry_budget import RetryBudget
 from ._scheduler import SlotScheduler
@@ -121,6 +122,11 @@
         """Return what responses of backend servers state."""
         return self._scheduler.beliefs
 
+    @property
+    def machines(self) -> MachineLoads:
+        """Return what responses state of the machines of backend servers."""
+        return self._scheduler.machines
+
     def is_resting(self, backend: BackendServerId, vm: Incarnation, now: float) -> bool:
         """Return whether a backend server wants nothing from a VM at present."""
         return self._scheduler.is_resting(backend, vm, now)
@@ -172,8 +178,9 @@
                 return self._settle_charges(
                     scheduler.cancel((sender, number), now), now
                 )
-            case FirstOutput(number, backend, version):
-                scheduler.record_first_output((sender, number), backend, now, version)
+            case FirstOutput(number, backend, version, reading):
+                key = (sender, number)
+                scheduler.record_first_output(key, backend, now, version, reading)
             case RunEnded():
                 return self._settle_charges(
                     scheduler.end_run(sender, message, now), now
--- a/fireflyquay/dispatch/_placement.py
+++ b/fireflyquay/dispatch/_placement.py
@@ -56,7 +56,7 @@
                 request.version, now
             ):
                 continue
-            run_cost = self._settings.occupancy_weight * load.forecast_run(request)
+            run_cost = self._settings.occupancy_weight * load.forecast_run(request, now)
             score = (
                 not load.would_meet_objectives(request, waited, now),
                 round(load.forecast_first_output(request, now) + run_cost, 3),
--- a/fireflyquay/dispatch/_scheduler.py
+++ b/fireflyquay/dispatch/_scheduler.py
@@ -20,6 +20,7 @@
 from ._backend_beliefs import BackendBeliefs
 from ._backend_load import FAILING_BACKEND_PAUSE_SECONDS, BackendLoad, SlotRequestKey
 from ._control_message import BackendNews, BackendPause, RunEnded
+from ._machine_load import MachineLoads, MachineReading
 from ._placement import Placement, PlacementSettings
 from ._refusal_policy import (
     RefusalCause,
@@ -92,6 +93,8 @@
         self.origins = StreamOrigins()
         # What responses of backend servers state.
         self.beliefs = BackendBeliefs(rng)
+        # How slow responses state their machines to be.
+        self.machines = MachineLoads()
 
     def set_backends(self, entries: Iterable[BackendEntry]) -> None:
         """Replace the backend servers that may receive requests, if they have slots."""
@@ -106,7 +109,8 @@
             if load is None or load.entry.born_ms != entry.born_ms:
                 others = [it.entry for it in state.loads.values()]
                 self.beliefs.inherit(entry, others)
-                state.loads[backend_id] = BackendLoad(entry)
+                machine = self.machines.track_machine(entry.service)
+                state.loads[backend_id] = BackendLoad(entry, machine=machine)
                 self._apply_beliefs(state.loads[backend_id])
                 state.has_lost_backends = True
             else:
@@ -185,13 +189,14 @@
         backend: BackendServerId,
         now: float,
         version: SoftwareVersion | None = None,
+        reading: MachineReading | None = None,
     ) -> None:
         """Record that a run has produced its first output, and so where it began.
 
         A grant alone tells nothing: it may come too late for its VM to use it.
         """
         load = self._find_load(backend)
-        run = None if load is None else load.record_first_output(key, now)
+        run = None if load is None else load.record_first_output(key, now, reading)
         if load is not None and run is not None:
             self._record_origin(run.request, version or load.entry.version, now)
             state = self._states[run.request.service]
@@ -208,7 +213,14 @@
         key = (owner, ended.number)
         state = self._states[self._services_by_backend[ended.backend]]
         run = load.runs.get(key)
-        load.record_end(key, now, ended.event_count, ended.longest_gap, ended.failed)
+        load.record_end(
+            key,
+            now,
+            ended.event_count,
+            ended.longest_gap,
+            ended.failed,
+            ended.reading,
+        )
         if run is not None and run.first_output_at is None and not ended.failed:
             # A plain response reports no first output.
             state.ranks[run.request.rank].record_first_output(now - run.granted_at)
--- a/fireflyquay/gateway/_dialect.py
+++ b/fireflyquay/gateway/_dialect.py
@@ -64,6 +64,18 @@
     body: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class StatedLoad:
+    """Hold what a backend server states of its load when it responds."""
+
+    running: int
+    waiting: int
+    slots: int
+    # Factor by which work takes longer on its machine at this moment; None if it is
+    # not stated or out of range.
+    slowness: float | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class ResponseMetadata:
     """Hold the metadata in the headers of a backend server's response."""
@@ -89,6 +101,8 @@
     statements: str = ""
     # Whether a statement is malformed.
     is_malformed: bool = False
+    # None if it is not stated or malformed.
+    load: StatedLoad | None = None
 
     @property
     def proves_absence(self) -> bool:
--- a/fireflyquay/gateway/_forwarder.py
+++ b/fireflyquay/gateway/_forwarder.py
@@ -9,7 +9,7 @@
 
 import logbook
 
-from fireflyquay.dispatch import BEGINNING_SECONDS, SlotRequest
+from fireflyquay.dispatch import BEGINNING_SECONDS, MachineReading, SlotRequest
 from fireflyquay.links import (
     BackendClient,
     BackendExchange,
@@ -150,6 +150,9 @@
         self.status = 0
         # Loop time just before the request was sent.
         self._sent_at = 0.0
+        # How slow the response's head states the machine to be, and the loop time at
+        # which it came; None if it states nothing.
+        self._stated_slowness: tuple[float, float] | None = None
         # Loop time since which a response or its next part is awaited; None while it
         # is not.
         self._awaiting_since: float | None = None
@@ -262,8 +265,16 @@
             self.event_count,
             self.longest_gap,
             failed,
+            self._make_reading(),
         )
 
+    def _make_reading(self) -> MachineReading | None:
+        if self._stated_slowness is None:
+            return None
+        slowness, received_at = self._stated_slowness
+        age = asyncio.get_running_loop().time() - received_at
+        return MachineReading(slowness, age)
+
     async def check_crash(self) -> None:
         """Report a crash if nobody can connect to the backend server, and release.
 
@@ -370,6 +381,10 @@
             raise BrokenResponseError(
                 "The response lacks the seal of a backend server."
             )
+        load = metadata.load
+        if metadata.is_sealed and load is not None and load.slowness is not None:
+            now = asyncio.get_running_loop().time()
+            self._stated_slowness = (load.slowness, now)
         is_rejected = is_declined and stream.status == UNAVAILABLE
         self._record_statements(metadata, is_rejected)
         if is_rejected and metadata.rest_seconds is not None:
@@ -471,7 +486,9 @@
                 self._record_sound_run()
             return
         self._first_output_at = now
-        self._slot_client.record_first_output(self._slot_request, self._backend)
+        self._slot_client.record_first_output(
+            self._slot_request, self._backend, self._make_reading()
+        )
         if call.first_output_at is None:
             call.first_output_at = now
             seconds = now - call.arrived_at
--- a/fireflyquay/gateway/_gateway.py
+++ b/fireflyquay/gateway/_gateway.py
@@ -292,6 +292,22 @@
             "Connections to backend servers that this VM carries for others.",
             lambda: self.fleet.carried_count,
         )
+        machines = self._coordinator.machines
+        add_gauge(
+            "machine_readings",
+            "Statements of a machine's slowness that this VM received.",
+            lambda: machines.readings_received,
+        )
+        add_gauge(
+            "machine_forecasts",
+            "Forecasts that a statement of a machine's slowness changed.",
+            lambda: machines.adjusted_forecasts,
+        )
+        add_gauge(
+            "machine_reading_weight",
+            "Lowest weight of fresh statements of slowness among services.",
+            lambda: machines.lowest_weight,
+        )
         traffic = self.fleet.traffic
         add_gauge(
             "peer_bytes_sent", "Bytes sent to other VMs.", lambda: traffic.bytes_sent
--- a/fireflyquay/gateway/_slot_client.py
+++ b/fireflyquay/gateway/_slot_client.py
@@ -23,6 +23,7 @@
     FirstOutput,
     Grant,
     Handover,
+    MachineReading,
     MessageToCoordinator,
     MessageToFollower,
     OriginResponse,
@@ -39,6 +40,7 @@
     BackendServerId,
     EntryVm,
     Incarnation,
+    ServiceId,
 )
 
 from ._dialect import ResponseMetadata
@@ -129,6 +131,7 @@
         # Number of origins of streams that were copied to other VMs.
         self._next_copy = 0
         self._usage = UsageLog(coordinator.limits.window_seconds)
+        coordinator.machines.on_change = _log_machine_weight
 
     def connect(self, peers: Peers) -> None:
         """Send messages through the given peers from now on."""
@@ -152,10 +155,14 @@
             raise
 
     def record_first_output(
-        self, slot_request: SlotRequest, backend: BackendEntry
+        self,
+        slot_request: SlotRequest,
+        backend: BackendEntry,
+        reading: MachineReading | None = None,
     ) -> None:
         """Report the first output of a run to the coordinator."""
-        self._notify(FirstOutput(slot_request.number, backend.id, backend.version))
+        number, version = slot_request.number, backend.version
+        self._notify(FirstOutput(number, backend.id, version, reading))
         if slot_request.stream and self._peers is not None:
             self._copy_origin(slot_request.stream, self._peers)
 
@@ -166,11 +173,13 @@
         event_count: int = 0,
         longest_gap: float = 0.0,
         failed: bool = False,
+        reading: MachineReading | None = None,
     ) -> None:
         """Report the end of a run, which frees its slot."""
         self._runs.pop(slot_request.number, None)
+        number = slot_request.number
         self._notify(
-            RunEnded(slot_request.number, backend, event_count, longest_gap, failed)
+            RunEnded(number, backend, event_count, longest_gap, failed, reading)
         )
 
     def cancel(self, slot_request: SlotRequest) -> None:
@@ -499,6 +508,13 @@
             self._peers.send(self._coordinator_vm, message)
 
 
+def _log_machine_weight(service: ServiceId, weight: float) -> None:
+    LOG.info(
+        "machine readings weighted",
+        extra={"service": service, "weight": round(weight, 2)},
+    )
+
+
 def _round_rate(rate: float | None) -> float | None:
     return None if rate is None else round(rate, 2)
 
