--- a/fireflyquay/gateway/_slot_client.py
+++ b/fireflyquay/gateway/_slot_client.py
@@ -24,6 +24,7 @@
     FirstOutput,
     Grant,
     Handover,
+    MachineReading,
     MessageToCoordinator,
     MessageToFollower,
     OriginResponse,
@@ -40,6 +41,7 @@
     BackendServerId,
     EntryVm,
     Incarnation,
+    ServiceId,
 )
 
 from ._dialect import ResponseMetadata
@@ -141,6 +143,7 @@
         # Number of origins of streams that were copied to other VMs.
         self._next_copy = 0
         self._usage = UsageLog(coordinator.limits.window_seconds)
+        coordinator.machines.on_change = _log_machine_weight
 
     def connect(self, peers: Peers) -> None:
         """Send messages through the given peers from now on."""
@@ -164,10 +167,14 @@
             raise
 
     def record_first_output(
-        self, slot_request: SlotRequest, backend: BackendEntry
+        self,
+        slot_request: SlotRequest,
+        backend: BackendEntry,
+        reading: MachineReading | None = None,
     ) -> None:
         """Report the first output of a run to the coordinator."""
-        self._notify(FirstOutput(slot_request.number, backend.id, backend.version))
+        number, version = slot_request.number, backend.version
+        self._notify(FirstOutput(number, backend.id, version, reading))
         if slot_request.stream and self._peers is not None:
             self._copy_origin(slot_request.stream, self._peers)
 
@@ -180,12 +187,14 @@
         failed: bool = False,
         result: RunResult = RunResult.UNKNOWN,
         seconds: float | None = None,
+        reading: MachineReading | None = None,
     ) -> None:
         """Report the end of a run, which frees its slot."""
         self._runs.pop(slot_request.number, None)
+        number = slot_request.number
         self._notify(
             RunEnded(
-                slot_request.number,
+                number,
                 backend,
                 event_count,
                 longest_gap,
@@ -194,6 +203,7 @@
                 result is RunResult.FAULTY,
                 result is RunResult.CRASHED,
                 seconds,
+                reading,
             )
         )
 
@@ -523,6 +533,13 @@
             self._peers.send(self._coordinator_vm, message)
 
 
+def _log_machine_weight(service: ServiceId, weight: float) -> None:
+    LOG.info(
+        "machine readings weighted",
+        extra={"service": service, "weight": round(weight, 2)},
+    )
+
+
 def _round_rate(rate: float | None) -> float | None:
     return None if rate is None else round(rate, 2)
 
