Bound what uncontrolled clients take, in one memory account per VM

Clients that read nothing, send ahead, or send tiny parts made a gateway grow beyond its memory or answer nobody, also after they had gone. An honest client that paused for some six seconds with responses unread on a kept connection was reset by the kernel.

Causes: a connection that the kernel gave up with ETIMEDOUT, which is a TimeoutError, made drain() repeat its wait without a pause; chunks, requests and messages that had arrived were parsed without a turn for others; 450 KB of input for each connection, and 4 MiB for each message between VMs, counted nowhere.

Changes: drain() tells the two kinds of TimeoutError apart. Connections with much to parse take turns. At most three parts of 16 KiB are read ahead. One account sums what all connections of all listeners hold; while it is short, stalled connections are closed, those first that hold most, and never one whose response runs; beyond its bound, connections and requests are refused. A VM short of memory is left out of address lists while others have room.

--- a/fireflyquay/dispatch/__init__.py
+++ b/fireflyquay/dispatch/__init__.py
@@ -40,6 +40,12 @@
 )
 from ._fleet_knowledge import FleetKnowledge
 from ._freshness import Freshness
+from ._memory_account import (
+    CONNECTION_BYTES,
+    MemoryAccount,
+    MemoryHolder,
+    MemoryUse,
+)
 from ._origin_archive import OriginArchive
 from ._placement import PlacementSettings
 from ._quota_limiter import (
@@ -59,6 +65,10 @@
 from ._version_record import VersionKey, VersionReading, VersionRecord
 
 __all__ = [
+    "CONNECTION_BYTES",
+    "MemoryAccount",
+    "MemoryHolder",
+    "MemoryUse",
     "REREGISTRATION_SECONDS",
     "ActiveRun",
     "ActiveRunsReport",
--- a/fireflyquay/dispatch/_control_message.py
+++ b/fireflyquay/dispatch/_control_message.py
@@ -199,6 +199,8 @@
     is_ready: bool
     # The sender, whose membership record may not have reached the receiver yet.
     vm: EntryVm
+    # Whether the sender's memory is short, so that it should get no further clients.
+    is_short_of_memory: bool = False
 
 
 class ProbeResponse(Message, tag="ProbeAnswer"):
@@ -215,6 +217,8 @@
     unready: tuple[Incarnation, ...]
     # What is left of limits, if the receiver follows the sender.
     ledger: Ledger | None = None
+    # VMs whose memory is short at present.
+    short_of_memory: tuple[Incarnation, ...] = ()
 
 
 class ConfigRequest(Message, tag="WantConfig"):
--- a/fireflyquay/dispatch/_replica_sync.py
+++ b/fireflyquay/dispatch/_replica_sync.py
@@ -41,6 +41,7 @@
         config: ConfigReplica,
         backends: BackendRegistry,
         request_config_read: Callable[[], bool] = lambda: False,
+        is_short_of_memory: Callable[[], bool] = lambda: False,
     ) -> None:
         self._own_vm = own_vm
         self._config = config
@@ -49,6 +50,7 @@
         # the store is reachable. Sending a large configuration to every VM would
         # saturate the link of the coordinator.
         self._request_config_read = request_config_read
+        self._is_short_of_memory = is_short_of_memory
         self._numbers = itertools.count(1)
         # Send time of each pending request, on the suspend-aware clock.
         self._sent_at: OrderedDict[int, float] = OrderedDict()
@@ -56,10 +58,26 @@
         self.unready: frozenset[Incarnation] = frozenset()
         # VMs whose last probe of this VM stated that they accept no requests.
         self._reported_unready: set[Incarnation] = set()
+        # VMs whose memory is short, according to the last probe response.
+        self._told_short: frozenset[Incarnation] = frozenset()
+        # VMs whose last probe of this VM stated that their memory is short.
+        self._reported_short: set[Incarnation] = set()
 
     def make_probe(self, is_ready: bool, now: float) -> Probe:
         """Return a probe of the state of another VM."""
-        return Probe(self._assign_number(now), is_ready, self._own_vm)
+        return Probe(
+            self._assign_number(now),
+            is_ready,
+            self._own_vm,
+            self._is_short_of_memory(),
+        )
+
+    def list_short_of_memory(self, is_coordinating: bool) -> frozenset[Incarnation]:
+        """Return the VMs whose memory is short, as far as this VM knows."""
+        known = self._reported_short if is_coordinating else self._told_short
+        own = self._own_vm.incarnation
+        others = known - {own}
+        return frozenset(others | {own} if self._is_short_of_memory() else others)
 
     def handle_message(
         self, sender: Incarnation, message: ReplicaSyncMessage, now: float
@@ -86,6 +104,7 @@
     def remove_vm(self, incarnation: Incarnation) -> None:
         """Discard the readiness that a lost VM reported."""
         self._reported_unready.discard(incarnation)
+        self._reported_short.discard(incarnation)
 
     def _assign_number(self, now: float) -> int:
         number = next(self._numbers)
@@ -101,6 +120,10 @@
             self._reported_unready.discard(sender)
         else:
             self._reported_unready.add(sender)
+        if probe.is_short_of_memory:
+            self._reported_short.add(sender)
+        else:
+            self._reported_short.discard(sender)
         config, backends = self._config, self._backends
         return ProbeResponse(
             probe.number,
@@ -111,6 +134,7 @@
             backends.freshness.revision,
             backends.freshness.compute_age(now),
             tuple(self._reported_unready),
+            short_of_memory=tuple(self.list_short_of_memory(is_coordinating=True)),
         )
 
     def _make_config_response(self, number: int, now: float) -> list[Message]:
@@ -137,6 +161,7 @@
         if sent_at is None:
             return []
         self.unready = frozenset(response.unready)
+        self._told_short = frozenset(response.short_of_memory)
         follow_ups: list[Message] = []
         if response.config_version > self._config.version:
             if not self._request_config_read():
--- a/fireflyquay/gateway/_entry_selector.py
+++ b/fireflyquay/gateway/_entry_selector.py
@@ -35,9 +35,12 @@
 
     def list_entry_addresses(self, zone: str) -> Sequence[str]:
         """Return addresses of entry VMs for clients of an availability zone."""
-        entry_vms = [
+        short = self._fleet.list_short_of_memory()
+        available = [
             vm for vm in self._fleet.list_entry_vms() if self._is_available(vm)
         ]
+        with_room = [vm for vm in available if vm.incarnation not in short]
+        entry_vms = with_room or available
         in_zone = [vm for vm in entry_vms if vm.zone == zone]
         candidates = in_zone if len(in_zone) >= MIN_ENTRY_VMS else entry_vms
         sampled = [vm for vm in candidates if self._rng.randrange(100) < vm.strength]
--- a/fireflyquay/gateway/_fleet.py
+++ b/fireflyquay/gateway/_fleet.py
@@ -26,6 +26,7 @@
 )
 from fireflyquay.links import (
     Connection,
+    ConnectionGuard,
     LinkFactory,
     PeerLink,
     PeerTraffic,
@@ -157,6 +158,10 @@
         """Return the description of this VM."""
         return self._own
 
+    def use_guard(self, guard: ConnectionGuard) -> None:
+        """Keep the account of what connections of other VMs hold."""
+        self._link.guard = guard
+
     def carry_tunnels(self, opener: TunnelOpener | None) -> None:
         """Carry tunnels for other VMs with the given opener, or none any more."""
         self._link.carrier.opener = opener
@@ -195,6 +200,10 @@
             and record.vm.incarnation not in unready
         ]
 
+    def list_short_of_memory(self) -> frozenset[Incarnation]:
+        """Return the VMs whose memory is short, as far as this VM knows."""
+        return self._replica_sync.list_short_of_memory(self.is_coordinating)
+
     def list_peer_addresses(self) -> set[tuple[str, int]]:
         """Return the peer addresses of the live VMs, including this one."""
         vms = [record.vm for record in self._membership.live()]
--- a/fireflyquay/gateway/_gateway.py
+++ b/fireflyquay/gateway/_gateway.py
@@ -12,10 +12,16 @@
 
 import logbook
 
-from fireflyquay.dispatch import ReplicaSync, RunDurations, SlotSchedulerSettings
+from fireflyquay.dispatch import (
+    MemoryAccount,
+    ReplicaSync,
+    RunDurations,
+    SlotSchedulerSettings,
+)
 from fireflyquay.links import (
     BackendClient,
     BodyMemory,
+    ConnectionGuard,
     Handler,
     HttpLimits,
     HttpRequest,
@@ -83,9 +89,13 @@
 # CPU nor the log.
 TASK_RETRY_SECONDS = 0.5
 BYTES_PER_MB = 1_000_000
+BYTES_PER_KB = 1024
 # Share of the memory for requests' bodies. A body is held up to three times while it is
 # sent to a backend server.
 BODY_MEMORY_SHARE = 0.25
+# Share of the memory for all that connections hold. The rest is for the program, the
+# configuration and the registry.
+CONNECTION_MEMORY_SHARE = 0.6
 # Time within which clients may resume a stream, as a multiple of the longest timeout of
 # any stream's route.
 RESUMABLE_TIME_FACTOR = 2.0
@@ -115,9 +125,10 @@
         self._clock = clock or BootClock()
         rng = rng or random.Random()
         self.metrics = GatewayMetrics()
+        promises, vm = settings.promises, settings.vm
+        self._guard = ConnectionGuard(_make_memory_account(vm), vm.events_per_turn)
         self._make_link = make_link
         self.incarnation = incarnation or generate_incarnation()
-        promises, vm = settings.promises, settings.vm
         self.replicas = StateReplicas(
             source,
             self._clock,
@@ -159,6 +170,7 @@
             random.Random(self.incarnation),
         )
         self.fleet = self._make_fleet(rng)
+        self.fleet.use_guard(self._guard)
         self.paths.connect(self.fleet)
         self.fleet.carry_tunnels(self.paths.open_for_tunnel)
         self._slot_client.connect(self.fleet)
@@ -201,17 +213,25 @@
             self.is_ready,
             promises.max_keep,
         )
-        limits = HttpLimits(body_timeout=BODY_TIMEOUT_SECONDS)
+        limits = HttpLimits(
+            body_timeout=BODY_TIMEOUT_SECONDS,
+            read_ahead_bytes=vm.read_ahead_kb * BYTES_PER_KB,
+        )
         # Handlers of further paths on the clients' address.
         self.handlers_by_path: dict[str, Handler] = {}
         self._body_memory = BodyMemory(_compute_body_memory_bytes(vm))
-        self._client_server = HttpServer(self.handle, limits, self._body_memory)
-        self._readiness_server = HttpServer(self.directory.serve_readiness, limits)
-        self._directory_server = HttpServer(self.directory.serve_entries, limits)
-        self._metrics_server = HttpServer(self.metrics.serve, limits)
+        self._client_server = self._make_server(self.handle, limits)
+        self._readiness_server = self._make_server(
+            self.directory.serve_readiness, limits
+        )
+        self._directory_server = self._make_server(self.directory.serve_entries, limits)
+        self._metrics_server = self._make_server(self.metrics.serve, limits)
         self._stopping = False
         self._tasks: set[asyncio.Task[None]] = set()
 
+    def _make_server(self, handler: Handler, limits: HttpLimits) -> HttpServer:
+        return HttpServer(handler, limits, self._body_memory, self._guard)
+
     def _make_fleet(self, rng: random.Random) -> Fleet:
         vm = self._settings.vm
         zone, region = ZoneId(vm.zone), RegionId(vm.region)
@@ -238,6 +258,7 @@
                 self.replicas.config,
                 self.replicas.backends,
                 self.replicas.request_config_read,
+                lambda: self._guard.account.is_short,
             ),
             self._quarantine,
             self._stream_locator,
@@ -269,6 +290,7 @@
             "Bytes of the requests' bodies that are held.",
             lambda: self._body_memory.held_bytes,
         )
+        self._add_memory_gauges()
         add_gauge(
             "waiting",
             "Requests that wait for a place.",
@@ -312,6 +334,44 @@
             lambda: traffic.messages_rejected,
         )
 
+    def _add_memory_gauges(self) -> None:
+        add_gauge, guard = self.metrics.add_gauge, self._guard
+        add_gauge(
+            "connection_bytes",
+            "Bytes that connections hold.",
+            lambda: guard.account.held_bytes,
+        )
+        add_gauge(
+            "connections",
+            "Connections of clients and other VMs.",
+            lambda: guard.account.holder_count,
+        )
+        add_gauge(
+            "memory_short",
+            "Whether the memory for connections is short.",
+            lambda: float(guard.account.is_short),
+        )
+        add_gauge(
+            "connections_closed_for_memory",
+            "Connections closed so far for lack of memory.",
+            lambda: guard.closed_count,
+        )
+        add_gauge(
+            "refused_for_memory",
+            "Connections, requests and messages refused so far for lack of memory.",
+            lambda: guard.refused_count,
+        )
+        add_gauge(
+            "parser_turns",
+            "Turns so far of connections that had much to parse.",
+            lambda: guard.turns.taken_count,
+        )
+        add_gauge(
+            "waiting_parsers",
+            "Connections that wait for their turn to parse.",
+            lambda: guard.turns.waiting_count,
+        )
+
     def is_ready(self) -> bool:
         """Return whether this VM accepts requests and has a fresh configuration."""
         limit = self._settings.promises.revoke * MAX_READY_AGE_SHARE
@@ -345,6 +405,7 @@
     async def handle(self, request: HttpRequest, responder: HttpResponder) -> None:
         """Handle one request on the clients' address."""
         if request.lacks_body:
+            self._guard.refuse("request")
             await self._ingress.refuse_body(request, responder)
             return
         handler = (
@@ -392,6 +453,7 @@
             self._evidence.keep,
             self._archiver.write_archive,
             self._archiver.read_archive,
+            self._guard.run,
         ):
             self._spawn(run)
 
@@ -500,6 +562,7 @@
             header_timeout=limits.header_timeout,
             body_timeout=BODY_TIMEOUT_SECONDS,
             idle_timeout=limits.idle_timeout + IDLE_MARGIN_SECONDS,
+            read_ahead_bytes=self._client_server.limits.read_ahead_bytes,
         )
         if http_limits != self._client_server.limits:
             self._client_server.set_limits(http_limits)
@@ -511,6 +574,16 @@
     return body_memory_mb * BYTES_PER_MB
 
 
+def _make_memory_account(vm: VmSettings) -> MemoryAccount:
+    """Return the account of what all connections of a VM hold."""
+    connection_memory_mb = (
+        vm.connection_memory_mb or vm.memory_mb * CONNECTION_MEMORY_SHARE
+    )
+    return MemoryAccount(
+        connection_memory_mb * BYTES_PER_MB, vm.stalled_connection_seconds
+    )
+
+
 def _compute_resumable_seconds(config: FleetConfig) -> float:
     """Return the seconds within which clients may resume a stream."""
     timeouts = [route.timeout for route in config.routes if route.is_stream]
--- a/fireflyquay/gateway/_settings.py
+++ b/fireflyquay/gateway/_settings.py
@@ -52,6 +52,16 @@
     # Bodies of requests that are held at the same time, in MB; 0 for a quarter of the
     # memory.
     body_memory_mb: Annotated[float, Meta(ge=0)] = 0.0
+    # All that connections hold at the same time, in MB: heads, bodies, requests sent
+    # ahead and unsent responses; 0 for six tenths of the memory.
+    connection_memory_mb: Annotated[float, Meta(ge=0)] = 0.0
+    # Seconds without progress after which a connection that runs no response may be
+    # closed while that memory is short.
+    stalled_connection_seconds: Seconds = 2.0
+    # KB of a client's input that are received at a time.
+    read_ahead_kb: Annotated[int, Meta(ge=4, le=1024)] = 16
+    # Parsed events of one connection after which others continue.
+    events_per_turn: Annotated[int, Meta(ge=4, le=10_000)] = 32
     # Address of the metrics page; empty to disable it.
     metrics_address: OptionalAddress = ""
 
--- a/fireflyquay/links/__init__.py
+++ b/fireflyquay/links/__init__.py
@@ -1,6 +1,7 @@
 """HTTP server and client, store client, connections between VMs, and JSON logs."""
 
 from ._body_memory import BodyMemory
+from ._connection_guard import ConnectionGuard
 from ._connection_reset import abort_connection
 from ._http_client import (
     BackendClient,
@@ -41,6 +42,7 @@
     "BackendExchange",
     "BodyMemory",
     "Connection",
+    "ConnectionGuard",
     "TunnelOpener",
     "TunnelRequest",
     "TunnelState",
--- a/fireflyquay/links/_graceful_close.py
+++ b/fireflyquay/links/_graceful_close.py
@@ -45,19 +45,24 @@
 async def drain(writer: asyncio.StreamWriter, max_stall_seconds: float) -> None:
     """Wait until the write buffer is drained.
 
-    Raises TimeoutError if the peer receives nothing for the given time.
+    Raises TimeoutError if the peer receives nothing for the given time, and
+    ConnectionError if the connection is lost.
     """
     loop = asyncio.get_running_loop()
     unsent_bytes, progress_at = count_unsent_bytes(writer), loop.time()
     has_stalled = False
     while True:
         try:
-            async with asyncio.timeout(min(max_stall_seconds, STALL_SECONDS)):
+            wait = asyncio.timeout(min(max_stall_seconds, STALL_SECONDS))
+            async with wait:
                 await writer.drain()
             if has_stalled:
                 enable_dead_peer_detection(writer)
             return
-        except TimeoutError:
+        except TimeoutError as error:
+            if not wait.expired():
+                # The kernel gave the connection up: each further wait ends at once.
+                raise ConnectionResetError("the peer took nothing") from error
             previous_bytes, unsent_bytes = unsent_bytes, count_unsent_bytes(writer)
             if unsent_bytes < previous_bytes:
                 progress_at = loop.time()
--- a/fireflyquay/links/_http_client.py
+++ b/fireflyquay/links/_http_client.py
@@ -27,6 +27,7 @@
     Dialer,
     TcpDialer,
 )
+from ._loop_turns import LoopTurns
 from ._tunnel import Connection
 
 # Statuses of responses that never have a body.
@@ -98,8 +99,10 @@
         body: bytes,
         timeout: float,
         options: ExchangeOptions,
+        turns: LoopTurns,
     ) -> None:
         self._pool = pool
+        self._turns = turns
         self._dialer = options.dialer or dialer
         self._limits = limits
         self._address = address
@@ -197,7 +200,7 @@
         try:
             async with asyncio.timeout(self._options.connect_timeout or self._timeout):
                 reader, writer = await self._dialer.dial(self._address)
-                return ClientConnection(reader, writer, self._limits)
+                return ClientConnection(reader, writer, self._limits, self._turns)
         except TimeoutError:
             raise self._make_failure(
                 Code.BACKEND_TIMEOUT, "The connection attempt timed out."
@@ -312,6 +315,8 @@
         self._limits = limits
         self._dialer = dialer or TcpDialer()
         self._pool = ConnectionPool(limits.idle_timeout)
+        # Of backend servers' responses, apart from those of clients' requests.
+        self._turns = LoopTurns()
 
     async def request(
         self,
@@ -387,6 +392,7 @@
             body,
             timeout,
             options,
+            self._turns,
         )
 
     async def dial(self, address: Address) -> Connection:
@@ -400,7 +406,7 @@
                 reader, writer = await self._dialer.dial(address)
         except (OSError, TimeoutError):
             return False
-        connection = ClientConnection(reader, writer, self._limits)
+        connection = ClientConnection(reader, writer, self._limits, self._turns)
         now = asyncio.get_running_loop().time()
         self._pool.release(address, connection, now)
         return True
--- a/fireflyquay/links/_http_connection.py
+++ b/fireflyquay/links/_http_connection.py
@@ -10,23 +10,29 @@
 import logbook
 import msgspec
 
+from fireflyquay.dispatch import CONNECTION_BYTES, MemoryUse
 from fireflyquay.world import Code, Verdict
 
 from ._body_memory import SMALL_BODY_BYTES, BodyMemory
+from ._connection_guard import ConnectionGuard, GuardedConnection
 from ._connection_reset import abort_connection
 from ._graceful_close import close_gracefully, count_unsent_bytes
 from ._http_message import (
-    MAX_READ_BYTES,
     CallerDisconnectedError,
     HttpLimits,
     HttpRequest,
     join_headers,
 )
 from ._http_responder import HttpResponder
+from ._loop_turns import EventShare
 from ._monitored_reader import MonitoredReader
+from ._sockets import limit_received_bytes
 
 LOG = logbook.Logger("http")
 
+# A body is held this often while it is read or sent on.
+BODY_COPIES = 2
+
 
 class HttpErrorBody(msgspec.Struct, frozen=True):
     """Hold the body of an error response from the server, not from a handler."""
@@ -81,7 +87,7 @@
     return path, dict(pairs)
 
 
-class ServerConnection:
+class ServerConnection(GuardedConnection):
     """Read the requests of one connection in turn and run the handler for each."""
 
     def __init__(
@@ -91,6 +97,7 @@
         handler: Callable[[HttpRequest, HttpResponder], Awaitable[None]],
         limits: HttpLimits,
         body_memory: BodyMemory,
+        guard: ConnectionGuard,
         is_server_closing: Callable[[], bool],
     ) -> None:
         self._reader = reader
@@ -98,6 +105,12 @@
         self._handler = handler
         self._limits = limits
         self._body_memory = body_memory
+        self._guard = guard
+        self._share = EventShare(guard.turns)
+        # Response of the exchange in progress, if its handler runs.
+        self._responder: HttpResponder | None = None
+        # Bytes of the body in progress.
+        self._body_bytes = 0
         # Bytes reserved for the body of the request in progress.
         self._held_bytes = 0
         self._is_server_closing = is_server_closing
@@ -110,6 +123,35 @@
         # Limits the wait for a request while it lasts.
         self._idle_wait: asyncio.Timeout | None = None
         writer.transport.set_write_buffer_limits(high=limits.write_buffer_bytes)
+        limit_received_bytes(writer, limits.read_ahead_bytes)
+        self._holder = guard.add(self)
+
+    @property
+    def writer(self) -> asyncio.StreamWriter:
+        """Return the writer of the connection."""
+        return self._writer
+
+    @property
+    def max_stall_seconds(self) -> float:
+        """Return the seconds for which the peer may take nothing."""
+        return self._limits.idle_timeout
+
+    def measure(self) -> MemoryUse:
+        """Return what the connection takes now."""
+        buffered_bytes = self._writer.transport.get_write_buffer_size()
+        input_bytes = self._reader.unread_byte_count + len(self._http.trailing_data[0])
+        body_bytes = max(self._body_bytes, self._held_bytes) * BODY_COPIES
+        responder = self._responder
+        return MemoryUse(
+            CONNECTION_BYTES + buffered_bytes + input_bytes + body_bytes,
+            self._reader.received_bytes,
+            self.count_unsent_bytes(),
+            responder is not None and not responder.finished,
+        )
+
+    def give_way(self) -> None:
+        """Close the connection at once to make room."""
+        abort_connection(self._writer)
 
     @property
     def is_busy(self) -> bool:
@@ -131,7 +173,7 @@
         """Close the connection unless an exchange is in progress or has arrived."""
         if self._has_exchange_in_progress or self._is_closing:
             return
-        if self._reader.has_unread_bytes:
+        if self._has_next_request:
             return
         if not self.count_unsent_bytes():
             self._writer.close()
@@ -143,6 +185,9 @@
         try:
             while await self._serve_request():
                 self._release_body()
+                if self._has_next_request:
+                    # Others are served before what this client sent ahead.
+                    await self._guard.turns.take()
             self._release_body()
             await self._close()
         except (OSError, CallerDisconnectedError):
@@ -155,6 +200,7 @@
             self.abort()
         finally:
             self._release_body()
+            self._guard.remove(self._holder)
 
     async def _serve_request(self) -> bool:
         """Serve one request; return whether another may follow."""
@@ -178,12 +224,12 @@
             return True
         try:
             async with asyncio.timeout(self._limits.idle_timeout) as self._idle_wait:
-                data = await self._reader.read(MAX_READ_BYTES)
+                data = await self._reader.read(self._limits.read_ahead_bytes)
         except TimeoutError:
             if not self._reader.has_unread_bytes:
                 return False
             # It arrived as the time was up.
-            data = await self._reader.read(MAX_READ_BYTES)
+            data = await self._reader.read(self._limits.read_ahead_bytes)
         finally:
             self._idle_wait = None
         if not data:
@@ -222,6 +268,8 @@
         """Return the body, or None if it exceeds the memory for bodies."""
         length = int(headers.get("content-length", "0"))
         self._check_body_size(length)
+        if not self._guard.account.has_room(0):
+            return None
         if not self._hold_body(length):
             return None
         body = bytearray()
@@ -230,6 +278,7 @@
             if not isinstance(event, h11.Data):
                 return bytes(body)
             body += event.data
+            self._body_bytes = len(body)
             self._check_body_size(len(body))
             if not self._hold_body(len(body)):
                 self._release_body()
@@ -241,14 +290,19 @@
             return True
         # What the request holds already must not keep it from being held alone.
         self._release_body()
-        if not self._body_memory.reserve(size):
+        # One body is always held, as there is memory for it besides.
+        has_room = not self._body_memory.held_bytes or self._guard.account.has_room(
+            size * BODY_COPIES
+        )
+        if not has_room or not self._body_memory.reserve(size):
             return False
         self._held_bytes = size
+        self._guard.update(self._holder)
         return True
 
     def _release_body(self) -> None:
         self._body_memory.release(self._held_bytes)
-        self._held_bytes = 0
+        self._held_bytes = self._body_bytes = 0
 
     def _check_body_size(self, body_bytes: int) -> None:
         if body_bytes > self._limits.max_body_bytes:
@@ -262,22 +316,30 @@
             except h11.RemoteProtocolError as error:
                 raise _make_parse_error(error) from None
             if event is not h11.NEED_DATA:
+                await self._share.spend()
                 return event
             if self._http.they_are_waiting_for_100_continue:
                 continue_response = h11.InformationalResponse(
                     status_code=100, headers=[]
                 )
                 self._writer.write(self._http.send(continue_response))
-            self._http.receive_data(await self._reader.read(MAX_READ_BYTES))
+            if not self._reader.has_unread_bytes:
+                self._share.renew()
+            self._http.receive_data(
+                await self._reader.read(self._limits.read_ahead_bytes)
+            )
 
     async def _run_handler(self, request: HttpRequest) -> None:
         responder = self._make_responder(request.method == "HEAD")
+        self._responder = responder
         try:
             await self._handler(request, responder)
         except CallerDisconnectedError:
             responder.abort()
         except Exception:
             LOG.exception("Handler failed on {} {}.", request.method, request.path)
+        finally:
+            self._responder = None
         if not responder.finished:
             await self._end_unfinished_exchange(responder)
 
@@ -333,10 +395,12 @@
         if self._http.their_state in (h11.IDLE, h11.SEND_BODY, h11.ERROR):
             # The request was not read.
             return True
-        has_next_request = (
-            bool(self._http.trailing_data[0]) or self._reader.has_unread_bytes
-        )
-        return self._is_server_closing() and not has_next_request
+        return self._is_server_closing() and not self._has_next_request
+
+    @property
+    def _has_next_request(self) -> bool:
+        """Return whether the client has sent more than the request in progress."""
+        return bool(self._http.trailing_data[0]) or self._reader.has_unread_bytes
 
     async def _close(self) -> None:
         self._is_closing = True
--- a/fireflyquay/links/_http_message.py
+++ b/fireflyquay/links/_http_message.py
@@ -9,7 +9,6 @@
 
 MAX_READ_BYTES = 64 * 1024
 
-
 RawHeaders = Sequence[tuple[bytes, bytes]]
 
 
@@ -29,6 +28,8 @@
     idle_timeout: float = 60.0
     # Number of unsent bytes above which a write waits until the peer has read.
     write_buffer_bytes: int = 64 * 1024
+    # Bytes of a client's input that are received and passed to the parser at a time.
+    read_ahead_bytes: int = 16 * 1024
 
 
 @dataclass(frozen=True, slots=True)
--- a/fireflyquay/links/_http_pool.py
+++ b/fireflyquay/links/_http_pool.py
@@ -13,6 +13,7 @@
 
 from ._connection_reset import abort_connection
 from ._http_message import MAX_READ_BYTES, HttpLimits
+from ._loop_turns import EventShare, LoopTurns
 from ._monitored_reader import MonitoredReader
 from ._sockets import convert_address_errors, enable_dead_peer_detection
 
@@ -33,9 +34,11 @@
         reader: MonitoredReader,
         writer: asyncio.StreamWriter,
         limits: HttpLimits,
+        turns: LoopTurns | None = None,
     ) -> None:
         self._reader = reader
         self._writer = writer
+        self._share = EventShare(turns or LoopTurns())
         self._http = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=limits.max_header_bytes
         )
@@ -94,7 +97,10 @@
         while True:
             event = self._http.next_event()
             if event is not h11.NEED_DATA:
+                await self._share.spend()
                 return event
+            if not self._reader.has_unread_bytes:
+                self._share.renew()
             data = await self._reader.read(MAX_READ_BYTES)
             self._consumed_bytes += len(data)
             self._http.receive_data(data)
--- a/fireflyquay/links/_http_server.py
+++ b/fireflyquay/links/_http_server.py
@@ -5,7 +5,10 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+from fireflyquay.dispatch import CONNECTION_BYTES
+
 from ._body_memory import BodyMemory
+from ._connection_guard import ConnectionGuard
 from ._connection_reset import abort_connection
 from ._http_connection import ServerConnection
 from ._http_message import HttpLimits, HttpRequest
@@ -26,10 +29,12 @@
         handler: Handler,
         limits: HttpLimits,
         body_memory: BodyMemory | None = None,
+        guard: ConnectionGuard | None = None,
     ) -> None:
         self._handler = handler
         self._limits = limits
         self._body_memory = body_memory or BodyMemory()
+        self._guard = guard or ConnectionGuard()
         self._server: asyncio.Server | None = None
         self._connections: dict[asyncio.Task[None], ServerConnection] = {}
         # Whether connections are closed after their current response.
@@ -98,7 +103,8 @@
 
     def _make_protocol(self) -> asyncio.StreamReaderProtocol:
         loop = asyncio.get_running_loop()
-        reader = MonitoredReader(loop)
+        # asyncio pauses reading above twice this size.
+        reader = MonitoredReader(loop, self._limits.read_ahead_bytes // 2)
         return asyncio.StreamReaderProtocol(reader, self._accept, loop=loop)
 
     def _accept(
@@ -108,6 +114,10 @@
         if self._resets_new_connections:
             abort_connection(writer)
             return
+        if not self._guard.account.has_room(CONNECTION_BYTES):
+            self._guard.refuse("connection")
+            abort_connection(writer)
+            return
         enable_dead_peer_detection(writer)
         connection = ServerConnection(
             reader,
@@ -115,6 +125,7 @@
             self._handler,
             self._limits,
             self._body_memory,
+            self._guard,
             lambda: self._is_closing,
         )
         task = asyncio.get_running_loop().create_task(connection.serve())
--- a/fireflyquay/links/_monitored_reader.py
+++ b/fireflyquay/links/_monitored_reader.py
@@ -18,8 +18,10 @@
     disconnected.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
-        super().__init__(limit=READ_BUFFER_BYTES, loop=loop)
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, buffer_bytes: int = READ_BUFFER_BYTES
+    ) -> None:
+        super().__init__(limit=buffer_bytes, loop=loop)
         # Set when the peer has closed the connection, or it is lost.
         self.closed = asyncio.Event()
         # Called once, when the peer has closed the connection, or it is lost.
@@ -34,6 +36,11 @@
         """Return whether bytes were received that have not been read."""
         return bool(self._buffer)
 
+    @property
+    def unread_byte_count(self) -> int:
+        """Return the number of bytes that were received and have not been read."""
+        return len(self._buffer)
+
     def feed_data(self, data: bytes) -> None:
         """Count and buffer received bytes."""
         self.received_bytes += len(data)
--- a/fireflyquay/links/_peer.py
+++ b/fireflyquay/links/_peer.py
@@ -10,10 +10,15 @@
 import logbook
 import msgspec
 
+from fireflyquay.dispatch import CONNECTION_BYTES
 from fireflyquay.membership import Message
 from fireflyquay.world import DECODE_ERRORS, EntryVm, Incarnation
 
+from ._connection_guard import ConnectionGuard
+from ._connection_reset import abort_connection
+from ._loop_turns import EventShare
 from ._monitored_reader import MonitoredReader
+from ._peer_connection import MAX_RECEIVED_BYTES, PeerConnection
 from ._sockets import convert_address_errors, enable_dead_peer_detection
 from ._tunnel import (
     FRAME_HEADER_BYTES,
@@ -27,8 +32,6 @@
 
 LOG = logbook.Logger("peers")
 
-# Maximum size of a frame; the registry of thousands of backend servers fits in.
-MAX_FRAME_BYTES = 4 * 1024 * 1024
 # Maximum length of the queue for one peer: several seconds of a coordinator's messages
 # at thousands of requests per second. When a message exceeds it, the messages queued
 # before are dropped and counted.
@@ -174,6 +177,7 @@
     def __init__(self) -> None:
         self.traffic = PeerTraffic()
         self.carrier = TunnelCarrier()
+        self.guard = ConnectionGuard()
 
     async def open_tunnel(
         self, vm: EntryVm, request: TunnelRequest
@@ -227,7 +231,9 @@
 
     async def start(self, host: str, port: int) -> int:
         """Listen for peers and return the bound port."""
-        self._server = await asyncio.start_server(self._receive_frames, host, port)
+        self._server = await asyncio.start_server(
+            self._receive_frames, host, port, limit=MAX_RECEIVED_BYTES
+        )
         return self._server.sockets[0].getsockname()[1]
 
     def send(self, vm: EntryVm, message: Message) -> None:
@@ -291,12 +297,21 @@
     async def _receive_frames(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        if not self.guard.account.has_room(CONNECTION_BYTES):
+            self.guard.refuse("connection of a VM")
+            abort_connection(writer)
+            return
         self._accepted_connections.add(writer)
         enable_dead_peer_detection(writer)
+        connection = PeerConnection(reader, writer, self.guard)
+        share = EventShare(self.guard.turns)
         try:
             while True:
-                request = self._handle_frame(await self._read_frame(reader))
+                body = await connection.read_frame(self._record_rejection)
+                self.traffic.bytes_received += len(body) + FRAME_HEADER_BYTES
+                request = await self._handle_frame(body, share)
                 if request is not None:
+                    connection.carries_tunnel = True
                     await self.carrier.carry(request, reader, writer)
                     return
         except (OSError, asyncio.IncompleteReadError, ValueError):
@@ -306,22 +321,13 @@
             # asyncio logs an error if the task of a start_server callback is cancelled.
             pass
         finally:
+            connection.end()
             self._accepted_connections.discard(writer)
             writer.close()
 
-    async def _read_frame(self, reader: asyncio.StreamReader) -> bytes:
-        header = await reader.readexactly(FRAME_HEADER_BYTES)
-        size = int.from_bytes(header, "big")
-        if size > MAX_FRAME_BYTES:
-            self._record_rejection(
-                f"frame of {size} bytes exceeds the limit of {MAX_FRAME_BYTES} bytes"
-            )
-            raise ValueError("The frame exceeds the size limit.")
-        body = await reader.readexactly(size)
-        self.traffic.bytes_received += size + FRAME_HEADER_BYTES
-        return body
-
-    def _handle_frame(self, body: bytes) -> TunnelRequest | None:
+    async def _handle_frame(
+        self, body: bytes, share: EventShare
+    ) -> TunnelRequest | None:
         """Deliver the messages of a frame, or return the request for a tunnel."""
         try:
             envelope = self._envelope_decoder.decode(body)
@@ -331,7 +337,9 @@
         if envelope.target not in ("", self._own_incarnation):
             # Sent to an earlier incarnation at this address.
             return None
+        share.renew()
         for raw in envelope.messages:
+            await share.spend()
             message = self._decode_message(raw)
             if isinstance(message, TunnelRequest):
                 return message
--- a/fireflyquay/links/_sockets.py
+++ b/fireflyquay/links/_sockets.py
@@ -31,6 +31,12 @@
     )
 
 
+def limit_received_bytes(writer: asyncio.StreamWriter, size: int) -> None:
+    """Receive no more bytes at a time, so that a small buffer is not overrun."""
+    # The transport's own default is several times the buffers of a connection.
+    writer.transport.max_size = size
+
+
 def enable_dead_peer_detection(writer: asyncio.StreamWriter) -> None:
     """Make the kernel close the connection when its peer becomes unreachable."""
     sock = writer.get_extra_info("socket")
