Keep clients from locking out other VMs, and notice clients that are gone

With the memory for connections used up, connections of other VMs were refused as those of clients are; they have 4 MiB of their own now. The kernel's timeout was lengthened for each connection without progress, so that a client that is gone was noticed late; now only where the peer has acknowledged all that its window allowed, as a client that pauses does.

test_client_that_sends_ahead_and_pauses_gets_all_responses still passes; there is no test of a client that is gone, as no packets can be lost on loopback.

--- a/fireflyquay/links/_connection_guard.py
+++ b/fireflyquay/links/_connection_guard.py
@@ -12,7 +12,11 @@
 
 from ._connection_reset import abort_connection
 from ._loop_turns import DEFAULT_EVENTS_PER_TURN, LoopTurns
-from ._sockets import enable_dead_peer_detection, tolerate_closed_window
+from ._sockets import (
+    enable_dead_peer_detection,
+    is_window_closed,
+    tolerate_closed_window,
+)
 
 LOG = logbook.Logger("connections")
 
@@ -103,6 +107,8 @@
         """Measure all connections; close those that are lost or have to give way."""
         now = asyncio.get_running_loop().time()
         for holder, connection in tuple(self._connections.items()):
+            if connection.writer.transport.is_closing():
+                continue
             if _is_reset(connection.writer):
                 abort_connection(connection.writer)
                 continue
@@ -132,10 +138,11 @@
     connection: GuardedConnection, previous_bytes: int, unsent_bytes: int
 ) -> None:
     """Keep the connection of a peer that pauses, also while nothing is written."""
-    if unsent_bytes and unsent_bytes >= previous_bytes > 0:
-        tolerate_closed_window(connection.writer, connection.max_stall_seconds)
+    writer = connection.writer
+    if unsent_bytes >= previous_bytes > 0 and is_window_closed(writer):
+        tolerate_closed_window(writer, connection.max_stall_seconds)
     elif previous_bytes and not unsent_bytes:
-        enable_dead_peer_detection(connection.writer)
+        enable_dead_peer_detection(writer)
 
 
 def _is_reset(writer: asyncio.StreamWriter) -> bool:
@@ -143,8 +150,7 @@
 
     The event loop notices a reset only when it reads or writes.
     """
-    transport = writer.transport
-    if transport.is_closing() or transport.is_reading():
+    if writer.transport.is_reading():
         return False
     poll = select.poll()
     poll.register(writer.get_extra_info("socket").fileno(), 0)
--- a/fireflyquay/links/_peer.py
+++ b/fireflyquay/links/_peer.py
@@ -32,6 +32,9 @@
 
 LOG = logbook.Logger("peers")
 
+# Memory beyond the bound for connections of other VMs, so that clients can't keep them
+# out.
+RESERVE_BYTES = 4 * 1024 * 1024
 # Maximum length of the queue for one peer: several seconds of a coordinator's messages
 # at thousands of requests per second. When a message exceeds it, the messages queued
 # before are dropped and counted.
@@ -297,7 +300,7 @@
     async def _receive_frames(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        if not self.guard.account.has_room(CONNECTION_BYTES):
+        if not self.guard.account.has_room(CONNECTION_BYTES - RESERVE_BYTES):
             self.guard.refuse("connection of a VM")
             abort_connection(writer)
             return
--- a/fireflyquay/links/_sockets.py
+++ b/fireflyquay/links/_sockets.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import struct
 from collections.abc import Iterator
 from contextlib import contextmanager
 
@@ -14,6 +15,10 @@
 # Idle time before the first keepalive probe, and time between probes.
 KEEPALIVE_INTERVAL_SECONDS = 1
 MAX_UNANSWERED_PROBES = 3
+# Place of tcpi_unacked in the kernel's tcp_info, after eight bytes and four counts.
+UNACKNOWLEDGED_OFFSET = 24
+TCP_INFO_BYTES = 32
+_SEGMENT_COUNT = struct.Struct("=I")
 
 
 def tolerate_closed_window(writer: asyncio.StreamWriter, seconds: float) -> None:
@@ -31,6 +36,19 @@
     )
 
 
+def is_window_closed(writer: asyncio.StreamWriter) -> bool:
+    """Return whether the peer has acknowledged all that it lets this end send.
+
+    A peer that has gone leaves bytes that were sent without an acknowledgement.
+    """
+    sock = writer.get_extra_info("socket")
+    if sock is None or sock.family not in (socket.AF_INET, socket.AF_INET6):
+        return False
+    info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
+    [unacknowledged_segments] = _SEGMENT_COUNT.unpack_from(info, UNACKNOWLEDGED_OFFSET)
+    return unacknowledged_segments == 0
+
+
 def limit_received_bytes(writer: asyncio.StreamWriter, size: int) -> None:
     """Receive no more bytes at a time, so that a small buffer is not overrun."""
     # The transport's own default is several times the buffers of a connection.
