Test roll-outs by replay, with a seeded walk over faults

The grey server's case found a window that counted failures without their responses; recent responses are now counted together with what they prove.

--- a/fireflyquay/dispatch/_rollout_evidence.py
+++ b/fireflyquay/dispatch/_rollout_evidence.py
@@ -73,10 +73,15 @@
 class Response:
     """Hold what a response is compared by."""
 
-    cell: CellKey
+    version: SoftwareVersion
+    route: str
+    backend: BackendServerId
     # Whether the backend server had many other runs.
     is_busy: bool
     is_slow: bool = False
+    has_begun: bool = False
+    # Whether it is counted among the recent responses.
+    is_settled: bool = False
 
 
 @dataclass(slots=True)
@@ -155,26 +160,27 @@
 
         Without times of the old version to compare with, that is decided later.
         """
-        version, route, _ = response.cell
         if not self._judge(response, kind, seconds, now):
             self._pending.append((response, kind, seconds))
-        if version != self._target:
-            self._times[kind, route, response.is_busy].add(seconds)
+        if response.version != self._target:
+            self._times[kind, response.route, response.is_busy].add(seconds)
 
     def _judge(
         self, response: Response, kind: TimeKind, seconds: float, now: float
     ) -> bool:
         """Return whether times of the old version to compare with are known."""
-        version, route, _ = response.cell
+        route = response.route
         factor, times = SLOW_FACTOR, self._times[kind, route, response.is_busy]
         if len(times.values) < MIN_TIMES:
             factor = UNMATCHED_SLOW_FACTOR
             times = self._times[kind, route, not response.is_busy]
         if len(times.values) < MIN_TIMES:
-            return version != self._target
+            return response.version != self._target
         if seconds > factor * times.median and not response.is_slow:
             response.is_slow = True
-            self._add(response.cell, Tally(slow=1), now)
+            self.record_begin(response, now)
+            self._cells[self._make_key(response)].slow += 1
+            self._settle(response, Tally(1, slow=1), now)
         return True
 
     def _judge_pending(self, now: float) -> None:
@@ -188,21 +194,28 @@
         """Return whether enough responses of other versions were recorded here."""
         return self._other_responses >= MIN_TIMES
 
-    def count_response(self, key: CellKey, now: float) -> None:
+    def record_begin(self, response: Response, now: float) -> None:
         """Count a response that has begun."""
-        self._other_responses += key[0] != self._target
-        self._add(key, Tally(responses=1), now)
-
-    def count_failure(self, key: CellKey, now: float) -> None:
-        """Count a response that began before as a failure of the server."""
-        self._add(key, Tally(failures=1), now)
-
-    def count_crash(self, key: CellKey, now: float) -> None:
+        if response.has_begun:
+            return
+        response.has_begun = True
+        self._other_responses += response.version != self._target
+        self._cells.setdefault(self._make_key(response), Tally()).responses += 1
+
+    def record_end(self, response: Response, has_failed: bool, now: float) -> None:
+        """Count a response that has ended, perhaps by a failure of the server."""
+        self.record_begin(response, now)
+        if has_failed and not response.is_slow:
+            self._cells[self._make_key(response)].failures += 1
+        self._settle(response, Tally(1, int(has_failed)), now)
+
+    def record_crash(self, response: Response, now: float) -> None:
         """Count the crash of a server as one failure, however many responses broke."""
-        crashed_at = self._crashed_at.get(key[2], -math.inf)
-        if now - crashed_at >= CRASH_SECONDS:
-            self._crashed_at[key[2]] = now
-            self._add(key, Tally(failures=1), now)
+        crashed_at = self._crashed_at.get(response.backend, -math.inf)
+        is_first = now - crashed_at >= CRASH_SECONDS
+        if is_first:
+            self._crashed_at[response.backend] = now
+        self.record_end(response, is_first, now)
 
     def adopt(self, parts: Iterable[tuple[ServerEvidence, ...]]) -> None:
         """Replace what other coordinators recorded."""
@@ -292,11 +305,21 @@
             result.reason = f"{worst}: {reasons[worst]}"
         return result
 
-    def _add(self, key: CellKey, tally: Tally, now: float) -> None:
-        self._cells.setdefault(key, Tally()).add(tally)
+    def _make_key(self, response: Response) -> CellKey:
+        is_target = response.version == self._target
+        # Servers of other versions are compared as a whole.
+        backend = response.backend if is_target else BackendServerId("")
+        return response.version, response.route, backend
+
+    def _settle(self, response: Response, tally: Tally, now: float) -> None:
+        """Count a response among the recent ones, together with what it proves."""
+        if response.is_settled:
+            return
+        response.is_settled = True
         if not self._buckets or now - self._buckets[-1][0] >= BUCKET_SECONDS:
             self._buckets.append((now, {}))
-        self._buckets[-1][1].setdefault(key, Tally()).add(tally)
+        cells = self._buckets[-1][1]
+        cells.setdefault(self._make_key(response), Tally()).add(tally)
         while now - self._buckets[0][0] > WINDOW_SECONDS:
             self._buckets.popleft()
 
--- a/fireflyquay/dispatch/_rollouts.py
+++ b/fireflyquay/dispatch/_rollouts.py
@@ -257,7 +257,9 @@
         self._runs[request.owner, request.number] = _FollowedRun(
             rollout,
             Response(
-                (entry.version, request.route, entry.id),
+                entry.version,
+                request.route,
+                entry.id,
                 occupancy >= BUSY_SHARE * entry.slots,
             ),
             request.is_retry,
@@ -281,17 +283,17 @@
         run = self._runs.pop(key, None)
         if run is None:
             return
-        evidence, cell = run.rollout.evidence, run.response.cell
+        evidence, response = run.rollout.evidence, run.response
         if not (ended.is_sound or ended.is_faulty or ended.has_crashed):
             return
         self._count(run, now)
         if ended.has_crashed:
-            evidence.count_crash(cell, now)
+            evidence.record_crash(response, now)
         elif ended.is_faulty:
-            if not run.response.is_slow:
-                evidence.count_failure(cell, now)
+            evidence.record_end(response, True, now)
         else:
             self._record_sound(run, ended, now)
+            evidence.record_end(response, False, now)
 
     def discard(self, key: SlotRequestKey) -> None:
         """Forget a run whose end tells nothing."""
@@ -338,7 +340,7 @@
         if run.is_counted:
             return
         run.is_counted = True
-        run.rollout.evidence.count_response(run.response.cell, now)
+        run.rollout.evidence.record_begin(run.response, now)
         if not run.is_retry:
             run.rollout.budget.seen += 1
 
--- a/fireflyquay/dispatch/tests/rollout_fleet.py
+++ b/fireflyquay/dispatch/tests/rollout_fleet.py
@@ -22,6 +22,7 @@
     ReserveExposure,
     RetryBudget,
     RolloutBounds,
+    RolloutPhase,
     RolloutProgress,
     Rollouts,
     RunEnded,
@@ -103,6 +104,10 @@
     # Moments at which the coordinator, or all VMs, are killed and started again.
     coordinator_kills: tuple[float, ...] = ()
     fleet_kills: tuple[float, ...] = ()
+    # Phases at whose first write the coordinator is killed before it knows of it, and
+    # the number of reservations at which it is.
+    phase_kills: tuple[RolloutPhase, ...] = ()
+    reservation_kills: int = 0
     # Moments at which VMs are cut off from the others, and until when.
     cuts: tuple[tuple[float, float, int], ...] = ()
     # Whether the VMs that are cut off reach the store.
@@ -260,7 +265,7 @@
     excess: float = -math.inf
     by_server: dict[str, int] = field(default_factory=lambda: defaultdict(int))
     bad_at: list[float] = field(default_factory=list)
-    last_exposed_at: float = 0.0
+    exposed_at: list[float] = field(default_factory=list)
     switched_at: float | None = None
     completed_at: float | None = None
     is_withdrawn: bool = False
@@ -271,11 +276,16 @@
             return
         self.exposed += 1
         self.by_server[server] += 1
-        self.last_exposed_at = now
+        self.exposed_at.append(now)
         if self.switched_at is None or is_bad_version:
             allowed = BOUNDS.exposure_share * self.reached + BOUNDS.exposure_slack
             self.excess = max(self.excess, self.exposed - allowed)
 
+    @property
+    def last_exposed_at(self) -> float:
+        """Return when the version got its last request."""
+        return max(self.exposed_at, default=0.0)
+
     @property
     def rollback_due_at(self) -> float | None:
         """Return when the version must get nothing more; None if that is open."""
@@ -291,7 +301,9 @@
         self.scenario = scenario
         self.rng = random.Random(scenario.seed)
         self.store = Store()
-        self.store.on_write = lambda: self._note_phase(self.now)
+        self.store.on_write = self._note_write
+        self._killed_at_phases: set[RolloutPhase] = set()
+        self._reserved = self._reservation_kills = 0
         self.now = 0.0
         self._events: list[tuple[float, int, Callable[[float], None]]] = []
         self._order = itertools.count()
@@ -478,6 +490,19 @@
         self._note_phase(now)
         self._schedule(now + KEEPER_SECONDS, self._keep)
 
+    def _note_write(self) -> None:
+        progress, scenario = self.store.progress[SERVICE][0], self.scenario
+        self._note_phase(self.now)
+        is_reservation = progress.reserved > self._reserved
+        self._reserved = progress.reserved
+        if is_reservation and self._reservation_kills < scenario.reservation_kills:
+            self._reservation_kills += 1
+            self._kill_coordinator(self.now)
+        phase = progress.phase
+        if phase in scenario.phase_kills and phase not in self._killed_at_phases:
+            self._killed_at_phases.add(phase)
+            self._kill_coordinator(self.now)
+
     def _note_phase(self, now: float) -> None:
         stored = self.store.progress.get(SERVICE)
         count = None if stored is None else self.counts.get(stored[0].target)
