Emulate roll-outs over whole gateways

The emulator takes orders, starts the ordered version's servers and stops the losing ones at the verdict.

--- a/emulator/_configuration.py
+++ b/emulator/_configuration.py
@@ -7,6 +7,7 @@
 from fireflyquay.gateway import (
     GatewaySettings,
     PromiseSettings,
+    RolloutSettings,
     StoreSettings,
     VmSettings,
 )
@@ -65,7 +66,8 @@
         **site.promises,
     }
     store = StoreSettings("10.200.0.1:1", 1.0)
-    return GatewaySettings(vm, store, PromiseSettings(**promises))
+    rollout = RolloutSettings(**site.rollout) if site.rollout else None
+    return GatewaySettings(vm, store, PromiseSettings(**promises), rollout=rollout)
 
 
 def make_config(site: Site, version: int, keys: Mapping[str, str]) -> FleetConfig:
--- a/emulator/_emulation.py
+++ b/emulator/_emulation.py
@@ -10,7 +10,16 @@
 
 from fireflyquay.dispatch import SlotSchedulerSettings
 from fireflyquay.gateway import Gateway, LoopClock
-from fireflyquay.world import BackendPhase, Incarnation, ZoneId
+from fireflyquay.world import (
+    BackendPhase,
+    BackendServerId,
+    Incarnation,
+    RolloutOrder,
+    RolloutState,
+    ServiceId,
+    SoftwareVersion,
+    ZoneId,
+)
 
 from ._backend_client import EmulatedBackendClient
 from ._clients import Clients, GatewayAccess
@@ -221,6 +230,42 @@
         self._record_change("leaving", server)
         self.loop.call_later(LEAVING_SECONDS + 1.0, self._end_server, server)
 
+    def order_rollout(
+        self, service: str, version: str, seconds: float
+    ) -> list[EmulatedServer]:
+        """Order a version, and start as many servers of it as there are; return them.
+
+        At the verdict, the servers of the versions that lost stop at once.
+        """
+        site = self.site
+        model = site.engines.get(service) or site.services[service]
+        servers = make_servers(service, model, self._derive_rng(), self._list_zones())
+        for server in servers:
+            entry = server.entry
+            server.entry = replace(
+                entry,
+                id=BackendServerId(f"{entry.id}-{version}"),
+                host=entry.host.replace("10.9.", "10.8."),
+                version=SoftwareVersion(version),
+            )
+        order = RolloutOrder(
+            ServiceId(service),
+            SoftwareVersion(version),
+            seconds,
+            self.store.increment_revision(),
+        )
+        self.store.orders[order.service] = order
+        self.store.on_verdict = self._end_losing_servers
+        self._add_servers(servers)
+        return servers
+
+    def _end_losing_servers(self, order: RolloutOrder) -> None:
+        has_won = order.state is RolloutState.COMPLETED
+        for name, server in list(self.servers.items()):
+            is_target = server.entry.version == order.target
+            if server.entry.service == order.service and is_target is not has_won:
+                self._end_server(name)
+
     def rotate_key(self, account: str, key: str) -> None:
         """Replace an account's API key and revoke the old one."""
         old = self.clients.keys[account]
--- a/emulator/_site.py
+++ b/emulator/_site.py
@@ -116,6 +116,8 @@
     # Values of the gateways' settings section `promises` that replace the emulator's
     # defaults.
     promises: dict[str, float] = field(default_factory=dict)
+    # Values of the gateways' settings section `rollout`; empty if there is none.
+    rollout: dict[str, float] = field(default_factory=dict)
 
     def shrink(self, divisor: int) -> Site:
         """Return a site with as much traffic for each server, but fewer servers."""
--- a/emulator/_store.py
+++ b/emulator/_store.py
@@ -5,9 +5,11 @@
 import asyncio
 import random
 from collections.abc import Callable
+from dataclasses import replace
 
 import msgspec
 
+from fireflyquay.dispatch import RolloutProgress
 from fireflyquay.gateway import (
     BackendsSnapshot,
     ConfigSnapshot,
@@ -17,7 +19,16 @@
 )
 from fireflyquay.gateway._dialect import R
 from fireflyquay.links import HttpFailure
-from fireflyquay.world import DECODE_ERRORS, BackendEntry, Code, FleetConfig, VmListing
+from fireflyquay.world import (
+    DECODE_ERRORS,
+    BackendEntry,
+    Code,
+    FleetConfig,
+    RolloutOrder,
+    RolloutState,
+    ServiceId,
+    VmListing,
+)
 
 # Mean response time.
 RESPONSE_SECONDS = 0.004
@@ -36,6 +47,11 @@
         self.vms: dict[str, VmRegistration] = {}
         # Records of the VMs by type: JSON, and the revision of its last change.
         self.records: dict[type, tuple[bytes, int]] = {}
+        # Orders of roll-outs by service, and their progress as records are held.
+        self.orders: dict[ServiceId, RolloutOrder] = {}
+        self.progress: dict[ServiceId, tuple[bytes, int]] = {}
+        # Called with each final state of an order.
+        self.on_verdict: Callable[[RolloutOrder], None] = lambda order: None
         # Hosts whose calls fail.
         self.refused_hosts: set[str] = set()
         # Whether all calls fail.
@@ -130,6 +146,52 @@
         self._store.records[type(record)] = msgspec.json.encode(record), new_revision
         return StoredRecord(record, new_revision, 0)
 
+    def keeps_rollouts(self) -> bool:
+        """Return whether the store takes orders of roll-outs."""
+        return True
+
+    async def list_rollouts(self) -> tuple[RolloutOrder, ...]:
+        """Return all orders of roll-outs, with the states written last."""
+        await self._call_store()
+        return tuple(self._store.orders.values())
+
+    async def write_rollout_status(
+        self, order: RolloutOrder, state: RolloutState
+    ) -> RolloutOrder | None:
+        """Write an order's state; return None if the order has changed since."""
+        await self._call_store()
+        known = self._store.orders.get(order.service)
+        if known is None or known.revision != order.revision:
+            return None
+        revision = self._store.increment_revision()
+        written = replace(
+            order, revision=revision, state=state, stated_target=order.target
+        )
+        self._store.orders[order.service] = written
+        if state is not RolloutState.ACTIVE:
+            self._store.on_verdict(written)
+        return written
+
+    async def read_rollout_progress(
+        self, service: ServiceId
+    ) -> StoredRecord[RolloutProgress]:
+        """Return the progress of a service's roll-out; empty if none is stored."""
+        await self._call_store()
+        spec, revision = self._store.progress.get(service, (b"{}", 0))
+        record = msgspec.json.decode(spec, type=RolloutProgress)
+        return StoredRecord(record, revision, 0)
+
+    async def write_rollout_progress(
+        self, service: ServiceId, progress: RolloutProgress, revision: int
+    ) -> StoredRecord[RolloutProgress] | None:
+        """Replace the progress; return None if its revision is another by now."""
+        await self._call_store()
+        if self._store.progress.get(service, (b"", 0))[1] != revision:
+            return None
+        new_revision = self._store.increment_revision()
+        self._store.progress[service] = msgspec.json.encode(progress), new_revision
+        return StoredRecord(progress, new_revision, 0)
+
     async def _call_store(self) -> None:
         if not self._is_reachable():
             await asyncio.sleep(TIMEOUT_SECONDS)
