--- a/fireflyquay/dispatch/_rollout.py
+++ b/fireflyquay/dispatch/_rollout.py
@@ -495,11 +495,10 @@
         base = self._base
         is_fresh = base is not None and now - base.sent_at <= self._max_age
         is_same = base is not None and base.target == self.order.target
-        is_active = self._is_active_stated and not self.is_withdrawn
         # Without responses of the other versions there is nothing to compare with.
         is_comparable = self.evidence.has_comparison and not self._owes_others
-        may_expose = is_fresh and is_same and is_active and is_comparable
-        return may_expose and self.budget.may_spend
+        may_expose = is_fresh and is_same and self._is_active_stated
+        return may_expose and is_comparable and self.budget.may_spend
 
     def _write(
         self, progress: RolloutProgress, base: _Base, now: float
--- a/fireflyquay/dispatch/tests/test_rollouts.py
+++ b/fireflyquay/dispatch/tests/test_rollouts.py
@@ -6,6 +6,7 @@
 import pytest
 
 from fireflyquay.dispatch import (
+    ProgressPart,
     RolloutPhase,
     RolloutProgress,
     Rollouts,
@@ -14,6 +15,12 @@
 )
 from fireflyquay.dispatch._exposure_budget import ExposureBudget, replace_part
 from fireflyquay.dispatch._rollout import MAX_PROGRESS_AGE_SECONDS
+from fireflyquay.dispatch._rollout_evidence import (
+    MIN_TIMES,
+    Finding,
+    Response,
+    RolloutEvidence,
+)
 from fireflyquay.world import RolloutOrder, RolloutState
 
 from .builders import OWN_VM, SERVICE, make_backend_entry, make_request
@@ -115,6 +122,9 @@
     scenario = replace(scenario, phase_kills=(phase, RolloutPhase.COMPLETED))
     replay = Replay(scenario).run()
     assert replay.new.excess <= 0
+    # Each phase was written before its consequences.
+    assert phase in replay.killed_at_phases
+    assert len(replay.killed_at_phases) == 1 + (phase is RolloutPhase.SWITCH)
     assert len(replay.store.verdicts) == 1
     is_bad = phase is RolloutPhase.ROLLED_BACK
     assert replay.state is (
@@ -392,3 +402,108 @@
     rollouts.record_end((OWN_VM, 99), RunEnded(99, new.id, 0, 0.0, True), 1.1)
     [view] = rollouts.list_views()
     assert (view.granted, view.responses, view.failures) == (1, 0, 0)
+
+
+def test_withdrawn_target_gets_nothing_before_that_is_written():
+    rollouts, old, new = make_rollouts()
+    start_trial(rollouts, old, new)
+    [action] = rollouts.plan(0.3, lambda service: {})
+    rollouts.apply_progress(SERVICE, action.progress, 8, 0, 0.4, 0.4)
+    assert rollouts.may_grant(new, 0.4)
+    read_orders(rollouts, [], 0.5)
+    assert not rollouts.may_grant(new, 0.5)
+    assert rollouts.may_grant(old, 0.5)
+
+
+def test_target_waits_for_responses_of_the_old_version():
+    # Otherwise its first responses have nothing to be compared with.
+    rollouts, old, new = make_rollouts()
+    rollouts.set_backends([old, new])
+    order = make_order(state=RolloutState.ACTIVE, stated_target=NEW)
+    read_orders(rollouts, [order], 0.0)
+    part = {"vm-a/1": ProgressPart(100, 40)}
+    progress = RolloutProgress(NEW, RolloutPhase.TRIAL, int(1e12), part)
+    rollouts.apply_progress(SERVICE, progress, 7, 0, 0.0, 0.0)
+    for number in range(MIN_TIMES):
+        assert not rollouts.may_grant(new, 0.1)
+        rollouts.record_grant(old, make_request(number, route="r"), 0, 0.1)
+        rollouts.record_first_output((OWN_VM, number), 0.2)
+    assert rollouts.may_grant(new, 0.2)
+    # Each other request goes to the old version, in the same period.
+    rollouts.record_grant(new, make_request(98, route="r"), 0, 0.2)
+    assert not rollouts.may_grant(new, 0.2)
+    rollouts.record_grant(old, make_request(99, route="r"), 0, 0.2)
+    assert rollouts.may_grant(new, 0.2)
+
+
+def test_restored_store_that_lacks_reservations_frees_none_of_them():
+    rollouts, old, new = make_rollouts()
+    start_trial(rollouts, old, new)
+    part = {"vm-b/1": ProgressPart(100, 54)}
+    later = RolloutProgress(NEW, RolloutPhase.TRIAL, int(1e12), part)
+    rollouts.apply_progress(SERVICE, later, 9, 0, 0.1, 0.1)
+    earlier = RolloutProgress(NEW, RolloutPhase.TRIAL, int(1e12))
+    rollouts.apply_progress(SERVICE, earlier, 9, 1, 0.2, 0.2)
+    [view] = rollouts.list_views()
+    assert (view.seen, view.reserved) == (100, 54)
+
+
+def test_block_is_saved_until_it_fills_a_server():
+    # A version may be bad under load only, and a budget that trickles is no load.
+    budget = ExposureBudget("a", BOUNDS)
+    budget.server_slots = 8
+    budget.reserved = 15
+    assert not budget.may_spend
+    budget.reserved = 16
+    for granted in range(16):
+        budget.granted = granted
+        assert budget.may_spend
+    budget.granted = 16
+    assert not budget.may_spend
+    budget.reserved = 20
+    assert not budget.may_spend
+
+
+def record(evidence, version, backend, route, outcomes, now):
+    """Record responses that begin and end at a loop time."""
+    for has_failed in outcomes:
+        response = Response(version, route, backend, False)
+        evidence.record_begin(response, now)
+        evidence.record_end(response, has_failed, now)
+
+
+def test_failures_after_many_sound_responses_are_found_in_the_recent_ones():
+    evidence = RolloutEvidence(NEW)
+    for second in range(60):
+        record(evidence, OLD, "old-0", "r", [False] * 30, second)
+        for server in ("new-0", "new-1", "new-2"):
+            record(evidence, NEW, server, "r", [False] * 10, second)
+    for server in ("new-0", "new-1", "new-2"):
+        record(evidence, NEW, server, "r", [True] * 10, 60.0)
+    assert evidence.assess(3, 60.0).finding is Finding.BAD
+
+
+def test_fault_on_a_rare_route_is_not_hidden_by_the_others():
+    evidence = RolloutEvidence(NEW)
+    for version, count in ((OLD, 5), (NEW, 4)):
+        for number in range(count):
+            server = f"{version}-{number}"
+            record(evidence, version, server, "frequent", [False] * 200, 0.0)
+            is_bad = version == NEW
+            record(evidence, version, server, "rare", [is_bad, is_bad, False], 0.0)
+    assessment = evidence.assess(4, 0.0)
+    assert assessment.finding is Finding.BAD
+    assert "rare" in assessment.reason
+
+
+def test_crash_counts_once_however_many_responses_it_broke():
+    evidence = RolloutEvidence(NEW)
+    record(evidence, OLD, "old-0", "r", [False] * 100, 0.0)
+    for server in ("new-0", "new-1", "new-2", "new-3"):
+        record(evidence, NEW, server, "r", [False] * 10, 0.0)
+    for server in ("new-0", "new-1"):
+        for _ in range(8):
+            response = Response(NEW, "r", server, True)
+            evidence.record_begin(response, 0.5)
+            evidence.record_crash(response, 1.0)
+    assert evidence.assess(4, 1.0).finding is Finding.SOUND
