Grant no slots that a rejection showed to be occupied

Callers saw: after all VMs lost power, requests were sent to engines that still ran what the former VMs had granted; engines rejected 387 of them on arrival, and a second rejection refuses the client's request.

Cause: a rejection suspended grants for 0.1 s only. Then the coordinator granted all slots again for which it knew no run. It also took the time to the rejection for that of a plain run.

Change: BackendPause states the rejected request in a new last field, which older builds skip. The coordinator removes that run without learning from it, and believes that the slots without a known run are occupied; they are tried one by one within a quarter of the usual time of a run. A server without known runs is tried with one request after the pause. Brittle servers keep their occupancy limit instead. The line "backend server declined" has a field "full", and the gauge fireflyquay_gateway_unknown_runs counts such slots.

--- a/fireflyquay/dispatch/_backend_load.py
+++ b/fireflyquay/dispatch/_backend_load.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import statistics
 from dataclasses import dataclass, field
 
 from fireflyquay.world import (
@@ -15,6 +16,7 @@
 from ._request_limit import RequestLimit
 from ._slot_messages import Run, SlotRequest
 from ._time_per_unit_estimator import TimePerUnitEstimator
+from ._unknown_runs import UnknownRuns
 
 # Incarnation of the requesting VM, and its number for the request.
 SlotRequestKey = tuple[Incarnation, int]
@@ -88,6 +90,7 @@
     limit: RequestLimit | None = None
     # Limit of the runs on a backend server that may fall over; None for others.
     occupancy_limit: OccupancyLimit | None = None
+    unknown_runs: UnknownRuns = field(default_factory=UnknownRuns)
 
     def forecast_first_output(self, request: SlotRequest, now: float) -> float:
         """Return the seconds to the first output if the request were granted now."""
@@ -191,6 +194,22 @@
         self._update_prefill_backlog(now)
         return True
 
+    def record_rejection(self, key: SlotRequestKey, now: float) -> bool:
+        """Remove a run that found no free slot; return whether it existed.
+
+        Runs that were granted later may be rejected as well.
+        """
+        run = self.runs.get(key)
+        if run is None:
+            return False
+        self.discard_run(key, now)
+        known = [it for it in self.runs.values() if it.granted_at <= run.granted_at]
+        seconds = [self.forecast_run(it.request) for it in (run, *known)]
+        self.unknown_runs.record_rejection(
+            self.entry.slots, len(known), statistics.mean(seconds), now
+        )
+        return True
+
     def count_active_runs(self, account: ClientAccountId) -> int:
         """Return the number of active runs of a client account."""
         return sum(run.request.account == account for run in self.runs.values())
@@ -203,6 +222,11 @@
         """
         if now < self.paused_until or len(self.runs) >= max_runs:
             return False
+        # One without known runs is tried with one request: it may have rejected the
+        # last one for another reason than its slots.
+        occupied = len(self.runs) + self.unknown_runs.count(now)
+        if self.runs and occupied >= self.entry.slots:
+            return False
         if self.limit is not None and not self.limit.can_grant(limit_share, now):
             return False
         occupancy_limit = self.occupancy_limit
--- a/fireflyquay/dispatch/_control_message.py
+++ b/fireflyquay/dispatch/_control_message.py
@@ -70,6 +70,8 @@
     may_restart: bool = False
     # VM from which it wants nothing for so long; empty if the pause holds for all.
     vm: Incarnation = Incarnation("")
+    # The sender's request that was rejected since no slot was free; None if none was.
+    rejected: int | None = None
 
 
 class Rejection(msgspec.Struct, frozen=True, array_like=True):
--- a/fireflyquay/dispatch/_coordinator.py
+++ b/fireflyquay/dispatch/_coordinator.py
@@ -133,6 +133,10 @@
         """Return the pauses of backend servers that may have restarted unnoticed."""
         return self._scheduler.list_doubts(now)
 
+    def count_unknown_runs(self, now: float) -> int:
+        """Return the slots that are occupied by runs not known here."""
+        return self._scheduler.count_unknown_runs(now)
+
     def get_limit_rate(self, backend: BackendServerId, born_ms: int) -> float | None:
         """Return the requests per second that a limit allows; None without one."""
         belief = self.beliefs.get(backend, born_ms)
@@ -180,6 +184,9 @@
                 )
             case BackendPause():
                 self._pause(message, now)
+                if message.rejected is not None:
+                    key = (sender, message.rejected)
+                    scheduler.record_rejection(message.backend, key, now)
             case BackendNews():
                 scheduler.merge_news(message, now)
             case Handover():
--- a/fireflyquay/dispatch/_scheduler.py
+++ b/fireflyquay/dispatch/_scheduler.py
@@ -244,6 +244,22 @@
             if may_restart:
                 load.doubted_until = now + DOUBT_SECONDS
 
+    def record_rejection(
+        self, backend: BackendServerId, key: SlotRequestKey, now: float
+    ) -> None:
+        """Record that a backend server had no free slot for a granted request.
+
+        A brittle one may hold fewer runs than it has slots; its occupancy limit
+        follows rejections itself.
+        """
+        load = self._find_load(backend)
+        if load is not None and load.occupancy_limit is None:
+            load.record_rejection(key, now)
+
+    def count_unknown_runs(self, now: float) -> int:
+        """Return the slots that are occupied by runs not known here."""
+        return sum(load.unknown_runs.count(now) for load in self._list_loads())
+
     def rest(
         self, backend: BackendServerId, vm: Incarnation, seconds: float, now: float
     ) -> None:
--- a/fireflyquay/dispatch/tests/bursts.py
+++ b/fireflyquay/dispatch/tests/bursts.py
@@ -334,7 +334,10 @@
         if grant.number not in self._by_number:
             return
         attempt.tried.append(grant.backend)
-        self._report(BackendPause(grant.backend, DECLINED_PAUSE_SECONDS), now)
+        pause = BackendPause(
+            grant.backend, DECLINED_PAUSE_SECONDS, rejected=grant.number
+        )
+        self._report(pause, now)
         self._report(RunEnded(grant.number, grant.backend, 0, 0.0, False), now)
         if len(attempt.tried) < MAX_ATTEMPTS:
             self._submit(attempt, now)
--- a/fireflyquay/dispatch/tests/test_bursts.py
+++ b/fireflyquay/dispatch/tests/test_bursts.py
@@ -76,3 +76,15 @@
     assert figures["drafts"].on_time >= 0.9
     figures = measure_by_kind(requests, BURST_START, back_at + 1.0)
     assert figures["queries"].refused_twice <= 0.02
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_few_grants_are_rejected_while_engines_hold_runs_of_former_vms(seed):
+    """Guards against grants of slots that aren't free."""
+    replay = BurstReplay(seed=seed)
+    replay.add_traffic(0.0, 7.0, 2.0)
+    replay.lose_power(BURST_START, 0.3)
+    requests = replay.run(12.0)
+    assert sum(it.rejections for it in replay.engines.values()) <= 100
+    figures = measure_by_kind(requests, BURST_START, BURST_START + 2.0)
+    assert figures["drafts"].on_time >= 0.9
--- a/fireflyquay/gateway/_forwarder.py
+++ b/fireflyquay/gateway/_forwarder.py
@@ -376,7 +376,8 @@
             rest = metadata.rest_seconds
             self._slot_client.rest(self._backend.id, rest, stream.carrier)
         if is_declined:
-            return self._handle_declined(stream.status)
+            is_full = is_rejected and metadata.rest_seconds is None
+            return self._handle_declined(stream.status, is_full)
         if is_success:
             is_stream = self._call.admission.route.is_stream and _may_hold_events(
                 stream.headers
@@ -419,14 +420,21 @@
             seconds = self._compute_seconds_of_output() or 0.0
             self._quarantine.record_sound(self._call, seconds)
 
-    def _handle_declined(self, status: int) -> Outcome:
-        self._slot_client.pause(self._backend.id, DECLINED_PAUSE_SECONDS)
+    def _handle_declined(self, status: int, is_full: bool = False) -> Outcome:
+        backend_id = self._backend.id
+        if is_full:
+            self._slot_client.report_rejection(
+                self._slot_request, backend_id, DECLINED_PAUSE_SECONDS
+            )
+        else:
+            self._slot_client.pause(backend_id, DECLINED_PAUSE_SECONDS)
         LOG.info(
             "backend server declined",
             extra={
                 "id": self._call.metadata.attempt_id,
-                "backend": self._backend.id,
+                "backend": backend_id,
                 "status": status,
+                "full": is_full,
             },
         )
         return Outcome.NOT_RUN
--- a/fireflyquay/gateway/_gateway.py
+++ b/fireflyquay/gateway/_gateway.py
@@ -274,6 +274,11 @@
             "Requests that wait for a place.",
             self._slot_client.count_waiting,
         )
+        add_gauge(
+            "unknown_runs",
+            "Slots of backend servers that hold runs of no known grant.",
+            self._slot_client.count_unknown_runs,
+        )
         add_gauge(
             "vms", "VMs that take requests.", lambda: len(self.fleet.list_entry_vms())
         )
--- a/fireflyquay/gateway/_slot_client.py
+++ b/fireflyquay/gateway/_slot_client.py
@@ -188,6 +188,14 @@
         """Suspend grants on a backend server for the given number of seconds."""
         self._notify(BackendPause(backend, seconds, may_restart))
 
+    def report_rejection(
+        self, slot_request: SlotRequest, backend: BackendServerId, seconds: float
+    ) -> None:
+        """Report that no slot was free for a run; suspend grants for some seconds."""
+        self._notify(
+            BackendPause(backend, seconds, False, rejected=slot_request.number)
+        )
+
     def rest(
         self, backend: BackendServerId, seconds: float, carrier: Incarnation
     ) -> None:
@@ -348,6 +356,11 @@
         """Return the number of this VM's requests that wait for a slot."""
         return len(self._pending)
 
+    def count_unknown_runs(self) -> int:
+        """Return the slots that the coordinator believes to hold unknown runs."""
+        now = asyncio.get_running_loop().time()
+        return self._local_coordinator.count_unknown_runs(now)
+
     async def report_active_runs(self) -> None:
         """Report this VM's active runs to the coordinator until cancelled."""
         loop = asyncio.get_running_loop()
