Bound the tokens that the runs of a backend server hold

Callers saw: engines that hold more than their memory crash and cut off all their streams. A request that no engine can hold was sent to two of them and then refused as if the service were overloaded, to come back in vain.

Cause: grants counted slots only; the memory that the configuration states wasn't read.

Change: the coordinator counts prompt and maximum output of each run from the grant to its end, and grants nothing beyond the stated memory. A request that fits nowhere on its turn reserves the emptiest server, so that small requests don't starve it. Gauges: most_held_tokens, reduced_rooms.

Changed check: LOCAL_CODES of the message compatibility test lists EXCEEDS_MEMORY, which is never sent to another VM.

--- a/fireflyquay/dispatch/_backend_load.py
+++ b/fireflyquay/dispatch/_backend_load.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import statistics
+from collections import deque
 from dataclasses import dataclass, field
 
 from fireflyquay.world import (
@@ -42,6 +43,8 @@
 FAILING_BACKEND_PAUSE_SECONDS = 1.0
 # Least average of occupied slots at a backend server with a request limit.
 MIN_USABLE_SLOTS = 0.01
+# Seconds within which the runs that a crash ended are reported as failed.
+CRASH_REPORT_SECONDS = 1.0
 # Factor by which the recorded longest gap decays with each completed stream.
 GAP_DECAY_FACTOR = 0.85
 
@@ -91,6 +94,10 @@
     # Limit of the runs on a backend server that may fall over; None for others.
     occupancy_limit: OccupancyLimit | None = None
     unknown_runs: UnknownRuns = field(default_factory=UnknownRuns)
+    # Tokens of all runs.
+    held_tokens: int = 0
+    # Loop time and tokens of each run that failed lately.
+    _failed_tokens: deque[tuple[float, int]] = field(default_factory=deque)
 
     def forecast_first_output(self, request: SlotRequest, now: float) -> float:
         """Return the seconds to the first output if the request were granted now."""
@@ -136,6 +143,7 @@
         if key in self.runs:
             return
         self.runs[key] = Run(request, granted_at)
+        self.held_tokens += request.total_tokens
         if request.prompt_tokens:
             prefill_start = max(granted_at, self.prefill_ends_at)
             self.prefill_ends_at = (
@@ -176,8 +184,11 @@
         run = self.runs.pop(key, None)
         if run is None:
             return
+        self.held_tokens -= run.request.total_tokens
         self.failure_rate += FAILURE_RATE_WEIGHT * (float(failed) - self.failure_rate)
         if failed:
+            self._failed_tokens.append((now, run.request.total_tokens))
+            self.count_crashed_tokens(now)
             self._update_prefill_backlog(now)
             return
         if not run.request.prompt_tokens:
@@ -189,8 +200,10 @@
 
     def discard_run(self, key: SlotRequestKey, now: float) -> bool:
         """Remove a run without recording its outcome; return whether it existed."""
-        if self.runs.pop(key, None) is None:
+        run = self.runs.pop(key, None)
+        if run is None:
             return False
+        self.held_tokens -= run.request.total_tokens
         self._update_prefill_backlog(now)
         return True
 
@@ -210,6 +223,13 @@
         )
         return True
 
+    def count_crashed_tokens(self, now: float) -> int:
+        """Return the tokens of all runs, with those that have just failed."""
+        failed = self._failed_tokens
+        while failed and failed[0][0] <= now - CRASH_REPORT_SECONDS:
+            failed.popleft()
+        return self.held_tokens + sum(tokens for _, tokens in failed)
+
     def count_active_runs(self, account: ClientAccountId) -> int:
         """Return the number of active runs of a client account."""
         return sum(run.request.account == account for run in self.runs.values())
--- a/fireflyquay/dispatch/_config_replica.py
+++ b/fireflyquay/dispatch/_config_replica.py
@@ -2,9 +2,16 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Sequence
 
-from fireflyquay.world import ClientAccount, ClientAccountId, FleetConfig, Route
+from fireflyquay.world import (
+    ClientAccount,
+    ClientAccountId,
+    FleetConfig,
+    Route,
+    ServiceId,
+)
 
 from ._freshness import Freshness
 
@@ -59,6 +66,13 @@
         """Return a client account by its id."""
         return self._accounts_by_id.get(account_id)
 
+    def get_memory_tokens(self, service: ServiceId) -> float:
+        """Return the tokens that each engine of a service holds, as far as stated."""
+        known = None if self.config is None else self.config.services.get(service)
+        if known is None or known.engine is None:
+            return math.inf
+        return known.engine.memory_tokens or math.inf
+
     def _build_indexes(self, config: FleetConfig) -> None:
         routes: dict[str, list[Route]] = {}
         for route in config.routes:
--- a/fireflyquay/dispatch/_coordinator.py
+++ b/fireflyquay/dispatch/_coordinator.py
@@ -137,6 +137,14 @@
         """Return the slots that are occupied by runs not known here."""
         return self._scheduler.count_unknown_runs(now)
 
+    def get_most_held_tokens(self) -> int:
+        """Return the most tokens that the runs of one backend server hold."""
+        return self._scheduler.get_most_held_tokens()
+
+    def count_reduced_rooms(self, now: float) -> int:
+        """Return the services whose room was learned to be less than stated."""
+        return self._scheduler.count_reduced_rooms(now)
+
     def get_limit_rate(self, backend: BackendServerId, born_ms: int) -> float | None:
         """Return the requests per second that a limit allows; None without one."""
         belief = self.beliefs.get(backend, born_ms)
@@ -223,7 +231,10 @@
     def _enqueue(self, request: SlotRequest, now: float) -> list[Decision]:
         account = self._config.get_account(request.account)
         weight = None if account is None else account.share
-        return self._settle_charges(self._scheduler.submit(request, now, weight), now)
+        decisions = self._scheduler.submit(
+            request, now, weight, self._config.get_memory_tokens(request.service)
+        )
+        return self._settle_charges(decisions, now)
 
     def _settle_charges(self, decisions: list[Decision], now: float) -> list[Decision]:
         """Refund the charges of refused requests; those of used grants are final."""
--- a/fireflyquay/dispatch/_refusal_policy.py
+++ b/fireflyquay/dispatch/_refusal_policy.py
@@ -107,6 +107,17 @@
     return Refusal(request.owner, request.number, code, None, reason)
 
 
+def make_room_refusal(request: SlotRequest, limit: float) -> Refusal:
+    """Return the refusal of a request that no backend server has room for.
+
+    The code is one that builds before ``exceeds_room`` can read.
+    """
+    reason = f"{request.total_tokens} tokens exceed the room of {limit:.0f}"
+    return Refusal(
+        request.owner, request.number, Code.OVERLOADED, None, reason, exceeds_room=True
+    )
+
+
 def make_no_backend_refusal(request: SlotRequest) -> Refusal:
     """Return the refusal of a request to a service without backend servers."""
     seconds = min(
--- a/fireflyquay/dispatch/_scheduler.py
+++ b/fireflyquay/dispatch/_scheduler.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -25,6 +26,7 @@
     RefusalCause,
     RefusalPolicy,
     make_no_backend_refusal,
+    make_room_refusal,
     make_version_refusal,
 )
 from ._refused_requests import RefusedRequests
@@ -107,6 +109,9 @@
             load = state.loads.get(backend_id)
             if load is None or load.entry.born_ms != entry.born_ms:
                 others = [it.entry for it in state.loads.values()]
+                if load is not None and load.runs:
+                    granted_at = max(it.granted_at for it in load.runs.values())
+                    state.room.record_crash(load, granted_at)
                 self.beliefs.inherit(entry, others)
                 state.loads[backend_id] = BackendLoad(entry)
                 self._apply_beliefs(state.loads[backend_id])
@@ -116,17 +121,25 @@
             self._services_by_backend[backend_id] = entry.service
 
     def submit(
-        self, request: SlotRequest, now: float, weight: float | None = None
+        self,
+        request: SlotRequest,
+        now: float,
+        weight: float | None = None,
+        memory_tokens: float = math.inf,
     ) -> list[Decision]:
         """Enqueue a request; return all new decisions.
 
-        ``weight`` is the weight of its client account within its rank.
+        ``weight`` is the weight of its client account within its rank, and
+        ``memory_tokens`` what each backend server of its service holds.
         """
         state = self._states.get(request.service)
         if state is None or not state.loads:
             return [make_no_backend_refusal(request)]
         if state.is_version_gone(request):
             return [make_version_refusal(request)]
+        state.room.stated_tokens = memory_tokens
+        if request.total_tokens > memory_tokens:
+            return [make_room_refusal(request, memory_tokens)]
         was_refused = self.refused_requests.was_refused_recently(
             request.fingerprint, now
         )
@@ -222,6 +235,8 @@
         key = (owner, ended.number)
         state = self._states[self._services_by_backend[ended.backend]]
         run = load.runs.get(key)
+        if run is not None and not ended.failed:
+            state.room.record_success(load.held_tokens)
         load.record_end(key, now, ended.event_count, ended.longest_gap, ended.failed)
         if run is not None and run.first_output_at is None and not ended.failed:
             # A plain response reports no first output.
@@ -242,6 +257,8 @@
         if load is not None:
             load.pause(until)
             if may_restart:
+                state = self._states[load.entry.service]
+                state.room.record_crash(load, now)
                 load.doubted_until = now + DOUBT_SECONDS
 
     def record_rejection(
@@ -260,6 +277,15 @@
         """Return the slots that are occupied by runs not known here."""
         return sum(load.unknown_runs.count(now) for load in self._list_loads())
 
+    def get_most_held_tokens(self) -> int:
+        """Return the most tokens that the runs of one backend server hold."""
+        return max((load.held_tokens for load in self._list_loads()), default=0)
+
+    def count_reduced_rooms(self, now: float) -> int:
+        """Return the services whose room was learned to be less than stated."""
+        rooms = [state.room for state in self._states.values()]
+        return sum(it.get_limit(now) < it.stated_tokens for it in rooms)
+
     def rest(
         self, backend: BackendServerId, vm: Incarnation, seconds: float, now: float
     ) -> None:
@@ -396,11 +422,22 @@
             # A failing backend server is tested with one request at a time.
             and not (load.runs and load.is_failing(median_failure_rate))
         ]
+        room_limit = state.room.get_limit(now)
         starved_rank = state.find_starved_rank(self._settings.min_grant_share)
         for item in state.queue.iter_candidates(now, starved_rank):
             if not available_loads:
                 break
-            load = self._placement.choose(available_loads, item, now)
+            fitting_loads = [
+                load
+                for load in available_loads
+                if state.room.fits(load, item.request, room_limit)
+            ]
+            if not fitting_loads:
+                # Otherwise smaller requests would use up the room that becomes free.
+                emptiest = min(available_loads, key=lambda load: load.held_tokens)
+                available_loads.remove(emptiest)
+                continue
+            load = self._placement.choose(fitting_loads, item, now)
             if load is None:
                 continue
             state.queue.remove(item.key)
--- a/fireflyquay/dispatch/_service_state.py
+++ b/fireflyquay/dispatch/_service_state.py
@@ -8,6 +8,7 @@
 from fireflyquay.world import BackendServerId, Incarnation
 
 from ._backend_load import BackendLoad
+from ._backend_room import BackendRoom
 from ._rank_statistics import RankStatistics
 from ._retry_after_schedule import RetryAfterSchedule
 from ._slot_messages import SlotRequest
@@ -24,6 +25,7 @@
         )
         self.loads: dict[BackendServerId, BackendLoad] = {}
         self.queue = SlotQueue()
+        self.room = BackendRoom()
         # Whether a software version may have left while streams wait for it.
         self.has_lost_backends = False
 
--- a/fireflyquay/dispatch/_slot_messages.py
+++ b/fireflyquay/dispatch/_slot_messages.py
@@ -62,6 +62,11 @@
     # server, was charged to its client account.
     is_charged: bool = False
 
+    @property
+    def total_tokens(self) -> int:
+        """Return the tokens that the run may hold at its end."""
+        return self.prompt_tokens + self.max_output_tokens
+
     @property
     def age(self) -> float:
         """Return the seconds since the request arrived, as far as they are known."""
@@ -101,6 +106,8 @@
     retry_after: float | None
     # Cause of the refusal, for the client and the log.
     reason: str
+    # Whether the request alone exceeds the room of every backend server.
+    exceeds_room: bool = False
 
 
 Decision = Grant | Refusal
--- a/fireflyquay/gateway/_gateway.py
+++ b/fireflyquay/gateway/_gateway.py
@@ -279,6 +279,16 @@
             "Slots of backend servers that hold runs of no known grant.",
             self._slot_client.count_unknown_runs,
         )
+        add_gauge(
+            "most_held_tokens",
+            "Most tokens that the known runs of one backend server hold.",
+            self._slot_client.get_most_held_tokens,
+        )
+        add_gauge(
+            "reduced_rooms",
+            "Services whose room was learned to be less than stated.",
+            self._slot_client.count_reduced_rooms,
+        )
         add_gauge(
             "vms", "VMs that take requests.", lambda: len(self.fleet.list_entry_vms())
         )
--- a/fireflyquay/gateway/_ingress.py
+++ b/fireflyquay/gateway/_ingress.py
@@ -361,7 +361,8 @@
         async with self._stop_guard.limit_wait(call):
             decision = await self._slot_client.acquire(slot_request)
         if isinstance(decision, Refusal):
-            raise RejectionError(decision.code, decision.reason, decision.retry_after)
+            code = Code.EXCEEDS_MEMORY if decision.exceeds_room else decision.code
+            raise RejectionError(code, decision.reason, decision.retry_after)
         call.is_charged = True
         self._metrics.record_wait(call.service, decision.waited)
         backend = self._replicas.backends.get(decision.backend)
--- a/fireflyquay/gateway/_slot_client.py
+++ b/fireflyquay/gateway/_slot_client.py
@@ -361,6 +361,15 @@
         now = asyncio.get_running_loop().time()
         return self._local_coordinator.count_unknown_runs(now)
 
+    def get_most_held_tokens(self) -> int:
+        """Return the most tokens that the known runs of a backend server hold."""
+        return self._local_coordinator.get_most_held_tokens()
+
+    def count_reduced_rooms(self) -> int:
+        """Return the services whose room was learned to be less than stated."""
+        now = asyncio.get_running_loop().time()
+        return self._local_coordinator.count_reduced_rooms(now)
+
     async def report_active_runs(self) -> None:
         """Report this VM's active runs to the coordinator until cancelled."""
         loop = asyncio.get_running_loop()
--- a/fireflyquay/world/_codes.py
+++ b/fireflyquay/world/_codes.py
@@ -26,6 +26,8 @@
     TOKENS_LIMITED = "TOKENS_LIMITED"
     IN_FLIGHT_LIMITED = "IN_FLIGHT_LIMITED"
     OVERLOADED = "OVERLOADED"
+    # The request alone exceeds the memory of every backend server.
+    EXCEEDS_MEMORY = "EXCEEDS_MEMORY"
     DEADLINE_UNREACHABLE = "DEADLINE_UNREACHABLE"
     NO_BACKEND_SERVER = "NO_BACKEND_SERVER"
     # A stream can't be resumed: no backend server of the software version at which it
--- a/tests/test_message_compatibility.py
+++ b/tests/test_message_compatibility.py
@@ -13,7 +13,7 @@
 )
 # Codes that only clients and logs get: a VM of the build in production that got one
 # from another VM could not read the message.
-LOCAL_CODES = {Code.STOPPING.value}
+LOCAL_CODES = {Code.STOPPING.value, Code.EXCEEDS_MEMORY.value}
 
 
 @pytest.mark.parametrize("name", sorted(PRODUCTION))
