--- a/fireflyquay/dispatch/_backend_load.py
+++ b/fireflyquay/dispatch/_backend_load.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import statistics
+from collections import deque
 from dataclasses import dataclass, field
 
 from fireflyquay.world import (
@@ -16,6 +18,7 @@
 from ._request_limit import RequestLimit
 from ._slot_messages import Run, SlotRequest
 from ._time_per_unit_estimator import TimePerUnitEstimator
+from ._unknown_runs import UnknownRuns
 
 # Incarnation of the requesting VM, and its number for the request.
 SlotRequestKey = tuple[Incarnation, int]
@@ -41,6 +44,8 @@
 FAILING_BACKEND_PAUSE_SECONDS = 1.0
 # Least average of occupied slots at a backend server with a request limit.
 MIN_USABLE_SLOTS = 0.01
+# Seconds within which the runs that a crash ended are reported as failed.
+CRASH_REPORT_SECONDS = 1.0
 # Factor by which the recorded longest gap decays with each completed stream.
 GAP_DECAY_FACTOR = 0.85
 
@@ -91,6 +96,11 @@
     occupancy_limit: OccupancyLimit | None = None
     # Speeds above are those at the mean slowness of the machines.
     machine: MachineLoad = field(default_factory=lambda: MachineLoad(ServiceMachines()))
+    unknown_runs: UnknownRuns = field(default_factory=UnknownRuns)
+    # Tokens of all runs.
+    held_tokens: int = 0
+    # Loop time and tokens of each run that failed lately.
+    _failed_tokens: deque[tuple[float, int]] = field(default_factory=deque)
 
     def forecast_first_output(self, request: SlotRequest, now: float) -> float:
         """Return the seconds to the first output if the request were granted now."""
@@ -146,6 +156,7 @@
         if key in self.runs:
             return
         self.runs[key] = Run(request, granted_at)
+        self.held_tokens += request.total_tokens
         if request.prompt_tokens:
             prefill_start = max(granted_at, self.prefill_ends_at)
             self.prefill_ends_at = (
@@ -196,8 +207,11 @@
         if reading is not None and run.first_output_at is None:
             # Otherwise the first output brought the same reading.
             self.machine.record_reading(reading, now)
+        self.held_tokens -= run.request.total_tokens
         self.failure_rate += FAILURE_RATE_WEIGHT * (float(failed) - self.failure_rate)
         if failed:
+            self._failed_tokens.append((now, run.request.total_tokens))
+            self.count_crashed_tokens(now)
             self._update_prefill_backlog(now)
             return
         if not run.request.prompt_tokens:
@@ -212,11 +226,36 @@
 
     def discard_run(self, key: SlotRequestKey, now: float) -> bool:
         """Remove a run without recording its outcome; return whether it existed."""
-        if self.runs.pop(key, None) is None:
+        run = self.runs.pop(key, None)
+        if run is None:
             return False
+        self.held_tokens -= run.request.total_tokens
         self._update_prefill_backlog(now)
         return True
 
+    def record_rejection(self, key: SlotRequestKey, now: float) -> bool:
+        """Remove a run that found no free slot; return whether it existed.
+
+        Runs that were granted later may be rejected as well.
+        """
+        run = self.runs.get(key)
+        if run is None:
+            return False
+        self.discard_run(key, now)
+        known = [it for it in self.runs.values() if it.granted_at <= run.granted_at]
+        seconds = [self.forecast_run(it.request) for it in (run, *known)]
+        self.unknown_runs.record_rejection(
+            self.entry.slots, len(known), statistics.mean(seconds), now
+        )
+        return True
+
+    def count_crashed_tokens(self, now: float) -> int:
+        """Return the tokens of all runs, with those that have just failed."""
+        failed = self._failed_tokens
+        while failed and failed[0][0] <= now - CRASH_REPORT_SECONDS:
+            failed.popleft()
+        return self.held_tokens + sum(tokens for _, tokens in failed)
+
     def count_active_runs(self, account: ClientAccountId) -> int:
         """Return the number of active runs of a client account."""
         return sum(run.request.account == account for run in self.runs.values())
@@ -229,6 +268,11 @@
         """
         if now < self.paused_until or len(self.runs) >= max_runs:
             return False
+        # One without known runs is tried with one request: it may have rejected the
+        # last one for another reason than its slots.
+        occupied = len(self.runs) + self.unknown_runs.count(now)
+        if self.runs and occupied >= self.entry.slots:
+            return False
         if self.limit is not None and not self.limit.can_grant(limit_share, now):
             return False
         occupancy_limit = self.occupancy_limit
--- a/fireflyquay/dispatch/_rollout_placement.py
+++ b/fireflyquay/dispatch/_rollout_placement.py
@@ -15,23 +15,17 @@
 
 
 class RolloutPlacement:
-    """Choose the backend server for each request of one pass over a queue."""
-
-    def __init__(
-        self,
-        rollouts: Rollouts,
-        placement: Placement,
-        available_loads: Sequence[BackendLoad],
-    ) -> None:
+    """Choose the backend server for a request where a version is on trial."""
+
+    def __init__(self, rollouts: Rollouts, placement: Placement) -> None:
         self._rollouts = rollouts
         self._placement = placement
-        # Shrinks during the pass.
-        self._available_loads = available_loads
 
-    def choose(self, item: QueuedRequest, now: float) -> BackendLoad | None:
+    def choose(
+        self, loads: Sequence[BackendLoad], item: QueuedRequest, now: float
+    ) -> BackendLoad | None:
         """Return the best backend server, or None if waiting for another is better."""
-        loads, rollouts = self._available_loads, self._rollouts
-        placement = self._placement
+        rollouts, placement = self._rollouts, self._placement
         if not rollouts.is_enabled:
             return placement.choose(loads, item, now)
         request = item.request
