Bound messages in a frame and steps of a growing body; keep a reserve

A frame of tiny messages from the peers' port took the memory of a VM, and a mixture of all crowds left it without answers. With the memory for connections used up, the platform's readiness check was refused as clients are.

A frame holds at most what a sender queues, checked before it is decoded. Memory for a body without a stated length is reserved in steps of 16 KiB, not for each chunk. The readiness check, the directory, the metrics and other VMs have 4 MiB beyond the bound, which clients can't use.

--- a/fireflyquay/dispatch/_memory_account.py
+++ b/fireflyquay/dispatch/_memory_account.py
@@ -15,6 +15,9 @@
 # made.
 SHORT_SHARE = 0.75
 RELIEVED_SHARE = 0.6
+# Memory beyond the bound for connections of other VMs and of the platform, so that
+# those of clients don't keep them out.
+RESERVE_BYTES = 4 * 1024 * 1024
 # Seconds without progress after which a connection gives way while memory is short.
 STALL_SECONDS = 2.0
 # Bytes that a peer has to send to count as one that makes progress.
@@ -69,9 +72,10 @@
         """Return the number of connections."""
         return len(self._holders)
 
-    def has_room(self, further_bytes: int) -> bool:
+    def has_room(self, further_bytes: int, uses_reserve: bool = False) -> bool:
         """Return whether further bytes stay within the bound."""
-        return self.held_bytes + further_bytes <= self.max_bytes
+        reserve_bytes = RESERVE_BYTES if uses_reserve else 0
+        return self.held_bytes + further_bytes <= self.max_bytes + reserve_bytes
 
     def open(self, now: float) -> MemoryHolder:
         """Add a connection."""
--- a/fireflyquay/gateway/_gateway.py
+++ b/fireflyquay/gateway/_gateway.py
@@ -230,7 +230,8 @@
         self._tasks: set[asyncio.Task[None]] = set()
 
     def _make_server(self, handler: Handler, limits: HttpLimits) -> HttpServer:
-        return HttpServer(handler, limits, self._body_memory, self._guard)
+        uses_reserve = handler != self.handle
+        return HttpServer(handler, limits, self._body_memory, self._guard, uses_reserve)
 
     def _make_fleet(self, rng: random.Random) -> Fleet:
         vm = self._settings.vm
--- a/fireflyquay/links/_http_connection.py
+++ b/fireflyquay/links/_http_connection.py
@@ -32,6 +32,8 @@
 
 # A body is held this often while it is read or sent on.
 BODY_COPIES = 2
+# Memory that is reserved at a time for a body without a stated length.
+BODY_STEP_BYTES = 16 * 1024
 
 
 class HttpErrorBody(msgspec.Struct, frozen=True):
@@ -280,10 +282,17 @@
             body += event.data
             self._body_bytes = len(body)
             self._check_body_size(len(body))
-            if not self._hold_body(len(body)):
+            if not self._hold_body(self._round_body_size(len(body))):
                 self._release_body()
                 return None
 
+    def _round_body_size(self, size: int) -> int:
+        """Return the size to reserve for a body that grows, in steps, not by chunks."""
+        if size <= max(SMALL_BODY_BYTES, self._held_bytes):
+            return size
+        steps = -(-size // BODY_STEP_BYTES)
+        return min(steps * BODY_STEP_BYTES, self._limits.max_body_bytes)
+
     def _hold_body(self, size: int) -> bool:
         """Reserve memory for a body of which the given bytes are known."""
         if size <= max(SMALL_BODY_BYTES, self._held_bytes):
--- a/fireflyquay/links/_http_server.py
+++ b/fireflyquay/links/_http_server.py
@@ -30,11 +30,14 @@
         limits: HttpLimits,
         body_memory: BodyMemory | None = None,
         guard: ConnectionGuard | None = None,
+        uses_reserve: bool = False,
     ) -> None:
         self._handler = handler
         self._limits = limits
         self._body_memory = body_memory or BodyMemory()
         self._guard = guard or ConnectionGuard()
+        # Whether clients' connections must not keep out those of this server.
+        self._uses_reserve = uses_reserve
         self._server: asyncio.Server | None = None
         self._connections: dict[asyncio.Task[None], ServerConnection] = {}
         # Whether connections are closed after their current response.
@@ -114,7 +117,7 @@
         if self._resets_new_connections:
             abort_connection(writer)
             return
-        if not self._guard.account.has_room(CONNECTION_BYTES):
+        if not self._guard.account.has_room(CONNECTION_BYTES, self._uses_reserve):
             self._guard.refuse("connection")
             abort_connection(writer)
             return
--- a/fireflyquay/links/_peer.py
+++ b/fireflyquay/links/_peer.py
@@ -6,6 +6,7 @@
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Annotated
 
 import logbook
 import msgspec
@@ -32,9 +33,6 @@
 
 LOG = logbook.Logger("peers")
 
-# Memory beyond the bound for connections of other VMs, so that clients can't keep them
-# out.
-RESERVE_BYTES = 4 * 1024 * 1024
 # Maximum length of the queue for one peer: several seconds of a coordinator's messages
 # at thousands of requests per second. When a message exceeds it, the messages queued
 # before are dropped and counted.
@@ -51,7 +49,10 @@
     sender: Incarnation
     # The receiver's incarnation; empty if the sender knows only the receiver's address.
     target: Incarnation
-    messages: tuple[msgspec.Raw, ...]
+    # A sender queues no more; each takes several times its size once it is decoded.
+    messages: Annotated[
+        tuple[msgspec.Raw, ...], msgspec.Meta(max_length=MAX_QUEUED_MESSAGES)
+    ]
 
 
 @dataclass(frozen=True, slots=True)
@@ -300,7 +301,7 @@
     async def _receive_frames(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        if not self.guard.account.has_room(CONNECTION_BYTES - RESERVE_BYTES):
+        if not self.guard.account.has_room(CONNECTION_BYTES, uses_reserve=True):
             self.guard.refuse("connection of a VM")
             abort_connection(writer)
             return
--- a/fireflyquay/links/_peer_connection.py
+++ b/fireflyquay/links/_peer_connection.py
@@ -85,7 +85,7 @@
             frame += part
             self._guard.update(self._holder)
             is_small = len(frame) <= SMALL_FRAME_BYTES
-            if not is_small and not self._guard.account.has_room(0):
+            if not is_small and not self._guard.account.has_room(0, uses_reserve=True):
                 self._guard.refuse("message of a VM")
                 raise ValueError("There is no memory for the frame.")
         self._frame = None
