--- a/fireflyquay/dispatch/_scheduler.py
+++ b/fireflyquay/dispatch/_scheduler.py
@@ -424,7 +424,7 @@
             # A failing backend server is tested with one request at a time.
             and not (load.runs and load.is_failing(median_failure_rate))
         ]
-        room_limit = state.room.get_limit(now)
+        room_limit = state.room.get_limit(now) * self.share
         starved_rank = state.find_starved_rank(self._settings.min_grant_share)
         for item in state.queue.iter_candidates(now, starved_rank):
             if not available_loads:
--- a/fireflyquay/dispatch/tests/test_backend_room.py
+++ b/fireflyquay/dispatch/tests/test_backend_room.py
@@ -95,6 +95,16 @@
     assert list_granted(coordinator.submit(make_sized_request(2, MEMORY_TOKENS), 0.0))
 
 
+def test_coordinator_of_a_part_of_the_fleet_grants_its_share_of_the_memory():
+    """Guards against VMs that fill the same engine without knowing of each other."""
+    coordinator = make_roomy_coordinator()
+    coordinator.set_share(0.5)
+    assert list_granted(coordinator.submit(make_sized_request(1, 3000), 0.0))
+    assert not coordinator.submit(make_sized_request(2, 3000), 0.0)
+    assert list_granted(coordinator.submit(make_sized_request(3, 1000), 0.0)) == []
+    assert list_granted(end_run(coordinator, 1, 1.0)) == [2, 3]
+
+
 def test_service_without_stated_memory_is_not_bounded():
     coordinator = make_coordinator()
     coordinator.set_backends([make_backend_entry("s1", slots=SLOTS)])
