--- a/fireflyquay/dispatch/_scheduler.py
+++ b/fireflyquay/dispatch/_scheduler.py
@@ -460,7 +460,7 @@
             and not (load.runs and load.is_failing(median_failure_rate))
         ]
         placement = RolloutPlacement(self.rollouts, self._placement)
-        room_limit = state.room.get_limit(now)
+        room_limit = state.room.get_limit(now) * self.share
         starved_rank = state.find_starved_rank(self._settings.min_grant_share)
         for item in state.queue.iter_candidates(now, starved_rank):
             if not available_loads:
