--- a/fireflyquay/dispatch/_rollout.py
+++ b/fireflyquay/dispatch/_rollout.py
@@ -151,6 +151,8 @@
         # Why this coordinator found the target bad; empty if it did not.
         self._fault = ""
         self._switched_at: float | None = None
+        # Versions that served beside the target before its verdict.
+        self._replaced: set[SoftwareVersion] = set()
         # Whether the target got the last grant.
         self._owes_others = False
         self._in_flight = False
@@ -176,6 +178,11 @@
         is_same = self.order.stated_target == self.order.target
         return is_same and self.order.state is STATES.get(self.phase)
 
+    @property
+    def belief(self) -> tuple[Finding, bool, bool]:
+        """Return what is logged when it changes, without counts that often do."""
+        return self.assessment.finding, bool(self.waits_for), self.is_stopped
+
     @property
     def is_stopped(self) -> bool:
         """Return whether the target gets nothing more."""
@@ -187,6 +194,11 @@
         if order.revision >= self.order.revision or order.target == self.order.target:
             self.order = order
 
+    def note_versions(self, versions: Collection[SoftwareVersion]) -> None:
+        """Note which versions the target replaces; later ones have no order yet."""
+        if not self.phase.is_final:
+            self._replaced |= set(versions) - {self.order.target}
+
     def withdraw(self) -> None:
         """Follow that the operator has removed the order."""
         if not self.is_withdrawn:
@@ -213,7 +225,8 @@
         if self.was_completed or (self.is_established and version == self.order.target):
             return True
         if version != self.order.target:
-            return not self._has_switched or not has_others
+            is_later = self.phase.is_final and version not in self._replaced
+            return not self._has_switched or not has_others or is_later
         if self.is_stopped:
             return False
         if self._has_switched:
--- a/fireflyquay/dispatch/_rollouts.py
+++ b/fireflyquay/dispatch/_rollouts.py
@@ -123,6 +123,8 @@
         for entry in entries:
             self._entries.setdefault(entry.service, []).append(entry)
             self._versions.setdefault(entry.service, set()).add(entry.version)
+        for service, rollout in self._rollouts.items():
+            rollout.note_versions(self._versions.get(service, ()))
         versions = self._list_versions()
         self._cleared &= versions
         self._held &= versions
@@ -162,6 +164,7 @@
                 known.is_established = self._is_established(order)
                 self._report("roll-out ordered", known)
             known.set_order(order, sent_at)
+            known.note_versions(self._versions.get(order.service, ()))
         for service, rollout in list(self._rollouts.items()):
             if service not in found:
                 self._withdraw(service, rollout)
@@ -232,6 +235,10 @@
         is_old = entry.version != rollout.order.target
         return is_old and rollout.phase is RolloutPhase.SWITCH
 
+    def has_rollout(self, service: ServiceId) -> bool:
+        """Return whether versions of a service are told apart."""
+        return service in self._rollouts
+
     def is_on_trial(self, entry: BackendEntry) -> bool:
         """Return whether a backend server gets requests from a budget only."""
         rollout = self._rollouts.get(entry.service)
@@ -315,12 +322,10 @@
             if rollout.is_settled and (rollout.was_completed or not has_target):
                 del self._rollouts[service]
                 continue
-            before = rollout.assessment.finding, rollout.waits_for, rollout.is_stopped
-            action = rollout.plan(
-                ServiceLoad(entries, list_runs(service)), now, unix_ms
-            )
-            after = rollout.assessment.finding, rollout.waits_for, rollout.is_stopped
-            if after != before:
+            load = ServiceLoad(entries, list_runs(service))
+            before = rollout.belief
+            action = rollout.plan(load, now, unix_ms)
+            if rollout.belief != before:
                 self._report("roll-out evidence", rollout)
             if action is not None:
                 actions.append(action)
--- a/fireflyquay/dispatch/tests/test_rollouts.py
+++ b/fireflyquay/dispatch/tests/test_rollouts.py
@@ -1,6 +1,7 @@
 """Roll-outs of good and bad versions, beside faults, replayed in virtual time."""
 
 import math
+import random
 from dataclasses import replace
 
 import pytest
@@ -11,6 +12,8 @@
     RolloutProgress,
     Rollouts,
     RunEnded,
+    SlotScheduler,
+    SlotSchedulerSettings,
     WriteStatus,
 )
 from fireflyquay.dispatch._exposure_budget import ExposureBudget, replace_part
@@ -507,3 +510,66 @@
             evidence.record_begin(response, 0.5)
             evidence.record_crash(response, 1.0)
     assert evidence.assess(4, 1.0).finding is Finding.SOUND
+
+
+def start_trial_of_scheduler():
+    """Return a scheduler whose new version has a block to spend."""
+    rollouts, old, new = make_rollouts()
+    scheduler = SlotScheduler(SlotSchedulerSettings(), random.Random(1), rollouts)
+    scheduler.set_backends([old, new])
+    start_trial(rollouts, old, new)
+    [action] = rollouts.plan(0.3, scheduler.count_runs)
+    rollouts.apply_progress(SERVICE, action.progress, 8, 0, 0.4, 0.4)
+    return scheduler
+
+
+def test_retry_goes_to_the_old_version():
+    # What a bad version failed must not fail there again.
+    scheduler = start_trial_of_scheduler()
+    [grant] = scheduler.submit(make_request(100, is_retry=True), 0.4)
+    assert grant.backend == "old-0"
+    [grant] = scheduler.submit(make_request(101), 0.4)
+    assert grant.backend == "new-0"
+
+
+@pytest.mark.parametrize("version", [OLD, NEW])
+def test_stream_never_crosses_versions(version):
+    scheduler = start_trial_of_scheduler()
+    request = make_request(100, version=version, stream="a")
+    [grant] = scheduler.submit(request, 0.4)
+    assert grant.backend == f"{version}-0"
+
+
+def test_old_streams_may_continue_during_the_switch_but_none_begins():
+    scheduler = start_trial_of_scheduler()
+    progress = RolloutProgress(NEW, RolloutPhase.SWITCH, int(1e12))
+    scheduler.rollouts.apply_progress(SERVICE, progress, 9, 0, 0.5, 0.5)
+    [grant] = scheduler.submit(make_request(100, version=OLD, stream="a"), 0.5)
+    assert grant.backend == "old-0"
+    for number in (101, 102):
+        [grant] = scheduler.submit(make_request(number), 0.5)
+        assert grant.backend == "new-0"
+    # Both slots of the new version are taken; the old one has a free one.
+    assert scheduler.submit(make_request(103), 0.5) == []
+
+
+def test_version_that_joins_after_a_completed_order_is_used_as_without_orders():
+    # An old order stays in the store until an operator removes it.
+    rollouts, old, new = make_rollouts()
+    rollouts.set_backends([new])
+    order = make_order(state=RolloutState.COMPLETED, stated_target=NEW)
+    read_orders(rollouts, [order], 0.0)
+    later = replace(make_backend_entry("third-0"), version=THIRD)
+    rollouts.set_backends([new, later])
+    read_orders(rollouts, [order], 1.0)
+    assert rollouts.may_grant(new, 1.0)
+    assert rollouts.may_grant(later, 1.0)
+
+
+def test_replaced_version_gets_nothing_after_the_verdict():
+    rollouts, old, new = make_rollouts()
+    start_trial(rollouts, old, new)
+    order = make_order(state=RolloutState.COMPLETED, stated_target=NEW, revision=2)
+    read_orders(rollouts, [order], 1.0)
+    assert rollouts.may_grant(new, 1.0)
+    assert not rollouts.may_grant(old, 1.0)
--- a/fireflyquay/gateway/tests/test_gateway_metrics.py
+++ b/fireflyquay/gateway/tests/test_gateway_metrics.py
@@ -2,6 +2,7 @@
 
 from prometheus_client import generate_latest
 
+from fireflyquay.dispatch import RolloutPhase, RolloutView
 from fireflyquay.gateway._gateway_metrics import GatewayMetrics
 
 
@@ -29,3 +30,23 @@
     ):
         assert f"fireflyquay_gateway_{line}" in text
     assert 'route="chat"' not in generate_latest(other.registry).decode()
+
+
+def test_roll_outs_are_exposed_as_they_are_at_the_scrape():
+    metrics, views = GatewayMetrics(), []
+    metrics.add_rollouts(lambda: views)
+    assert 'service="llm"' not in generate_latest(metrics.registry).decode()
+    views.append(
+        RolloutView("llm", "v2", RolloutPhase.SWITCH, 900, 120, 110, 108, 3, 2)
+    )
+    text = generate_latest(metrics.registry).decode()
+    for line in (
+        'phase{phase="SWITCH",service="llm",target="v2"} 1.0',
+        'phase{phase="TRIAL",service="llm",target="v2"} 0.0',
+        'exposure{kind="seen",service="llm"} 900.0',
+        'exposure{kind="reserved",service="llm"} 120.0',
+        'exposure{kind="granted",service="llm"} 110.0',
+        'responses{kind="failures",service="llm"} 3.0',
+        'responses{kind="slow",service="llm"} 2.0',
+    ):
+        assert f"fireflyquay_gateway_rollout_{line}" in text
