Decide with each placement whether leaving the availability zone pays

Operators saw well over half of the requests leave their availability zone at any load: the zone only broke ties between forecasts that agree to the millisecond.

With [zones] round_trip or price_per_mb set, a request leaves a zone that has an acceptable slot only if it gains more than the cost and a margin. Without one, one request of each rank waits until the zone has been short for 50 ms; others leave at once. Without these settings the zone breaks ties as before. SlotRequest states the length of the body at its end.

--- a/fireflyquay/dispatch/__init__.py
+++ b/fireflyquay/dispatch/__init__.py
@@ -58,6 +58,7 @@
 from ._usage_log import UsageLog
 from ._usage_messages import CoordinatorUsage, GrantedUsage, Ledger, UsageHistory
 from ._version_record import VersionKey, VersionReading, VersionRecord
+from ._zone_preference import ZoneSettings
 
 __all__ = [
     "REREGISTRATION_SECONDS",
@@ -120,4 +121,5 @@
     "VersionKey",
     "VersionReading",
     "VersionRecord",
+    "ZoneSettings",
 ]
--- a/fireflyquay/dispatch/_coordinator.py
+++ b/fireflyquay/dispatch/_coordinator.py
@@ -38,6 +38,7 @@
 from ._slot_messages import Decision, Refusal, SlotRequest
 from ._stream_origins import StreamOrigin, StreamOrigins
 from ._usage_messages import CoordinatorUsage
+from ._zone_preference import ZonePreference
 
 # Bounds of the Retry-After of a client account that exceeds its quota.
 MIN_QUOTA_RETRY_AFTER_SECONDS = 0.2
@@ -127,6 +128,11 @@
         """Return what responses state of the machines of backend servers."""
         return self._scheduler.machines
 
+    @property
+    def zones(self) -> ZonePreference:
+        """Return when requests leave their availability zone."""
+        return self._scheduler.zones
+
     def is_resting(self, backend: BackendServerId, vm: Incarnation, now: float) -> bool:
         """Return whether a backend server wants nothing from a VM at present."""
         return self._scheduler.is_resting(backend, vm, now)
--- a/fireflyquay/dispatch/_scheduler.py
+++ b/fireflyquay/dispatch/_scheduler.py
@@ -33,6 +33,7 @@
 from ._slot_messages import Decision, Grant, Refusal, SlotRequest
 from ._slot_queue import QueuedRequest
 from ._stream_origins import StreamOrigin, StreamOrigins
+from ._zone_preference import ZonePreference
 
 # Time within which a grant reaches the requesting VM, even if a lost packet delays it
 # by 200 ms.
@@ -77,7 +78,7 @@
     def __init__(self, settings: SlotSchedulerSettings, rng: random.Random) -> None:
         self._settings = settings
         self._rng = rng
-        self._placement = Placement(settings.placement, rng)
+        self._placement = Placement(settings.placement, rng, self._list_service_loads)
         self._states: dict[ServiceId, ServiceState] = {}
         self._services_by_backend: dict[BackendServerId, ServiceId] = {}
         # Includes those that were refused for the quota of their client account.
@@ -297,6 +298,15 @@
             load.limit = belief.request_limit
             load.occupancy_limit = belief.occupancy_limit
 
+    @property
+    def zones(self) -> ZonePreference:
+        """Return when requests leave their availability zone."""
+        return self._placement.zones
+
+    def _list_service_loads(self, service: ServiceId) -> Iterable[BackendLoad]:
+        state = self._states.get(service)
+        return () if state is None else state.loads.values()
+
     def _list_loads(self) -> list[BackendLoad]:
         return [it for state in self._states.values() for it in state.loads.values()]
 
--- a/fireflyquay/dispatch/_slot_messages.py
+++ b/fireflyquay/dispatch/_slot_messages.py
@@ -61,6 +61,8 @@
     # Whether an earlier grant of this request, which was never sent to a backend
     # server, was charged to its client account.
     is_charged: bool = False
+    # Length of the body; 0 if it is empty or not stated.
+    body_bytes: int = 0
 
     @property
     def age(self) -> float:
--- a/fireflyquay/dispatch/tests/machine_noise.py
+++ b/fireflyquay/dispatch/tests/machine_noise.py
@@ -106,20 +106,37 @@
     first_outputs: list[float] = field(default_factory=list)
 
     def __post_init__(self) -> None:
-        self.scheduler = SlotScheduler(SlotSchedulerSettings(), random.Random(1))
-        rng = random.Random(self.seed)
-        self.engines = {
-            f"e{it}": Engine(f"e{it}", rng.choice(SPEEDS), self.seed)
-            for it in range(self.engine_count)
-        }
+        self._rng = random.Random(self.seed)
+        self.scheduler = SlotScheduler(self.make_settings(), random.Random(1))
+        self.engines = self.make_engines()
         self.scheduler.set_backends(
-            make_backend_entry(name, slots=SLOTS) for name in self.engines
+            make_backend_entry(name, slots=SLOTS, zone=self.get_zone(name))
+            for name in self.engines
         )
-        self._rng = rng
         self._events: list[tuple[float, int, Callable[[float], None]]] = []
         self._order = itertools.count()
+        self._numbers = itertools.count(1)
         self._sent: dict[int, tuple[Kind, float]] = {}
 
+    def make_settings(self) -> SlotSchedulerSettings:
+        """Return the settings of the scheduler."""
+        return SlotSchedulerSettings()
+
+    def make_engines(self) -> dict[str, Engine]:
+        """Return the engines by their names."""
+        names = [f"e{it}" for it in range(self.engine_count)]
+        return {
+            name: Engine(name, self._rng.choice(SPEEDS), self.seed) for name in names
+        }
+
+    def get_zone(self, engine: str) -> str:
+        """Return the zone of an engine."""
+        return "a"
+
+    def record_run(self, number: int, engine: Engine, now: float) -> float:
+        """Return the seconds that the way to the engine and back takes."""
+        return 0.0
+
     @property
     def capacity(self) -> float:
         """Return the requests per second that prefill and slots complete."""
@@ -134,14 +151,11 @@
 
     def run(self) -> float:
         """Return the share of the requests whose first output came on time."""
-        now, rate = 0.0, self.load * self.capacity
-        for number in itertools.count(1):
-            now += self._rng.expovariate(rate)
-            if now >= self.seconds:
-                break
-            weights = [it.share for it in self.kinds]
-            kind = self._rng.choices(self.kinds, weights)[0]
-            self._schedule(now, lambda at, n=number, k=kind: self._send(n, k, at))
+        self.schedule_arrivals("a", 0.0, self.seconds, self.load * self.capacity)
+        return self.run_events()
+
+    def run_events(self) -> float:
+        """Run all that was scheduled; return the share of the requests on time."""
         for step in range(int((self.seconds + 5) / ADVANCE_SECONDS)):
             self._schedule(step * ADVANCE_SECONDS, self._advance)
         while self._events:
@@ -149,13 +163,27 @@
             action(at)
         return self.on_time / self.total
 
+    def schedule_arrivals(
+        self, zone: str, since: float, until: float, rate: float
+    ) -> None:
+        """Let requests arrive in a zone at a mean rate."""
+        now = since
+        while True:
+            now += self._rng.expovariate(rate)
+            if now >= until:
+                return
+            weights = [it.share for it in self.kinds]
+            kind = self._rng.choices(self.kinds, weights)[0]
+            number = next(self._numbers)
+            self._schedule(now, lambda at, n=number, k=kind: self._send(n, k, at, zone))
+
     def _schedule(self, at: float, action: Callable[[float], None]) -> None:
         heapq.heappush(self._events, (at, next(self._order), action))
 
     def _advance(self, now: float) -> None:
         self._act(self.scheduler.advance(now), now)
 
-    def _send(self, number: int, kind: Kind, now: float) -> None:
+    def _send(self, number: int, kind: Kind, now: float, zone: str) -> None:
         self.total += 1
         self._sent[number] = (kind, now)
         objective = self.objective_share * kind.objective
@@ -166,6 +194,7 @@
             seconds_to_objective=objective,
             latency_objective=objective,
             max_gap=0.0,
+            zone=zone,
         )
         self._act(self.scheduler.submit(request, now), now)
 
@@ -178,7 +207,8 @@
         engine, key = self.engines[grant.backend], (OWN_VM, grant.number)
         kind, sent_at = self._sent[grant.number]
         objective = self.objective_share * kind.objective
-        first_at, ends_at = engine.run(kind, now)
+        way = self.record_run(grant.number, engine, now)
+        first_at, ends_at = (way + it for it in engine.run(kind, now))
 
         def report_output(at: float) -> None:
             slowness = self.state_slowness(engine, at)
--- a/fireflyquay/gateway/_gateway.py
+++ b/fireflyquay/gateway/_gateway.py
@@ -12,7 +12,12 @@
 
 import logbook
 
-from fireflyquay.dispatch import ReplicaSync, RunDurations, SlotSchedulerSettings
+from fireflyquay.dispatch import (
+    PlacementSettings,
+    ReplicaSync,
+    RunDurations,
+    SlotSchedulerSettings,
+)
 from fireflyquay.links import (
     BackendClient,
     BodyMemory,
@@ -125,6 +130,9 @@
             lambda: self.fleet.is_coordinating,
         )
         self.replicas.on_change = self._apply_replicas
+        scheduler_settings = scheduler_settings or SlotSchedulerSettings(
+            placement=PlacementSettings(zones=settings.zones)
+        )
         self._coordinator = make_coordinator(
             self.incarnation, promises, self.replicas.config, scheduler_settings, rng
         )
@@ -308,6 +316,22 @@
             "Lowest weight of fresh statements of slowness among services.",
             lambda: machines.lowest_weight,
         )
+        zones = self._coordinator.zones
+        add_gauge(
+            "zone_departures",
+            "Grants at backend servers outside of the VM's zone.",
+            lambda: zones.departure_count,
+        )
+        add_gauge(
+            "zone_stays",
+            "Grants in the VM's zone while leaving it has a cost.",
+            lambda: zones.stays,
+        )
+        add_gauge(
+            "zones_short",
+            "Ranks and services that are short of slots, by zone.",
+            lambda: zones.short_count,
+        )
         traffic = self.fleet.traffic
         add_gauge(
             "peer_bytes_sent", "Bytes sent to other VMs.", lambda: traffic.bytes_sent
--- a/fireflyquay/gateway/_ingress.py
+++ b/fireflyquay/gateway/_ingress.py
@@ -407,6 +407,7 @@
             call.stream,
             call.version,
             call.is_charged and not call.tried_backends,
+            len(call.request.body),
         )
 
     def _may_retry(self, call: Call, outcome: Outcome) -> bool:
--- a/fireflyquay/gateway/_settings.py
+++ b/fireflyquay/gateway/_settings.py
@@ -9,7 +9,7 @@
 from msgspec import Meta
 
 from fireflyquay.checks import join_faults, parse_document, read_text
-from fireflyquay.dispatch import QUOTA_WINDOW_SECONDS
+from fireflyquay.dispatch import QUOTA_WINDOW_SECONDS, ZoneSettings
 from fireflyquay.world import MAX_PORT, Code, FireflyquayError, parse_count
 
 Address = Annotated[str, Meta(pattern=r"^[0-9A-Za-z.:_-]{1,253}:[0-9]{1,5}$")]
@@ -107,6 +107,7 @@
     store: StoreSettings
     promises: PromiseSettings
     log: LogSettings = field(default_factory=LogSettings)
+    zones: ZoneSettings = field(default_factory=ZoneSettings)
 
 
 def split_address(address: str) -> tuple[str, int]:
--- a/fireflyquay/gateway/_slot_client.py
+++ b/fireflyquay/gateway/_slot_client.py
@@ -41,6 +41,7 @@
     EntryVm,
     Incarnation,
     ServiceId,
+    ZoneId,
 )
 
 from ._dialect import ResponseMetadata
@@ -132,6 +133,7 @@
         self._next_copy = 0
         self._usage = UsageLog(coordinator.limits.window_seconds)
         coordinator.machines.on_change = _log_machine_weight
+        coordinator.zones.on_change = _log_zone_change
 
     def connect(self, peers: Peers) -> None:
         """Send messages through the given peers from now on."""
@@ -515,6 +517,15 @@
     )
 
 
+def _log_zone_change(
+    zone: ZoneId, service: ServiceId, rank: tuple[int, int], is_short: bool
+) -> None:
+    LOG.info(
+        "zone is short of slots" if is_short else "zone has slots again",
+        extra={"zone": zone, "service": service, "rank": rank},
+    )
+
+
 def _round_rate(rate: float | None) -> float | None:
     return None if rate is None else round(rate, 2)
 
