--- a/fireflyquay/dispatch/_slot_messages.py
+++ b/fireflyquay/dispatch/_slot_messages.py
@@ -64,6 +64,8 @@
     # Name of the route, by which software versions are compared; empty from a VM that
     # does not state it.
     route: str = ""
+    # Length of the body; 0 if it is empty or not stated.
+    body_bytes: int = 0
 
     @property
     def total_tokens(self) -> int:
--- a/fireflyquay/gateway/_ingress.py
+++ b/fireflyquay/gateway/_ingress.py
@@ -409,6 +409,7 @@
             call.version,
             call.is_charged and not call.tried_backends,
             route.name,
+            len(call.request.body),
         )
 
     def _may_retry(self, call: Call, outcome: Outcome) -> bool:
--- a/fireflyquay/gateway/_settings.py
+++ b/fireflyquay/gateway/_settings.py
@@ -9,7 +9,7 @@
 from msgspec import Meta
 
 from fireflyquay.checks import join_faults, parse_document, read_text
-from fireflyquay.dispatch import QUOTA_WINDOW_SECONDS
+from fireflyquay.dispatch import QUOTA_WINDOW_SECONDS, ZoneSettings
 from fireflyquay.world import MAX_PORT, Code, FireflyquayError, parse_count
 
 Address = Annotated[str, Meta(pattern=r"^[0-9A-Za-z.:_-]{1,253}:[0-9]{1,5}$")]
@@ -131,6 +131,7 @@
     log: LogSettings = field(default_factory=LogSettings)
     # None if the deployment has no roll-outs, which are then not read.
     rollout: RolloutSettings | None = None
+    zones: ZoneSettings = field(default_factory=ZoneSettings)
 
 
 def split_address(address: str) -> tuple[str, int]:
