Run the tests with uncontrolled clients apart from the others

They fill the memory and connections of a gateway's process; beside other tests they would slow those down, and those would change what the crowd meets.

--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,8 @@
 	PYTHONPATH=platform:. $(VENV)/bin/python -m demo
 
 test: $(STAMP)
-	$(VENV)/bin/python -m pytest -n $(TEST_PROCESSES)
+	$(VENV)/bin/python -m pytest -n $(TEST_PROCESSES) -m "not alone"
+	$(VENV)/bin/python -m pytest -m alone
 
 lint: $(STAMP)
 	$(VENV)/bin/ruff format --check .
