Count the way between zones once, and forecast each candidate once

The round trip was part of the forecast outside of the zone and of the cost that the gain had to exceed, and each candidate's first output was forecast twice. Both are counted once now.

--- a/fireflyquay/dispatch/_backend_load.py
+++ b/fireflyquay/dispatch/_backend_load.py
@@ -129,15 +129,21 @@
         return prefill + output_tokens * self.decode.seconds_per_unit
 
     def would_meet_objectives(
-        self, request: SlotRequest, waited: float, now: float
+        self,
+        request: SlotRequest,
+        waited: float,
+        now: float,
+        first_output: float | None = None,
     ) -> bool:
-        """Return whether the request would meet its objectives if granted now."""
+        """Return whether the request would meet its objectives if granted now.
+
+        ``first_output`` is the forecast of the first output, if it is known.
+        """
         if request.max_gap and self.longest_gap > request.max_gap:
             return False
-        return (
-            waited + self.forecast_first_output(request, now)
-            <= request.seconds_to_objective
-        )
+        if first_output is None:
+            first_output = self.forecast_first_output(request, now)
+        return waited + first_output <= request.seconds_to_objective
 
     def add_run(
         self, key: SlotRequestKey, request: SlotRequest, granted_at: float
--- a/fireflyquay/dispatch/_placement.py
+++ b/fireflyquay/dispatch/_placement.py
@@ -107,10 +107,10 @@
         for load in loads:
             if not _may_run(load, request, now):
                 continue
-            round_trip = self.zones.get_round_trip(request, load)
             first_output = load.forecast_first_output(request, now)
+            first_output += self.zones.get_round_trip(request, load)
             run_cost = self._settings.occupancy_weight * load.forecast_run(request, now)
-            is_late = not load.would_meet_objectives(request, waited + round_trip, now)
+            is_late = not load.would_meet_objectives(request, waited, now, first_output)
             score = first_output + run_cost
             order = (
                 is_late,
@@ -119,7 +119,7 @@
                 self._rng.random(),
             )
             if best is None or order < best_order:
-                best = Candidate(load, is_late, first_output + round_trip, score)
+                best = Candidate(load, is_late, first_output, score)
                 best_order = order
         return best
 
--- a/fireflyquay/dispatch/_zone_preference.py
+++ b/fireflyquay/dispatch/_zone_preference.py
@@ -67,7 +67,8 @@
 
     load: BackendLoad
     is_late: bool
-    # Until the first output, and with the weighted time in the slot.
+    # Until the first output, with the way to the server and back; and with the
+    # weighted time in the slot besides.
     first_output: float
     score: float
 
@@ -127,13 +128,11 @@
         is_own = load.entry.zone == request.zone
         return 0.0 if is_own else self._settings.round_trip
 
-    def compute_cost(self, request: SlotRequest) -> float:
-        """Return the cost of leaving the zone, in seconds."""
-        settings = self._settings
+    def compute_price(self, request: SlotRequest) -> float:
+        """Return what the bytes cost that leave the zone, in seconds."""
         body = request.body_bytes or request.prompt_tokens * BYTES_PER_PROMPT_TOKEN
         stream = request.max_output_tokens * BYTES_PER_OUTPUT_TOKEN
-        price = settings.price_per_mb * (body + stream) / BYTES_PER_MB
-        return settings.round_trip + price
+        return self._settings.price_per_mb * (body + stream) / BYTES_PER_MB
 
     def choose(
         self,
@@ -173,17 +172,18 @@
     def _is_worth_leaving(
         self, own: Candidate, other: Candidate, request: SlotRequest
     ) -> bool:
-        """Return whether the caller gains more than the cost and the margin.
+        """Return whether the caller gains more than the price and the margin.
 
-        The time that a run keeps its slot does not count: the slot in the other zone is
-        taken from that zone's own callers.
+        Forecasts outside of the zone include the way there and back. The time that a
+        run keeps its slot does not count: the slot in the other zone is taken from that
+        zone's own callers.
         """
         if other.is_late:
             return False
         objective = request.latency_objective or request.seconds_to_objective
         margin = self._settings.margin * max(0.0, objective)
         gain = own.first_output - other.first_output
-        return gain > self.compute_cost(request) + margin
+        return gain > self.compute_price(request) + margin
 
     def _choose_late(
         self, own: Candidate | None, other: Candidate | None, request: SlotRequest
@@ -191,7 +191,8 @@
         """Return the better of two candidates that would both be late."""
         if own is None or other is None:
             return own or other
-        return own if own.score <= other.score + self.compute_cost(request) else other
+        price = self.compute_price(request)
+        return own if own.score <= other.score + price else other
 
     def record_late_grant(self, request: SlotRequest, load: BackendLoad) -> None:
         """Record a grant that is expected to be late."""
