Spread the exposure of a new version over its trial

Callers saw a version that was five times slower from 5 s after its order completed: it got 174 of 299 requests where 80 were allowed. The budget was spent within 3 s, so that nothing reached the version when it turned slow, and times were not judged in the switch.

The slack is now released over the trial, a block of it for the last seconds. A switch needs fresh responses, except at the last moment. Times are judged in the switch too, with a higher excess, since the target then has all the load. The time for the switch no longer follows runs of the target itself.

--- a/fireflyquay/dispatch/_exposure_budget.py
+++ b/fireflyquay/dispatch/_exposure_budget.py
@@ -82,11 +82,21 @@
         part = progress.parts.get(self.part)
         self.reserved = 0 if part is None else part.reserved
 
-    def compute_allowance(self, progress: RolloutProgress) -> int:
-        """Return the requests that all coordinators may reserve together."""
+    def compute_allowance(
+        self, progress: RolloutProgress, trial_share: float = 1.0
+    ) -> int:
+        """Return the requests that all coordinators may reserve together.
+
+        Until the trial is over, one block of the slack is kept for its end: a version
+        may turn bad after its first responses.
+        """
         slack = 0.0 if progress.has_lost_history else self._bounds.exposure_slack
+        slack *= SLACK_MARGIN
+        if trial_share < 1.0:
+            spread = (slack - self._block) * max(0.0, trial_share)
+            slack = min(slack, max(self._block, spread))
         share = self._bounds.exposure_share * SHARE_MARGIN
-        return int(progress.seen * share + slack * SLACK_MARGIN)
+        return int(progress.seen * share + slack)
 
     def needs_block(self, now: float) -> bool:
         """Return whether less than a block is reserved."""
@@ -101,13 +111,15 @@
         seen = max(self.seen, known.seen)
         return ProgressPart(seen, known.reserved, evidence)
 
-    def reserve(self, progress: RolloutProgress) -> RolloutProgress:
+    def reserve(
+        self, progress: RolloutProgress, trial_share: float = 1.0
+    ) -> RolloutProgress:
         """Return the record with another block, if the bound allows a whole one.
 
         What is reserved can't be used by another coordinator.
         """
         part = progress.parts[self.part]
-        room = self.compute_allowance(progress) - progress.reserved
+        room = self.compute_allowance(progress, trial_share) - progress.reserved
         missing = self._block - max(0, part.reserved - self.granted)
         block = missing if 0 < missing <= room else 0
         grown = ProgressPart(part.seen, part.reserved + block, part.evidence)
--- a/fireflyquay/dispatch/_rollout.py
+++ b/fireflyquay/dispatch/_rollout.py
@@ -23,7 +23,13 @@
 )
 
 from ._exposure_budget import ExposureBudget, RolloutBounds, merge_parts, replace_part
-from ._rollout_evidence import Assessment, Finding, RolloutEvidence
+from ._rollout_evidence import (
+    MIN_SLOW_EXCESS,
+    SWITCH_SLOW_EXCESS,
+    Assessment,
+    Finding,
+    RolloutEvidence,
+)
 from ._rollout_messages import PartId, RolloutPhase, RolloutProgress
 
 # Seconds without a reading of the record after which nothing more is granted to a
@@ -55,6 +61,10 @@
 # where no time is left.
 ENOUGH_RESPONSES = 20
 FEWEST_RESPONSES = 8
+# Seconds before a switch whose responses must be sound, and the same as a share of the
+# order's time.
+FRESH_SECONDS = 3.0
+FRESH_SHARE = 0.2
 # Backend servers that the target is tried on, if it has as many.
 TRIAL_SERVERS = 3
 # Seconds after which another of them is filled first.
@@ -136,7 +146,7 @@
         self.budget = ExposureBudget(part, bounds)
         self.evidence = RolloutEvidence(order.target)
         self.assessment = Assessment(Finding.SOUND)
-        # Seconds of the longest run that ended.
+        # Seconds of the longest run that ended on a server of another version.
         self.longest_run = 0.0
         # Cause of a wait, for operators; empty if it doesn't wait.
         self.waits_for = ""
@@ -336,8 +346,9 @@
         slots = max((it.slots for it in target), default=1)
         self.budget.server_slots = slots
         if self.phase in (RolloutPhase.TRIAL, RolloutPhase.SWITCH):
-            judges_times = self.phase is RolloutPhase.TRIAL
-            self.assessment = self.evidence.assess(len(target), now, judges_times)
+            has_switched = self.phase is RolloutPhase.SWITCH
+            slow_excess = SWITCH_SLOW_EXCESS if has_switched else MIN_SLOW_EXCESS
+            self.assessment = self.evidence.assess(len(target), now, slow_excess)
             if self.assessment.finding is Finding.BAD:
                 self._fault = self._fault or self.assessment.reason
 
@@ -424,7 +435,9 @@
         since_write = now - self._written_at
         is_trial = phase is RolloutPhase.TRIAL and not self.is_stopped
         if is_trial and self.budget.part in current.parts:
-            grown = self.budget.reserve(current)
+            grown = self.budget.reserve(
+                current, self._compute_trial_share(deadline, now)
+            )
             is_due = self.budget.needs_block(now) and since_write >= RESERVE_SECONDS
             if is_due and grown.reserved > progress.reserved:
                 return self._write(grown, base, now)
@@ -439,6 +452,28 @@
         age = (unix_ms - progress.started_ms) / MILLISECONDS_PER_SECOND
         return min(self._seen_at, now - age) + self.order.duration_seconds
 
+    @property
+    def _fresh_seconds(self) -> float:
+        return min(FRESH_SECONDS, FRESH_SHARE * self.order.duration_seconds)
+
+    def _compute_end(self, deadline: float) -> float:
+        """Return when the switch should be over."""
+        duration = self.order.duration_seconds
+        return deadline - min(STORE_MARGIN_SECONDS, STORE_MARGIN_SHARE * duration)
+
+    def _compute_drain(self) -> float:
+        """Return the seconds that the switch takes."""
+        drain = max(MIN_DRAIN_SECONDS, DRAIN_FACTOR * self.longest_run)
+        longest = MAX_DRAIN_SHARE * self.order.duration_seconds
+        return min(drain + SETTLE_SECONDS, longest)
+
+    def _compute_trial_share(self, deadline: float, now: float) -> float:
+        """Return the share of the time before the final block that is over."""
+        started_at = deadline - self.order.duration_seconds
+        until = self._compute_end(deadline) - self._compute_drain()
+        seconds = until - self._fresh_seconds - started_at
+        return (now - started_at) / seconds if seconds > 0 else 1.0
+
     def _decide(
         self, phase: RolloutPhase, deadline: float, load: ServiceLoad, now: float
     ) -> tuple[RolloutPhase, str]:
@@ -446,10 +481,7 @@
         if self._fault:
             return RolloutPhase.ROLLED_BACK, self._fault
         duration = self.order.duration_seconds
-        margin = min(STORE_MARGIN_SECONDS, STORE_MARGIN_SHARE * duration)
-        end = deadline - margin
-        drain = max(MIN_DRAIN_SECONDS, DRAIN_FACTOR * self.longest_run)
-        drain = min(drain + SETTLE_SECONDS, MAX_DRAIN_SHARE * duration)
+        end, drain = self._compute_end(deadline), self._compute_drain()
         last = deadline - min(FINAL_MARGIN_SECONDS, FINAL_MARGIN_SHARE * duration)
         if phase is RolloutPhase.SWITCH:
             switched_at = now if self._switched_at is None else self._switched_at
@@ -458,7 +490,7 @@
         if now < end - drain:
             return phase, ""
         is_last = now >= end - MIN_DRAIN_SECONDS
-        self.waits_for = self._find_obstacle(load, is_last)
+        self.waits_for = self._find_obstacle(load, is_last, now)
         if not self.waits_for:
             return RolloutPhase.SWITCH, "the target is sound"
         if now >= last - MIN_DRAIN_SECONDS:
@@ -480,7 +512,7 @@
             return RolloutPhase.COMPLETED, "all old runs have ended"
         return RolloutPhase.SWITCH, ""
 
-    def _find_obstacle(self, load: ServiceLoad, is_last: bool) -> str:
+    def _find_obstacle(self, load: ServiceLoad, is_last: bool, now: float) -> str:
         """Return why the switch can't start; empty if it can."""
         target = [it for it in load.entries if it.version == self.order.target]
         if not target:
@@ -495,6 +527,9 @@
                 return f"{found.reason}, too few responses of others"
         if not is_last and found.backends < min(2, len(target)):
             return "only one server of the target was tried"
+        fresh = self.evidence.count_fresh(now - self._fresh_seconds)
+        if not is_last and fresh < FEWEST_RESPONSES:
+            return f"{fresh} fresh responses are too few for a verdict"
         slots = sum(it.slots for it in target)
         old_slots = sum(
             it.slots for it in load.entries if it.version != self.order.target
--- a/fireflyquay/dispatch/_rollout_evidence.py
+++ b/fireflyquay/dispatch/_rollout_evidence.py
@@ -33,6 +33,9 @@
 # Least difference of the shares that makes a version bad.
 MIN_FAILURE_EXCESS = 0.02
 MIN_SLOW_EXCESS = 0.1
+# The same for slow responses while the target has all the load: higher, since even a
+# sound version answers more slowly then.
+SWITCH_SLOW_EXCESS = 0.3
 # Least number of bad responses that make a version bad.
 MIN_BAD_RESPONSES = 4
 # Natural logarithm of the improbability of as many bad responses by chance: for a
@@ -242,30 +245,40 @@
             if key[0] == self._target and key[2] not in excluded
         )
 
+    def count_fresh(self, since: float) -> int:
+        """Return the target's responses that were recorded here since a loop time."""
+        return _sum(
+            tally
+            for at, cells in self._buckets
+            if at >= since
+            for key, tally in cells.items()
+            if key[0] == self._target
+        ).responses
+
     def assess(
-        self, target_servers: int, now: float, judges_times: bool = True
+        self, target_servers: int, now: float, slow_excess: float = MIN_SLOW_EXCESS
     ) -> Assessment:
         """Compare the target with the old version, as a whole and recently.
 
-        ``target_servers`` is the number of its backend servers that accept requests.
-        Times mean nothing once the target has all the load.
+        ``target_servers`` is the number of its backend servers that accept requests,
+        ``slow_excess`` the least difference of the shares of slow responses.
         """
         self._judge_pending(now)
         whole = self._merge_all()
         recent = self._merge_recent(now)
-        if not judges_times:
-            whole, recent = _drop_slow(whole), _drop_slow(recent)
-        assessment = self._assess_cells(whole, target_servers)
+        assessment = self._assess_cells(whole, target_servers, slow_excess)
         if assessment.finding is Finding.BAD:
             return assessment
-        latest = self._assess_cells(recent, target_servers)
+        latest = self._assess_cells(recent, target_servers, slow_excess)
         if latest.finding is not Finding.SOUND:
             assessment.finding, assessment.reason = latest.finding, latest.reason
         assessment.suspects |= latest.suspects
         assessment.doubt = assessment.doubt or latest.doubt
         return assessment
 
-    def _assess_cells(self, cells: Cells, target_servers: int) -> Assessment:
+    def _assess_cells(
+        self, cells: Cells, target_servers: int, slow_excess: float
+    ) -> Assessment:
         old: defaultdict[str, Tally] = defaultdict(Tally)
         by_server: defaultdict[BackendServerId, dict[str, Tally]] = defaultdict(dict)
         for (version, route, backend), tally in cells.items():
@@ -278,7 +291,7 @@
             Finding.SOUND, sum(it.responses for it in sums.values()), len(sums)
         )
         reasons = {
-            it: _find_fault(routes, old, SIGNIFICANCE)
+            it: _find_fault(routes, old, SIGNIFICANCE, slow_excess)
             for it, routes in by_server.items()
         }
         result.suspects = frozenset(it for it, reason in reasons.items() if reason)
@@ -294,8 +307,8 @@
                 continue
             for route, tally in routes.items():
                 others.setdefault(route, Tally()).add(tally)
-        fault = _find_fault(others, old, SIGNIFICANCE)
-        result.doubt = _find_fault(others, old, DOUBT_SIGNIFICANCE)
+        fault = _find_fault(others, old, SIGNIFICANCE, slow_excess)
+        result.doubt = _find_fault(others, old, DOUBT_SIGNIFICANCE, slow_excess)
         if not fault and result.suspects and target_servers <= 1:
             fault = reasons[worst]
         if fault:
@@ -340,10 +353,6 @@
     return merged
 
 
-def _drop_slow(cells: Cells) -> Cells:
-    return {key: Tally(it.responses, it.failures) for key, it in cells.items()}
-
-
 def _sum(tallies: Iterable[Tally]) -> Tally:
     total = Tally()
     for it in tallies:
@@ -352,12 +361,15 @@
 
 
 def _find_fault(
-    routes: dict[str, Tally], old: dict[str, Tally], significance: float
+    routes: dict[str, Tally],
+    old: dict[str, Tally],
+    significance: float,
+    slow_excess: float,
 ) -> str:
     """Return on which route responses are worse than the old ones; empty if on none."""
     for kind, floor, excess in (
         ("failures", MIN_FAILURE_SHARE, MIN_FAILURE_EXCESS),
-        ("slow", MIN_SLOW_SHARE, MIN_SLOW_EXCESS),
+        ("slow", MIN_SLOW_SHARE, slow_excess),
     ):
         usual_count, total = 0.0, _sum(routes.values())
         for route, tally in routes.items():
--- a/fireflyquay/dispatch/_rollouts.py
+++ b/fireflyquay/dispatch/_rollouts.py
@@ -351,7 +351,8 @@
 
     def _record_sound(self, run: _FollowedRun, ended: RunEnded, now: float) -> None:
         rollout = run.rollout
-        rollout.longest_run = max(rollout.longest_run, now - run.granted_at)
+        if run.response.version != rollout.order.target:
+            rollout.longest_run = max(rollout.longest_run, now - run.granted_at)
         kind, seconds = TimeKind.FIRST_OUTPUT, ended.seconds or now - run.granted_at
         if run.first_output_at is not None:
             if ended.event_count < MIN_EVENTS:
--- a/fireflyquay/dispatch/tests/test_rollouts.py
+++ b/fireflyquay/dispatch/tests/test_rollouts.py
@@ -20,9 +20,11 @@
 from fireflyquay.dispatch._rollout import MAX_PROGRESS_AGE_SECONDS
 from fireflyquay.dispatch._rollout_evidence import (
     MIN_TIMES,
+    SWITCH_SLOW_EXCESS,
     Finding,
     Response,
     RolloutEvidence,
+    TimeKind,
 )
 from fireflyquay.world import RolloutOrder, RolloutState
 
@@ -573,3 +575,38 @@
     read_orders(rollouts, [order], 1.0)
     assert rollouts.may_grant(new, 1.0)
     assert not rollouts.may_grant(old, 1.0)
+
+
+def test_block_of_the_slack_is_kept_for_the_end_of_the_trial():
+    # A version that turned bad after its first responses would otherwise get no more
+    # requests before the switch.
+    budget = ExposureBudget("a", BOUNDS)
+    budget.server_slots = 10
+    progress = RolloutProgress(NEW, RolloutPhase.TRIAL)
+    allowed = [budget.compute_allowance(progress, it) for it in (0.0, 0.5, 0.99, 1.0)]
+    assert allowed == [20, 20, 24, 45]
+
+
+def test_early_sound_responses_are_not_fresh():
+    evidence = RolloutEvidence(NEW)
+    record(evidence, NEW, "new-0", "r", [False] * 20, 1.0)
+    record(evidence, OLD, "old-0", "r", [False] * 20, 5.0)
+    assert evidence.count_fresh(2.0) == 0
+    record(evidence, NEW, "new-0", "r", [False] * 3, 5.5)
+    assert evidence.count_fresh(2.0) == 3
+
+
+def test_switch_is_judged_by_times_with_a_higher_excess():
+    # A version that turns slow after its trial would otherwise be completed.
+    evidence = RolloutEvidence(NEW)
+    for number in range(MIN_TIMES):
+        response = Response(OLD, "r", f"old-{number}", False)
+        evidence.record_time(response, TimeKind.FIRST_OUTPUT, 0.1, 0.0)
+        evidence.record_end(response, False, 0.0)
+    for number in range(40):
+        response = Response(NEW, "r", f"new-{number % 4}", False)
+        seconds = 0.5 if number // 4 % 2 else 0.1
+        evidence.record_time(response, TimeKind.FIRST_OUTPUT, seconds, 0.0)
+        evidence.record_end(response, False, 0.0)
+    assert evidence.assess(4, 0.0, SWITCH_SLOW_EXCESS).finding is Finding.BAD
+    assert evidence.assess(4, 0.0, 0.6).finding is not Finding.BAD
