--- a/fireflyquay/dispatch/_service_state.py
+++ b/fireflyquay/dispatch/_service_state.py
@@ -38,8 +38,8 @@
         )
 
     def has_stated_limits(self) -> bool:
-        """Return whether all backend servers state what they take."""
-        return all(
+        """Return whether a backend server states what it takes."""
+        return any(
             load.limit is not None or load.occupancy_limit is not None
             for load in self.loads.values()
         )
