--- a/fireflyquay/dispatch/_rollout_placement.py
+++ b/fireflyquay/dispatch/_rollout_placement.py
@@ -26,9 +26,9 @@
     ) -> BackendLoad | None:
         """Return the best backend server, or None if waiting for another is better."""
         rollouts, placement = self._rollouts, self._placement
-        if not rollouts.is_enabled:
-            return placement.choose(loads, item, now)
         request = item.request
+        if not rollouts.has_rollout(request.service):
+            return placement.choose(loads, item, now)
         if request.version is not None:
             allowed = [it for it in loads if rollouts.may_continue(it.entry, now)]
             return placement.choose(allowed, item, now)
--- a/fireflyquay/dispatch/tests/test_rollouts.py
+++ b/fireflyquay/dispatch/tests/test_rollouts.py
@@ -610,3 +610,17 @@
         evidence.record_end(response, False, 0.0)
     assert evidence.assess(4, 0.0, SWITCH_SLOW_EXCESS).finding is Finding.BAD
     assert evidence.assess(4, 0.0, 0.6).finding is not Finding.BAD
+
+
+def test_scheduler_grants_nothing_to_a_version_before_its_orders_are_read():
+    # Guards against a version that is used while its order is not known yet.
+    rollouts, old, new = make_rollouts()
+    read_orders(rollouts, [], 0.0)
+    scheduler = SlotScheduler(SlotSchedulerSettings(), random.Random(1), rollouts)
+    scheduler.set_backends([new])
+    rollouts.set_backends([old, new])
+    assert scheduler.submit(make_request(1), 0.1) == []
+    assert scheduler.count_runs(SERVICE) == {new.id: 0}
+    read_orders(rollouts, [], 0.2)
+    scheduler.advance(0.3)
+    assert scheduler.count_runs(SERVICE) == {new.id: 1}
