--- a/fireflyquay/dispatch/_refusal_policy.py
+++ b/fireflyquay/dispatch/_refusal_policy.py
@@ -55,9 +55,8 @@
         waiting = state.queue.count_on_time(request.rank, now)
         statistics = state.ranks[request.rank]
         seconds = statistics.limit_to_shortest_objective(request.seconds_to_objective)
-        max_wait = max(0.0, seconds)
-        max_forecast_wait = self._max_forecast_wait_share * max_wait
-        if statistics.estimate_wait(waiting, now) > max_forecast_wait:
+        max_wait = self._max_forecast_wait_share * max(0.0, seconds)
+        if statistics.estimate_wait(waiting, now) > max_wait:
             return RefusalCause.NO_SLOT_EXPECTED
         if state.estimate_limited_wait(waiting, limit_share) > max_wait:
             return RefusalCause.LIMITED
--- a/fireflyquay/dispatch/_scheduler.py
+++ b/fireflyquay/dispatch/_scheduler.py
@@ -66,11 +66,9 @@
     # request of it precedes all others in each pass: each rank must be served at least
     # a quarter as often as others.
     min_grant_share: float = 0.2
-    # A request is refused on arrival if its forecast wait exceeds this multiple of its
-    # latency objective. A rank's rate of grants changes about so much when a burst of
-    # another rank begins or ends; who is refused wrongly is late for certain, while who
-    # is queued wrongly is refused after the objective at the latest.
-    max_forecast_wait_share: float = 2.0
+    # A request is refused on arrival if its forecast wait exceeds this fraction of its
+    # latency objective.
+    max_forecast_wait_share: float = 1.0
 
 
 class SlotScheduler:
@@ -155,23 +153,24 @@
         state.room.stated_tokens = memory_tokens
         if request.total_tokens > memory_tokens:
             return [make_room_refusal(request, memory_tokens)]
+        settings = self._settings
         was_refused = self.refused_requests.was_refused_recently(
             request.fingerprint, now
         )
         request, first_arrived_at = self._recognize_retry(request, now)
-        is_retry = first_arrived_at is not None
-        # Servers that state limits take few requests: waiting is mostly in vain.
-        is_final = is_retry and not state.has_stated_limits()
+        max_wait = min(
+            settings.max_give_up_wait_share * request.seconds_to_give_up,
+            settings.max_deadline_wait_share * request.seconds_to_deadline,
+        )
         statistics = state.ranks[request.rank]
-        if not is_retry:
+        if first_arrived_at is None:
             statistics.record_arrival(now, request.latency_objective)
         latest_start = now + statistics.compute_on_time_wait(
             request.seconds_to_objective
         )
         arrived_at = now - request.age if first_arrived_at is None else first_arrived_at
-        expires_at = now + self._compute_max_wait(request, is_final)
         item = QueuedRequest(
-            request, now, expires_at, latest_start, weight, arrived_at, is_final
+            request, now, now + max_wait, latest_start, weight, arrived_at
         )
         state.queue.add(item)
         decisions = self._assign_slots(state, now)
@@ -199,21 +198,6 @@
         seconds = request.seconds_to_objective - missed
         return replace(request, seconds_to_objective=seconds), first_arrived_at
 
-    def _compute_max_wait(self, request: SlotRequest, is_final: bool) -> float:
-        """Return the seconds for which a request may wait for a slot.
-
-        A client that is refused twice doesn't come back, so its second attempt keeps no
-        time for another one.
-        """
-        settings = self._settings
-        if is_final:
-            left = min(request.seconds_to_give_up, request.seconds_to_deadline)
-            return settings.max_give_up_wait_share * left
-        return min(
-            settings.max_give_up_wait_share * request.seconds_to_give_up,
-            settings.max_deadline_wait_share * request.seconds_to_deadline,
-        )
-
     def cancel(self, key: SlotRequestKey, now: float) -> list[Decision]:
         """Cancel a waiting or running request."""
         self.rollouts.discard(key)
@@ -514,8 +498,7 @@
 
         Guards against sustained overload: requests still on time take all slots, and
         late ones would only wait until they are refused. When a burst is over, those
-        wait that get the slots which arriving requests leave. Requests that were
-        refused before wait regardless: another refusal would be final.
+        wait that get the slots which arriving requests leave.
         """
         decisions: list[Decision] = []
         for rank, statistics in state.ranks.items():
@@ -528,7 +511,7 @@
                 continue
             for item in items:
                 wait = statistics.estimate_late_wait(waiting + 1, now)
-                if item.is_final or now + wait <= item.expires_at:
+                if now + wait <= item.expires_at:
                     waiting += 1
                     continue
                 state.queue.remove(item.key)
--- a/fireflyquay/dispatch/_service_state.py
+++ b/fireflyquay/dispatch/_service_state.py
@@ -37,13 +37,6 @@
             for load in self.loads.values()
         )
 
-    def has_stated_limits(self) -> bool:
-        """Return whether a backend server states what it takes."""
-        return any(
-            load.limit is not None or load.occupancy_limit is not None
-            for load in self.loads.values()
-        )
-
     def find_starved_rank(self, min_grant_share: float) -> tuple[int, int] | None:
         """Return the rank whose granted share is far below the best one's, if any."""
         if len(self.ranks) < 2:
--- a/fireflyquay/dispatch/_slot_queue.py
+++ b/fireflyquay/dispatch/_slot_queue.py
@@ -37,8 +37,6 @@
     weight: float | None = None
     # Loop time of the client's first attempt; 0 if not known.
     arrived_at: float = 0.0
-    # Whether it waits as long as its client does: another refusal would be final.
-    is_final: bool = False
     # Whether the request was decided or cancelled.
     is_done: bool = False
 
