--- a/proofs/tests/test_mutations.py
+++ b/proofs/tests/test_mutations.py
@@ -261,7 +261,13 @@
 
 MUTATIONS = [
     ("AtMostOnceCheck", repeat_everything, crash_each_engine_in_turn, {"load": 3.0}),
-    ("NotRunStatusCheck", promise_everything, crash_each_engine_in_turn, {"load": 3.0}),
+    # With the default seed, no request that may run once is on an engine as it crashes.
+    (
+        "NotRunStatusCheck",
+        promise_everything,
+        crash_each_engine_in_turn,
+        {"load": 3.0, "seed": 6},
+    ),
     (
         "CompleteResponseCheck",
         pass_cut_streams,
