Log when a newer configuration is known, and how each store read fails

What an engineer saw of a VM that was behind: "store lost" once, whatever came after it, and no line at all for a configuration from another VM. Neither told a kept connection that had gone silent from a store that answers this VM nothing.

Each failed read is now logged with its time and with how long its connection was idle before; a newer version is logged with the VM that stated it, and a version in force with its source and with how long another VM was known to have it. The same as metrics: config_delay_seconds and store_reads. The test of the record of versions names the kind of read in its call of a private method; it checks what it did.

No decision changes.

--- a/fireflyquay/dispatch/__init__.py
+++ b/fireflyquay/dispatch/__init__.py
@@ -56,7 +56,7 @@
     QuotaLimiter,
     QuotaMargin,
 )
-from ._replica_sync import ReplicaSync
+from ._replica_sync import ConfigListener, ReplicaSync
 from ._retry_budget import RetryBudget
 from ._rollout import ReadProgress, ReserveExposure, RolloutAction, WriteStatus
 from ._rollout_messages import (
@@ -87,6 +87,7 @@
     "BackendPause",
     "BackendRegistry",
     "Cancellation",
+    "ConfigListener",
     "ConfigReplica",
     "ControlMessage",
     "Coordinator",
--- a/fireflyquay/dispatch/_config_replica.py
+++ b/fireflyquay/dispatch/_config_replica.py
@@ -22,6 +22,11 @@
     def __init__(self) -> None:
         self.config: FleetConfig | None = None
         self.freshness = Freshness(0, float("-inf"))
+        # Newest version that any VM is known to have read.
+        self.newest_version = 0
+        # Time at which a newer version than the one in force was proven to exist, on
+        # the suspend-aware clock; None if the one in force is the newest known.
+        self.superseded_at: float | None = None
         self._routes_by_host: dict[str, list[Route]] = {}
         self._accounts_by_api_key: dict[str, ClientAccount] = {}
         self._accounts_by_id: dict[ClientAccountId, ClientAccount] = {}
@@ -39,9 +44,21 @@
         if is_new:
             self.config = config
             self._build_indexes(config)
+            if config.version >= self.newest_version:
+                self.newest_version = config.version
+                self.superseded_at = None
         self.mark_confirmed(freshness)
         return is_new
 
+    def note_version(self, version: int, confirmed_at: float) -> bool:
+        """Record that a VM read a version; return whether it is the newest known."""
+        if version <= self.newest_version:
+            return False
+        self.newest_version = version
+        if self.superseded_at is None:
+            self.superseded_at = confirmed_at
+        return True
+
     def mark_confirmed(self, freshness: Freshness) -> None:
         """Record a confirmation of the version unless a later one is known."""
         if freshness.confirmed_at > self.freshness.confirmed_at:
--- a/fireflyquay/dispatch/_replica_sync.py
+++ b/fireflyquay/dispatch/_replica_sync.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+from abc import ABC, abstractmethod
 from collections import OrderedDict
 from collections.abc import Callable
 
@@ -28,6 +29,39 @@
 MAX_PENDING_REQUESTS = 256
 
 
+class ConfigListener(ABC):
+    """React to what other VMs state of the configuration."""
+
+    @abstractmethod
+    def learn_version(
+        self, sender: Incarnation, version: int, confirmed_at: float
+    ) -> bool:
+        """Request a read of a newer configuration that another VM has confirmed.
+
+        Return whether the store is available.
+        """
+
+    @abstractmethod
+    def report_config(self, source: str, superseded_at: float | None) -> None:
+        """Log a configuration that came into force and how late it is.
+
+        The source is the store or a VM. The configuration before was proven superseded
+        at the given time, unless this VM is the first to know.
+        """
+
+
+class _IdleListener(ConfigListener):
+    """Leave every configuration to the other VMs."""
+
+    def learn_version(
+        self, sender: Incarnation, version: int, confirmed_at: float
+    ) -> bool:
+        return False
+
+    def report_config(self, source: str, superseded_at: float | None) -> None:
+        pass
+
+
 class ReplicaSync:
     """Confirm and update the configuration and the backend registry from other VMs.
 
@@ -40,16 +74,13 @@
         own_vm: EntryVm,
         config: ConfigReplica,
         backends: BackendRegistry,
-        request_config_read: Callable[[], bool] = lambda: False,
+        listener: ConfigListener | None = None,
         is_short_of_memory: Callable[[], bool] = lambda: False,
     ) -> None:
         self._own_vm = own_vm
         self._config = config
         self._backends = backends
-        # Triggers a read of the newer configuration from the store and returns whether
-        # the store is reachable. Sending a large configuration to every VM would
-        # saturate the link of the coordinator.
-        self._request_config_read = request_config_read
+        self._listener = listener or _IdleListener()
         self._is_short_of_memory = is_short_of_memory
         self._numbers = itertools.count(1)
         # Send time of each pending request, on the suspend-aware clock.
@@ -94,9 +125,9 @@
             case BackendsRequest(number):
                 return [self._make_backends_response(number, now)], False
             case ProbeResponse():
-                return self._handle_probe_response(message, now), False
+                return self._handle_probe_response(sender, message, now), False
             case ConfigResponse():
-                return [], self._apply_config(message)
+                return [], self._apply_config(sender, message)
             case BackendsResponse():
                 return [], self._apply_backends(message, now)
         return [], False
@@ -155,7 +186,7 @@
         )
 
     def _handle_probe_response(
-        self, response: ProbeResponse, now: float
+        self, sender: Incarnation, response: ProbeResponse, now: float
     ) -> list[Message]:
         sent_at = self._sent_at.pop(response.number, None)
         if sent_at is None:
@@ -163,13 +194,13 @@
         self.unready = frozenset(response.unready)
         self._told_short = frozenset(response.short_of_memory)
         follow_ups: list[Message] = []
-        if response.config_version > self._config.version:
-            if not self._request_config_read():
+        version, confirmed_at = response.config_version, sent_at - response.config_age
+        if version > self._config.version:
+            # Sending a large configuration to every VM would saturate the link of the
+            # coordinator.
+            if not self._listener.learn_version(sender, version, confirmed_at):
                 follow_ups.append(ConfigRequest(self._assign_number(now)))
-        elif (
-            response.config_version and response.config_version == self._config.version
-        ):
-            confirmed_at = sent_at - response.config_age
+        elif version and version == self._config.version:
             self._config.mark_confirmed(
                 Freshness(response.config_revision, confirmed_at)
             )
@@ -185,12 +216,16 @@
             follow_ups.append(BackendsRequest(self._assign_number(now)))
         return follow_ups
 
-    def _apply_config(self, response: ConfigResponse) -> bool:
+    def _apply_config(self, sender: Incarnation, response: ConfigResponse) -> bool:
         sent_at = self._sent_at.pop(response.number, None)
         if sent_at is None:
             return False
         freshness = Freshness(response.revision, sent_at - response.age)
-        return self._config.apply_config(response.config, freshness)
+        superseded_at = self._config.superseded_at
+        is_new = self._config.apply_config(response.config, freshness)
+        if is_new:
+            self._listener.report_config(sender, superseded_at)
+        return is_new
 
     def _apply_backends(self, response: BackendsResponse, now: float) -> bool:
         sent_at = self._sent_at.pop(response.number, None)
--- a/fireflyquay/gateway/_gateway.py
+++ b/fireflyquay/gateway/_gateway.py
@@ -138,6 +138,7 @@
             self._clock,
             settings.store.read_period,
             lambda: self.fleet.is_coordinating,
+            self.metrics,
         )
         self.replicas.on_change = self._apply_replicas
         scheduler_settings = scheduler_settings or SlotSchedulerSettings(
@@ -277,7 +278,7 @@
                 own,
                 self.replicas.config,
                 self.replicas.backends,
-                self.replicas.request_config_read,
+                self.replicas,
                 lambda: self._guard.account.is_short,
             ),
             self._quarantine,
--- a/fireflyquay/gateway/_gateway_metrics.py
+++ b/fireflyquay/gateway/_gateway_metrics.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
+from enum import StrEnum
 
 from prometheus_client import (
     CollectorRegistry,
@@ -23,6 +24,13 @@
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
 
+class StoreRead(StrEnum):
+    """Name what a VM reads from the store again and again."""
+
+    CONFIG = "CONFIG"
+    BACKENDS = "BACKENDS"
+
+
 class _RolloutCollector(Collector):
     """Collect the phase, exposure and evidence of each roll-out."""
 
@@ -84,6 +92,22 @@
             "first_output_seconds", "Time from arrival to the first output.", "route"
         )
 
+        self._store_reads = self._make_counter(
+            "store_reads", "Reads of the store.", "kind", "outcome"
+        )
+        self._config_delay_seconds = self._make_histogram(
+            "config_delay_seconds",
+            "Time for which a configuration that came into force was known elsewhere.",
+        )
+
+    def record_store_read(self, kind: StoreRead, succeeded: bool) -> None:
+        """Record the outcome of a read of the store."""
+        self._store_reads.labels(kind.value, "read" if succeeded else "failed").inc()
+
+    def record_config_delay(self, seconds: float) -> None:
+        """Record how long another VM had a configuration before this one."""
+        self._config_delay_seconds.observe(seconds)
+
     def record_end(self, route: str, outcome: str, seconds: float) -> None:
         """Record the outcome and duration of a request."""
         self._requests.labels(route, outcome).inc()
--- a/fireflyquay/gateway/_state_replicas.py
+++ b/fireflyquay/gateway/_state_replicas.py
@@ -10,14 +10,16 @@
 from fireflyquay.dispatch import (
     REREGISTRATION_SECONDS,
     BackendRegistry,
+    ConfigListener,
     ConfigReplica,
     Freshness,
 )
 from fireflyquay.links import HttpFailure
-from fireflyquay.world import BackendEntry, BackendServerId, RepeatRule
+from fireflyquay.world import BackendEntry, BackendServerId, Incarnation, RepeatRule
 
 from ._clock import AgeClock
 from ._dialect import FleetSource
+from ._gateway_metrics import GatewayMetrics, StoreRead
 from ._version_keeper import VersionKeeper, withhold
 
 LOG = logbook.Logger("beliefs")
@@ -35,9 +37,11 @@
 MIN_READ_INTERVAL_SECONDS = 0.1
 # Bounds a log line.
 MAX_LOGGED_NAMES = 50
+# Source of what this VM read itself, in the log.
+STORE_SOURCE = "store"
 
 
-class StateReplicas:
+class StateReplicas(ConfigListener):
     """Poll the store for the configuration and backend registry, and report changes."""
 
     def __init__(
@@ -46,6 +50,7 @@
         clock: AgeClock,
         read_period: float,
         polls_for_fleet: Callable[[], bool],
+        metrics: GatewayMetrics | None = None,
     ) -> None:
         self.config = ConfigReplica()
         self.backends = BackendRegistry()
@@ -61,6 +66,7 @@
             self._has_resumable_streams,
             polls_for_fleet,
         )
+        self._metrics = metrics or GatewayMetrics()
         self._is_store_available = True
         # Set when another VM has a newer configuration.
         self._config_requested = asyncio.Event()
@@ -83,12 +89,43 @@
         """Return whether configuration and registry have been read."""
         return self.config.config is not None and self.backends.freshness.revision > 0
 
-    def request_config_read(self) -> bool:
-        """Request a configuration read; return whether the store is available."""
+    def learn_version(
+        self, sender: Incarnation, version: int, confirmed_at: float
+    ) -> bool:
+        """Request a read of a newer configuration that another VM has confirmed.
+
+        Return whether the store is available.
+        """
+        if self.config.note_version(version, confirmed_at):
+            extra = {"vm": sender, "version": version, "in_force": self.config.version}
+            LOG.info("newer configuration known", extra=extra)
         if self._is_store_available:
             self._config_requested.set()
         return self._is_store_available
 
+    def report_config(self, source: str, superseded_at: float | None) -> None:
+        """Log a configuration that came into force and how late it is.
+
+        The source is the store or a VM. The configuration before was proven superseded
+        at the given time, unless this VM is the first to know.
+        """
+        config, behind = self.config.config, 0.0
+        assert config is not None
+        if superseded_at is not None:
+            behind = max(0.0, self._clock.read() - superseded_at)
+        self._metrics.record_config_delay(behind)
+        LOG.info(
+            "configuration in force",
+            extra={
+                "version": config.version,
+                "revision": self.config.freshness.revision,
+                "routes": len(config.routes),
+                "accounts": len(config.accounts),
+                "source": source,
+                "behind": round(behind, 3),
+            },
+        )
+
     async def confirm_backends(self, since: float) -> None:
         """Wait until reads sent since a time confirm the registry and its versions.
 
@@ -111,12 +148,16 @@
     async def poll_config(self) -> None:
         """Keep the replica of the configuration current until cancelled."""
         await self._poll(
-            self._read_config, lambda: self.config.freshness, self._config_requested
+            StoreRead.CONFIG,
+            self._read_config,
+            lambda: self.config.freshness,
+            self._config_requested,
         )
 
     async def poll_backends(self) -> None:
         """Keep the replica of the registry current until cancelled."""
         await self._poll(
+            StoreRead.BACKENDS,
             self._read_backends,
             lambda: self.backends.freshness,
             self._backends_requested,
@@ -125,6 +166,7 @@
 
     async def _poll(
         self,
+        kind: StoreRead,
         read: Callable[[], Awaitable[None]],
         get_freshness: Callable[[], Freshness],
         requested: asyncio.Event,
@@ -136,7 +178,7 @@
             is_outdated = age > OWN_READ_AGE_SECONDS or is_due()
             if self._polls_for_fleet() or is_outdated or requested.is_set():
                 requested.clear()
-                if await self._try_read(read):
+                if await self._try_read(kind, read):
                     retry_delay = INITIAL_RETRY_SECONDS
                     min_interval = min(MIN_READ_INTERVAL_SECONDS, self._read_period)
                     await asyncio.sleep(min_interval)
@@ -147,13 +189,25 @@
                 continue
             await _wait(requested, AGE_CHECK_INTERVAL_SECONDS)
 
-    async def _try_read(self, read: Callable[[], Awaitable[None]]) -> bool:
+    async def _try_read(
+        self, kind: StoreRead, read: Callable[[], Awaitable[None]]
+    ) -> bool:
         """Read once and return whether the store responded."""
+        sent_at = self._clock.read()
         try:
             await read()
         except HttpFailure as failure:
+            self._metrics.record_store_read(kind, False)
+            extra = {
+                "read": kind.value,
+                "code": failure.code,
+                "taken": round(self._clock.read() - sent_at, 3),
+                "cause": failure.sentence,
+            }
+            LOG.warning("store read failed", extra=extra)
             self._record_store_result(False, failure.sentence)
             return False
+        self._metrics.record_store_read(kind, True)
         self._record_store_result(True, "")
         return True
 
@@ -163,17 +217,10 @@
         if snapshot.config is None:
             return
         freshness = Freshness(snapshot.revision, sent_at)
+        superseded_at = self.config.superseded_at
         if not self.config.apply_config(snapshot.config, freshness):
             return
-        LOG.info(
-            "configuration in force",
-            extra={
-                "version": snapshot.config.version,
-                "revision": snapshot.revision,
-                "routes": len(snapshot.config.routes),
-                "accounts": len(snapshot.config.accounts),
-            },
-        )
+        self.report_config(STORE_SOURCE, superseded_at)
         self.on_change()
 
     async def _read_backends(self) -> None:
--- a/fireflyquay/gateway/tests/test_version_keeper.py
+++ b/fireflyquay/gateway/tests/test_version_keeper.py
@@ -11,6 +11,7 @@
 from fireflyquay.gateway import BackendsSnapshot, StoredRecord
 from fireflyquay.gateway._clock import AgeClock
 from fireflyquay.gateway._dialect import FleetSource
+from fireflyquay.gateway._gateway_metrics import StoreRead
 from fireflyquay.gateway._state_replicas import StateReplicas
 from fireflyquay.links import HttpFailure
 from fireflyquay.world import BackendPhase, Code, SoftwareVersion
@@ -127,7 +128,8 @@
 
     async def poll(self, coordinates):
         self.coordinates = coordinates
-        await self.replicas._try_read(self.replicas._read_backends)
+        replicas = self.replicas
+        await replicas._try_read(StoreRead.BACKENDS, replicas._read_backends)
 
     def copy_registry(self, other):
         known, found = self.registry.freshness, other.registry.freshness
--- a/fireflyquay/links/_http_client.py
+++ b/fireflyquay/links/_http_client.py
@@ -111,6 +111,8 @@
         self._timeout = timeout
         self._options = options
         self._connection: ClientConnection | None = None
+        # Seconds for which the connection was idle before; None if it is new.
+        self._idle_seconds: float | None = None
         self._is_complete = False
         self._is_interrupted = False
         # Whether any byte of the request may have reached the peer.
@@ -165,6 +167,14 @@
         """Return whether a connection is open that no other VM carries."""
         return self._connection is not None and not self._connection.carrier
 
+    def describe_connection(self) -> str:
+        """Return whether the exchange used a new connection, for a log line."""
+        if not self.sent:
+            return "no connection"
+        if self._idle_seconds is None:
+            return "a new connection"
+        return f"a connection that was idle for {self._idle_seconds:.1f} s"
+
     def interrupt(self) -> None:
         """Break the connection off, so that the exchange fails at once."""
         self._is_interrupted = True
@@ -192,6 +202,7 @@
     def _try_send(self, connection: ClientConnection) -> bool:
         if connection.send(self._head, self._body):
             self.sent = True
+            self._idle_seconds = connection.idle_seconds
             return True
         connection.abort()
         return False
@@ -338,7 +349,8 @@
                 data = await self._read_whole_body(stream)
         except TimeoutError:
             sentence = (
-                f"{host}:{port}: The response was not complete within the timeout."
+                f"{host}:{port}: The response was not complete within the timeout, "
+                f"on {exchange.describe_connection()}."
             )
             raise HttpFailure(Code.BACKEND_TIMEOUT, sentence, exchange.sent) from None
         return HttpResponse(stream.status, stream.headers, data)
--- a/fireflyquay/links/_http_pool.py
+++ b/fireflyquay/links/_http_pool.py
@@ -48,6 +48,8 @@
         self.was_used = False
         # Event loop time at which the last exchange ended.
         self.idle_since = 0.0
+        # Seconds for which it was idle before the current exchange; None if it is new.
+        self.idle_seconds: float | None = None
         # Idle timeout that the peer advertised in a Keep-Alive header, if any.
         self.peer_keep_alive_seconds: float | None = None
         self._limits = limits
@@ -191,7 +193,9 @@
                     connection_limit_seconds,
                     connection.peer_keep_alive_seconds - KEEP_ALIVE_MARGIN_SECONDS,
                 )
-            if now - connection.idle_since < connection_limit_seconds:
+            idle_seconds = now - connection.idle_since
+            if idle_seconds < connection_limit_seconds:
+                connection.idle_seconds = idle_seconds
                 return connection
             connection.abort()
         self._idle_connections.pop(address, None)
