Send a read again over a new connection when a kept one is silent

What callers saw: requests handled by a version that had been superseded for more than the bound. A VM that relies on the confirmations of others keeps idle connections to the store. After these had gone silent without a reset, each read met the next one of them: a whole timeout of 1.0 s each, and pauses of 0.25, 0.5 and 1.0 s between.

Cause: nothing bounds the time that kept connections cost in sum; the kernel gives an idle one up after 4 s only.

A read that gets no response head over a kept connection within 0.25 s, or three times the last response time, is sent again over a new one, and all idle connections to that address are closed. Writes are never repeated, but close them too. The project's own store client reads in the same way.

A server that is slow gets each read once.

--- a/fireflyquay/links/__init__.py
+++ b/fireflyquay/links/__init__.py
@@ -24,6 +24,7 @@
 from ._http_responder import HttpResponder
 from ._http_server import Handler, HttpServer
 from ._http_statuses import get_http_status
+from ._idempotent_reader import IdempotentReader
 from ._json_log import JsonLineHandler
 from ._peer import (
     Envelope,
@@ -62,6 +63,7 @@
     "HttpStore",
     "HttpStream",
     "HttpVmList",
+    "IdempotentReader",
     "RawHeaders",
     "SseEvent",
     "SseParser",
--- a/fireflyquay/links/_http_client.py
+++ b/fireflyquay/links/_http_client.py
@@ -338,16 +338,25 @@
         headers: Mapping[str, str],
         body: bytes,
         timeout: float,
+        head_timeout: float | None = None,
     ) -> HttpResponse:
         """Send a request and return its response; raise HttpFailure if it fails.
 
-        The timeout in seconds limits the whole exchange.
+        The timeout in seconds limits the whole exchange; the other one limits it up to
+        the head of the response.
         """
         exchange = self.stream(host, port, method, target, headers, body, timeout)
         try:
-            async with asyncio.timeout(timeout), exchange as stream:
-                data = await self._read_whole_body(stream)
+            async with asyncio.timeout(timeout):
+                async with (
+                    asyncio.timeout(head_timeout) as head_limit,
+                    exchange as stream,
+                ):
+                    head_limit.reschedule(None)
+                    data = await self._read_whole_body(stream)
         except TimeoutError:
+            # Those that were opened with it may have gone silent with it.
+            self._pool.discard((host, port))
             sentence = (
                 f"{host}:{port}: The response was not complete within the timeout, "
                 f"on {exchange.describe_connection()}."
@@ -423,6 +432,14 @@
         self._pool.release(address, connection, now)
         return True
 
+    def keeps_connection(self, host: str, port: int) -> bool:
+        """Return whether an idle connection to an address is kept."""
+        return self._pool.has_idle((host, port))
+
+    def discard_connections(self, host: str, port: int) -> None:
+        """Close the idle connections to an address."""
+        self._pool.discard((host, port))
+
     async def close(self) -> None:
         """Close the idle connections."""
         self._pool.close()
--- a/fireflyquay/links/_http_pool.py
+++ b/fireflyquay/links/_http_pool.py
@@ -221,6 +221,15 @@
         ):
             connections.popleft().abort()
 
+    def has_idle(self, address: Address) -> bool:
+        """Return whether a connection to an address is kept."""
+        return bool(self._idle_connections.get(address))
+
+    def discard(self, address: Address) -> None:
+        """Close the idle connections to an address."""
+        for connection in self._idle_connections.pop(address, ()):
+            connection.abort()
+
     def close(self) -> None:
         """Close all idle connections, and those that are added from now on."""
         self._is_closed = True
--- a/fireflyquay/links/_store.py
+++ b/fireflyquay/links/_store.py
@@ -34,6 +34,7 @@
 
 from ._http_client import HttpClient
 from ._http_message import HttpFailure, HttpResponse
+from ._idempotent_reader import IdempotentReader
 
 VERSION_HEADER = "x-object-version"
 REVISION_HEADER = "x-store-revision"
@@ -90,6 +91,7 @@
         self._client = client
         self._host = host
         self._port = port
+        self._reader = IdempotentReader(client, host, port)
 
     async def call(self, request: StoreRequest, timeout: float) -> StoreResponse:
         """Return the response; a StoreFailure on errors or after timeout seconds."""
@@ -108,9 +110,7 @@
     async def _read(self, request: StoreRead, timeout: float) -> StoreResponse:
         failure = StoreFailure(request.path, may_have_applied=False)
         try:
-            response = await self._send(
-                "GET", _make_target(request.path), {}, b"", timeout
-            )
+            response = await self._reader.get(_make_target(request.path), timeout)
         except HttpFailure:
             return failure
         if response.status == 404:
@@ -128,7 +128,9 @@
         headers = {"if-match": f'"{request.expected_version}"'}
         target = _make_target(request.path)
         try:
-            response = await self._send("PUT", target, headers, request.value, timeout)
+            response = await self._client.request(
+                self._host, self._port, "PUT", target, headers, request.value, timeout
+            )
         except HttpFailure as error:
             return StoreFailure(request.path, may_have_applied=error.sent)
         if response.status not in (200, 409):
@@ -148,7 +150,7 @@
     async def _list(self, prefix: str, target: str, timeout: float) -> StoreResponse:
         failure = StoreFailure(prefix, may_have_applied=False)
         try:
-            response = await self._send("GET", target, {}, b"", timeout)
+            response = await self._reader.get(target, timeout)
         except HttpFailure:
             return failure
         body = _decode_body(response, StoreListBody) if response.status == 200 else None
@@ -161,18 +163,6 @@
         )
         return StoreListResult(tuple(values), body.revision)
 
-    async def _send(
-        self,
-        method: str,
-        target: str,
-        headers: dict[str, str],
-        body: bytes,
-        timeout: float,
-    ) -> HttpResponse:
-        return await self._client.request(
-            self._host, self._port, method, target, headers, body, timeout
-        )
-
 
 class HttpVmList(VmList):
     """Read the platform's list of VMs over HTTP."""
@@ -180,17 +170,13 @@
     def __init__(
         self, client: HttpClient, host: str, port: int, timeout: float = 2.0
     ) -> None:
-        self._client = client
-        self._host = host
-        self._port = port
+        self._reader = IdempotentReader(client, host, port)
         # Seconds to wait for the response.
         self._timeout = timeout
 
     async def list(self) -> tuple[VmListing, ...]:
         """Return the listed VMs; raise FireflyquayError if the list can't be read."""
-        response = await self._client.request(
-            self._host, self._port, "GET", "/vms", {}, b"", self._timeout
-        )
+        response = await self._reader.get("/vms", self._timeout)
         vms = None
         if response.status == 200:
             vms = _decode_body(response, tuple[msgspec.Raw, ...])
--- a/fireflyquay/links/tests/test_store_lists.py
+++ b/fireflyquay/links/tests/test_store_lists.py
@@ -25,6 +25,9 @@
     def __init__(self, body):
         self.body = json.dumps(body).encode()
 
+    def keeps_connection(self, host, port):
+        return False
+
     async def request(self, *call):
         return HttpResponse(200, {}, self.body)
 
