Derive the waits until a change is in force from its bound

What callers saw: requests handled by a superseded version at VMs that the store turns away while it serves others, 2.0 to 2.3 s after the change.

Cause: waits in series, each with a constant of its own, whose sum nothing stated or checked: 1.2 s until a VM doubts its coordinator, 1.0 s until its read times out and only then a copy is requested, probes between. Beside it, versions flowed one way: probes stated none, so a coordinator that can't read learned a newer version only from a VM drawn at random.

A probe states the sender's version and the age of its replicas: the coordinator requests a copy of a version that it lacks, and asks the VM that seems the freshest; the age proves nothing, since messages may be delayed. A read that is overdue counts as not answered at once, not at its timeout. The same holds for the registry, whose bound is that of leaving backend servers. The bounds come from the settings; a start logs those that can't be kept.

--- a/fireflyquay/dispatch/_control_message.py
+++ b/fireflyquay/dispatch/_control_message.py
@@ -215,6 +215,11 @@
     vm: EntryVm
     # Whether the sender's memory is short, so that it should get no further clients.
     is_short_of_memory: bool = False
+    # Version of the sender's configuration; 0 if it has none or does not state it.
+    config_version: int = 0
+    # Seconds since the older of the sender's replicas was confirmed. The message may
+    # have been delayed since; None from a VM that does not state it.
+    replica_age: float | None = None
 
 
 class ProbeResponse(Message, tag="ProbeAnswer"):
--- a/fireflyquay/dispatch/_replica_sync.py
+++ b/fireflyquay/dispatch/_replica_sync.py
@@ -27,6 +27,8 @@
 
 # Bounds the memory for requests that are never answered.
 MAX_PENDING_REQUESTS = 256
+# Seconds after which a copy of the configuration is requested from the same VM again.
+COPY_RETRY_SECONDS = 0.5
 
 
 class ConfigListener(ABC):
@@ -38,7 +40,7 @@
     ) -> bool:
         """Request a read of a newer configuration that another VM has confirmed.
 
-        Return whether the store is available.
+        Return whether the store responds to this VM.
         """
 
     @abstractmethod
@@ -93,6 +95,11 @@
         self._told_short: frozenset[Incarnation] = frozenset()
         # VMs whose last probe of this VM stated that their memory is short.
         self._reported_short: set[Incarnation] = set()
+        # Time at which the replicas of each VM that probed this one were confirmed, as
+        # far as it is known. Tells whom to ask, and proves nothing.
+        self._stated_at: dict[Incarnation, float] = {}
+        # VM that was last requested to send the configuration, and when.
+        self._copy_request: tuple[Incarnation | None, float] = (None, 0.0)
 
     def make_probe(self, is_ready: bool, now: float) -> Probe:
         """Return a probe of the state of another VM."""
@@ -101,8 +108,18 @@
             is_ready,
             self._own_vm,
             self._is_short_of_memory(),
+            self._config.version,
+            self._compute_replica_age(now),
         )
 
+    def find_fresher_vm(self, now: float) -> Incarnation | None:
+        """Return the VM whose replicas seem the freshest, if fresher than this VM's."""
+        if not self._stated_at:
+            return None
+        freshest = max(self._stated_at, key=self._stated_at.__getitem__)
+        age = now - self._stated_at[freshest]
+        return freshest if age < self._compute_replica_age(now) else None
+
     def list_short_of_memory(self, is_coordinating: bool) -> frozenset[Incarnation]:
         """Return the VMs whose memory is short, as far as this VM knows."""
         known = self._reported_short if is_coordinating else self._told_short
@@ -119,7 +136,7 @@
         """
         match message:
             case Probe():
-                return [self._make_probe_response(sender, message, now)], False
+                return self._handle_probe(sender, message, now), False
             case ConfigRequest(number):
                 return self._make_config_response(number, now), False
             case BackendsRequest(number):
@@ -136,6 +153,11 @@
         """Discard the readiness that a lost VM reported."""
         self._reported_unready.discard(incarnation)
         self._reported_short.discard(incarnation)
+        self._stated_at.pop(incarnation, None)
+
+    def _compute_replica_age(self, now: float) -> float:
+        freshness = self._backends.freshness
+        return max(self._config.compute_age(now), freshness.compute_age(now))
 
     def _assign_number(self, now: float) -> int:
         number = next(self._numbers)
@@ -144,6 +166,30 @@
             self._sent_at.popitem(last=False)
         return number
 
+    def _handle_probe(
+        self, sender: Incarnation, probe: Probe, now: float
+    ) -> list[Message]:
+        if probe.replica_age is not None:
+            self._stated_at[sender] = now - probe.replica_age
+        response = self._make_probe_response(sender, probe, now)
+        if probe.config_version <= self._config.version:
+            return [response]
+        return [response, *self._follow_version(sender, probe.config_version, now, now)]
+
+    def _follow_version(
+        self, sender: Incarnation, version: int, confirmed_at: float, now: float
+    ) -> list[Message]:
+        """Read a newer version, or request a copy if the store doesn't respond."""
+        # Sending a large configuration to every VM would saturate the link of the
+        # coordinator.
+        if self._listener.learn_version(sender, version, confirmed_at):
+            return []
+        asked, asked_at = self._copy_request
+        if asked == sender and now - asked_at < COPY_RETRY_SECONDS:
+            return []
+        self._copy_request = (sender, now)
+        return [ConfigRequest(self._assign_number(now))]
+
     def _make_probe_response(
         self, sender: Incarnation, probe: Probe, now: float
     ) -> ProbeResponse:
@@ -196,10 +242,7 @@
         follow_ups: list[Message] = []
         version, confirmed_at = response.config_version, sent_at - response.config_age
         if version > self._config.version:
-            # Sending a large configuration to every VM would saturate the link of the
-            # coordinator.
-            if not self._listener.learn_version(sender, version, confirmed_at):
-                follow_ups.append(ConfigRequest(self._assign_number(now)))
+            follow_ups += self._follow_version(sender, version, confirmed_at, now)
         elif version and version == self._config.version:
             self._config.mark_confirmed(
                 Freshness(response.config_revision, confirmed_at)
--- a/fireflyquay/gateway/_fleet.py
+++ b/fireflyquay/gateway/_fleet.py
@@ -55,6 +55,7 @@
 from ._clock import AgeClock
 from ._discovery import MembershipView
 from ._quarantine import Quarantine
+from ._replica_timing import PROBE_INTERVAL_SECONDS
 from ._slot_client import Peers, SlotClient
 from ._stream_locator import StreamLocator
 
@@ -65,9 +66,6 @@
 # as coordinator.
 STRENGTH_BUCKET_SIZE = 25
 MEMBERSHIP_INTERVAL_SECONDS = 0.05
-# Short enough that several probes fit into the time within which changes must be in
-# force.
-PROBE_INTERVAL_SECONDS = 0.25
 # Seconds without a message after which a probed coordinator counts as unresponsive.
 UNRESPONSIVE_AFTER_SECONDS = 0.6
 # Seconds for which an unresponsive VM isn't chosen as coordinator.
@@ -87,8 +85,6 @@
 # Number of VMs, next in rank, to which a coordinator tells what is left of limits: it
 # grows with the client accounts, and those VMs take over first.
 LEDGER_RECEIVER_COUNT = 4
-# Age of this VM's configuration in seconds above which a random VM is probed as well.
-EXTRA_PROBE_AGE_SECONDS = 1.2
 
 
 class Fleet(Peers, MembershipView, Carriers):
@@ -105,7 +101,7 @@
         stream_locator: StreamLocator,
         clock: AgeClock,
         is_ready: Callable[[], bool],
-        compute_config_age: Callable[[], float],
+        are_replicas_old: Callable[[], bool],
         on_replicas_change: Callable[[], None],
         rng: random.Random,
         make_link: LinkFactory = PeerLink,
@@ -119,7 +115,7 @@
         self._stream_locator = stream_locator
         self._clock = clock
         self._is_ready = is_ready
-        self._compute_config_age = compute_config_age
+        self._are_replicas_old = are_replicas_old
         self._on_replicas_change = on_replicas_change
         self._rng = rng
         self._membership = Membership(own, MembershipSettings(), rng)
@@ -287,8 +283,11 @@
             if now - last_heard_at > UNRESPONSIVE_AFTER_SECONDS:
                 self.mark_unresponsive(coordinator)
         others = [it for it in self._ranking if it != self._own.incarnation]
-        if others and self._compute_config_age() > EXTRA_PROBE_AGE_SECONDS:
+        if others and self._are_replicas_old():
             targets.add(self._rng.choice(others))
+            fresher = self._replica_sync.find_fresher_vm(self._clock.read())
+            if fresher is not None:
+                targets.add(fresher)
         for target in targets:
             probe = self._replica_sync.make_probe(self._is_ready(), self._clock.read())
             self.send(target, probe)
--- a/fireflyquay/gateway/_gateway.py
+++ b/fireflyquay/gateway/_gateway.py
@@ -139,6 +139,8 @@
             settings.store.read_period,
             lambda: self.fleet.is_coordinating,
             self.metrics,
+            apply=promises.apply,
+            drain=promises.drain,
         )
         self.replicas.on_change = self._apply_replicas
         scheduler_settings = scheduler_settings or SlotSchedulerSettings(
@@ -285,7 +287,7 @@
             self._stream_locator,
             self._clock,
             self.is_ready,
-            self.replicas.compute_config_age,
+            self.replicas.are_old,
             self._apply_replicas,
             rng,
             self._make_link,
@@ -494,6 +496,7 @@
         ):
             if address:
                 await server.start(*split_address(address))
+        self.replicas.report_late_changes()
         LOG.info(
             "started",
             extra={
--- a/fireflyquay/gateway/_settings.py
+++ b/fireflyquay/gateway/_settings.py
@@ -16,6 +16,9 @@
 OptionalAddress = Annotated[
     str, Meta(pattern=r"^([0-9A-Za-z.:_-]{1,253}:[0-9]{1,5})?$")
 ]
+# Bound on the time until a change is in force, where the settings state none.
+CHANGE_SECONDS = 2.0
+
 Name = Annotated[str, Meta(pattern=r"^[A-Za-z0-9._-]{1,64}$")]
 Port = Annotated[int, Meta(ge=1, le=65535)]
 Seconds = Annotated[float, Meta(gt=0, le=86400)]
@@ -99,6 +102,10 @@
     max_keep: Seconds
     # Length of the window in which quotas are counted, in seconds.
     quota_window: Seconds = QUOTA_WINDOW_SECONDS
+    # Seconds within which a change of the configuration is in force.
+    apply: Seconds = CHANGE_SECONDS
+    # Seconds after which a leaving backend server receives no new requests.
+    drain: Seconds = CHANGE_SECONDS
 
 
 @dataclass(frozen=True, slots=True)
--- a/fireflyquay/gateway/_state_replicas.py
+++ b/fireflyquay/gateway/_state_replicas.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Awaitable, Callable, Sequence
 
 import logbook
@@ -14,12 +15,18 @@
     ConfigReplica,
     Freshness,
 )
-from fireflyquay.links import HttpFailure
+from fireflyquay.links import MIN_PATIENCE_SECONDS, HttpFailure
 from fireflyquay.world import BackendEntry, BackendServerId, Incarnation, RepeatRule
 
 from ._clock import AgeClock
 from ._dialect import FleetSource
 from ._gateway_metrics import GatewayMetrics, StoreRead
+from ._replica_timing import (
+    AGE_CHECK_INTERVAL_SECONDS,
+    RESPONSE_SECONDS,
+    ReplicaTiming,
+)
+from ._settings import CHANGE_SECONDS
 from ._version_keeper import VersionKeeper, withhold
 
 LOG = logbook.Logger("beliefs")
@@ -28,13 +35,14 @@
 # limit that is short enough to apply operators' changes in time once the store is back.
 INITIAL_RETRY_SECONDS = 0.25
 MAX_RETRY_SECONDS = 1.0
-# Age of a replica in seconds at which this VM reads the store by itself instead of
-# relying on confirmations by other VMs, which arrive several times a second.
-OWN_READ_AGE_SECONDS = 1.2
-AGE_CHECK_INTERVAL_SECONDS = 0.1
+# Seconds after which a read without a response counts as not answered, so that a copy
+# is requested from another VM: a kept connection and a new one were tried by then.
+OVERDUE_READ_SECONDS = MIN_PATIENCE_SECONDS + RESPONSE_SECONDS
 # Seconds between reads that are requested before the next one is due: many streams that
 # are resumed at the same time share a read.
 MIN_READ_INTERVAL_SECONDS = 0.1
+# Adding floats may exceed a bound by a rounding error.
+ROUNDING_SECONDS = 1e-9
 # Bounds a log line.
 MAX_LOGGED_NAMES = 50
 # Source of what this VM read itself, in the log.
@@ -51,12 +59,20 @@
         read_period: float,
         polls_for_fleet: Callable[[], bool],
         metrics: GatewayMetrics | None = None,
+        apply: float = CHANGE_SECONDS,
+        drain: float = CHANGE_SECONDS,
     ) -> None:
         self.config = ConfigReplica()
         self.backends = BackendRegistry()
         self._source = source
         self._clock = clock
         self._read_period = read_period
+        self._timings = {
+            StoreRead.CONFIG: ReplicaTiming(apply, read_period),
+            StoreRead.BACKENDS: ReplicaTiming(drain, read_period),
+        }
+        # Time on the age clock at which each read in progress was sent.
+        self._pending_since: dict[StoreRead, float] = {}
         # Returns whether this VM reads at every interval, on behalf of the other VMs.
         self._polls_for_fleet = polls_for_fleet
         self._versions = VersionKeeper(
@@ -94,14 +110,16 @@
     ) -> bool:
         """Request a read of a newer configuration that another VM has confirmed.
 
-        Return whether the store is available.
+        Return whether the store responds to this VM.
         """
         if self.config.note_version(version, confirmed_at):
             extra = {"vm": sender, "version": version, "in_force": self.config.version}
             LOG.info("newer configuration known", extra=extra)
-        if self._is_store_available:
-            self._config_requested.set()
-        return self._is_store_available
+        if not self._is_store_available:
+            return False
+        self._config_requested.set()
+        sent_at = self._pending_since.get(StoreRead.CONFIG, math.inf)
+        return self._clock.read() - sent_at <= OVERDUE_READ_SECONDS
 
     def report_config(self, source: str, superseded_at: float | None) -> None:
         """Log a configuration that came into force and how late it is.
@@ -145,6 +163,23 @@
         """Return the seconds since the configuration was last confirmed current."""
         return self.config.compute_age(self._clock.read())
 
+    def report_late_changes(self) -> None:
+        """Log the replicas whose bound is shorter than the waits of the longest way."""
+        for kind, timing in self._timings.items():
+            delay = timing.compute_longest_delay()
+            if delay > timing.bound + ROUNDING_SECONDS:
+                extra = {"read": kind.value, "bound": timing.bound, "delay": delay}
+                LOG.warning("changes may be late", extra=extra)
+
+    def are_old(self) -> bool:
+        """Return whether other VMs have confirmed a replica less often than usual."""
+        now = self._clock.read()
+        return (
+            self.config.compute_age(now) > self._timings[StoreRead.CONFIG].own_read_age
+            or self.backends.freshness.compute_age(now)
+            > self._timings[StoreRead.BACKENDS].own_read_age
+        )
+
     async def poll_config(self) -> None:
         """Keep the replica of the configuration current until cancelled."""
         await self._poll(
@@ -173,9 +208,10 @@
         is_due: Callable[[], bool] = lambda: False,
     ) -> None:
         retry_delay = INITIAL_RETRY_SECONDS
+        own_read_age = self._timings[kind].own_read_age
         while True:
             age = get_freshness().compute_age(self._clock.read())
-            is_outdated = age > OWN_READ_AGE_SECONDS or is_due()
+            is_outdated = age > own_read_age or is_due()
             if self._polls_for_fleet() or is_outdated or requested.is_set():
                 requested.clear()
                 if await self._try_read(kind, read):
@@ -193,7 +229,7 @@
         self, kind: StoreRead, read: Callable[[], Awaitable[None]]
     ) -> bool:
         """Read once and return whether the store responded."""
-        sent_at = self._clock.read()
+        sent_at = self._pending_since[kind] = self._clock.read()
         try:
             await read()
         except HttpFailure as failure:
@@ -207,6 +243,8 @@
             LOG.warning("store read failed", extra=extra)
             self._record_store_result(False, failure.sentence)
             return False
+        finally:
+            del self._pending_since[kind]
         self._metrics.record_store_read(kind, True)
         self._record_store_result(True, "")
         return True
--- a/fireflyquay/links/__init__.py
+++ b/fireflyquay/links/__init__.py
@@ -24,7 +24,7 @@
 from ._http_responder import HttpResponder
 from ._http_server import Handler, HttpServer
 from ._http_statuses import get_http_status
-from ._idempotent_reader import IdempotentReader
+from ._idempotent_reader import MIN_PATIENCE_SECONDS, IdempotentReader
 from ._json_log import JsonLineHandler
 from ._peer import (
     Envelope,
@@ -64,6 +64,7 @@
     "HttpStream",
     "HttpVmList",
     "IdempotentReader",
+    "MIN_PATIENCE_SECONDS",
     "RawHeaders",
     "SseEvent",
     "SseParser",
