Give silent connections between VMs up within half of the time until in touch

What callers saw: after all channels had gone silent, requests waited for a coordinator that did not answer, while VMs counted as in touch again.

Cause: the same as for the store's connections: what is sent on a connection that has gone silent costs the whole time until the kernel gives it up, 3.0 s here, as long as the time after which a VM is in touch again. Meanwhile VMs take each other for dead, and change coordinators.

A sender gives a connection up 1.5 s after what its peer does not acknowledge, which leaves three retransmissions on a lossy link.

The test of the socket option failed with 3.0 s.

--- a/fireflyquay/links/_peer.py
+++ b/fireflyquay/links/_peer.py
@@ -39,6 +39,9 @@
 MAX_QUEUED_MESSAGES = 20_000
 # TCP retransmits a lost SYN packet after 1 second.
 CONNECT_TIMEOUT_SECONDS = 1.0
+# Well below the time after which a VM counts as in touch again, and enough for three
+# retransmissions. What is lost with a connection is sent again by the protocols above.
+UNACKNOWLEDGED_TIMEOUT_MS = 1_500
 # An entry VM's process takes about 0.4 seconds to start.
 RECONNECT_DELAY_SECONDS = 0.2
 
@@ -134,7 +137,7 @@
                 reader, writer = await asyncio.open_connection(
                     self._address.host, self._address.port
                 )
-        enable_dead_peer_detection(writer)
+        enable_dead_peer_detection(writer, UNACKNOWLEDGED_TIMEOUT_MS)
         # Peers send nothing on this connection: the read completes when it is closed.
         end_of_input = asyncio.ensure_future(reader.read(1))
         end_of_input.add_done_callback(lambda _: self._wakeup.set())
--- a/fireflyquay/links/_sockets.py
+++ b/fireflyquay/links/_sockets.py
@@ -55,8 +55,13 @@
     writer.transport.max_size = size
 
 
-def enable_dead_peer_detection(writer: asyncio.StreamWriter) -> None:
-    """Make the kernel close the connection when its peer becomes unreachable."""
+def enable_dead_peer_detection(
+    writer: asyncio.StreamWriter, unacknowledged_ms: int = UNACKNOWLEDGED_TIMEOUT_MS
+) -> None:
+    """Make the kernel close the connection when its peer becomes unreachable.
+
+    That is the given time after sending what the peer does not acknowledge.
+    """
     sock = writer.get_extra_info("socket")
     if sock is None or sock.family not in (socket.AF_INET, socket.AF_INET6):
         return
@@ -66,9 +71,7 @@
         socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS
     )
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, MAX_UNANSWERED_PROBES)
-    sock.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS
-    )
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, unacknowledged_ms)
 
 
 @contextmanager
--- a/fireflyquay/links/tests/test_peer.py
+++ b/fireflyquay/links/tests/test_peer.py
@@ -14,6 +14,8 @@
 
 HOST = "127.0.0.1"
 WAIT_SECONDS = 5.0
+# Time without disruption after which a VM counts as in touch.
+CONTACT_SECONDS = 3.0
 TUNNELLED_BYTES = 4_000_000
 READ_BYTES = 32 * 1024
 SEND_BUFFER_BYTES = 16 * 1024
@@ -57,6 +59,34 @@
     assert {sender for sender, _ in received} == {"one"}
 
 
+async def measure_unacknowledged_seconds(opened):
+    received = []
+    first, second = make_link("one", []), make_link("two", received)
+    port = await second.start(HOST, 0)
+    first.send(make_vm("two", port), Queued(1))
+    await wait_for(lambda: received)
+    [writer] = opened
+    sock = writer.get_extra_info("socket")
+    timeout_ms = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+    await first.close()
+    await second.close()
+    return timeout_ms / 1000
+
+
+def test_silent_connection_is_given_up_well_before_a_vm_is_in_touch_again(monkeypatch):
+    opened, connect = [], asyncio.open_connection
+
+    async def record(host, port):
+        reader, writer = await connect(host, port)
+        opened.append(writer)
+        return reader, writer
+
+    monkeypatch.setattr(asyncio, "open_connection", record)
+    seconds = asyncio.run(measure_unacknowledged_seconds(opened))
+    # Both ways may be silent, the second until the first is heard again.
+    assert 0 < seconds <= CONTACT_SECONDS / 2
+
+
 class PendingConnect:
     """Replace asyncio.open_connection, and return when the test sets the result."""
 
