Take a response with a status beyond the classes of HTTP for a broken one

What callers saw: status 600 or 999 of a worker in trouble, passed on with its seal, which a client can take for anything.

Cause: the parser accepts every number of three digits. Statuses that it refuses (000, 099, 00, 2000, +20, -200, 20x) and 101 gave 502 before.

Such a response is now broken: the client gets 502, and a request that may be repeated goes to another backend server.

--- a/fireflyquay/links/_http_client.py
+++ b/fireflyquay/links/_http_client.py
@@ -30,6 +30,8 @@
 from ._loop_turns import LoopTurns
 from ._tunnel import Connection
 
+# Highest status of the classes that HTTP defines.
+MAX_STATUS = 599
 # Statuses of responses that never have a body.
 BODILESS_STATUSES = (204, 304)
 
@@ -239,6 +241,11 @@
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Response):
+                if event.status_code > MAX_STATUS:
+                    raise self._make_failure(
+                        Code.STREAM_LOST,
+                        f"The response has the unknown status {event.status_code}.",
+                    )
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise self._make_failure(
