Take no unframed success for whole before its request was received

What callers saw: a worker that answers a long upload at once with a 200 without a length, ends its output and resets the connection while the upload is still being written: the client got the part as a complete answer, with the worker's seal. The same for streams, and through a tunnel.

Cause: without a length only the end of the connection ends a body, and the end of the output, unlike the reset that follows it, passed for that. A worker that has read the whole request has acknowledged it by then.

A success without framing whose connection ends while bytes of the request are not acknowledged is now broken: 502, or a reset once the response had begun. A VM that carries a tunnel announces no end in that case. Responses with a length or chunks are judged by these, and errors without framing are passed on as before, since workers reject long requests early.

Evidence: 12 of 43 cases of test_early_responses failed before: all endings whose output ends before the reset, for bodies without framing on plain routes (8), streams (2) and through a tunnel (2). Those that reset at once or close gave 502 before.

--- a/fireflyquay/links/_http_client.py
+++ b/fireflyquay/links/_http_client.py
@@ -115,6 +115,8 @@
         self._connection: ClientConnection | None = None
         # Seconds for which the connection was idle before; None if it is new.
         self._idle_seconds: float | None = None
+        # Whether the response is a success that only the end of the connection ends.
+        self._is_unframed_success = False
         self._is_complete = False
         self._is_interrupted = False
         # Whether any byte of the request may have reached the peer.
@@ -131,12 +133,15 @@
         self._connection.peer_keep_alive_seconds = parse_keep_alive_seconds(
             headers.get("keep-alive", "")
         )
+        status = response.status_code
+        is_unframed = _ends_with_connection(self._head.method, status, headers)
+        self._is_unframed_success = is_unframed and 200 <= status < 300
         return HttpStream(
-            response.status_code,
+            status,
             headers,
             self,
             response.headers.raw_items(),
-            _ends_with_connection(self._head.method, response.status_code, headers),
+            is_unframed,
             self._connection.carrier,
         )
 
@@ -161,6 +166,13 @@
             raise self._make_failure(
                 Code.STREAM_LOST, "The response ended before its body was complete."
             )
+        assert self._connection is not None
+        if self._is_unframed_success and self._connection.has_unacknowledged_bytes:
+            # The peer's end may come before the reset that tells of its trouble.
+            raise self._make_failure(
+                Code.STREAM_LOST,
+                "The connection ended before the peer had received the request.",
+            )
         self._is_complete = True
         raise StopAsyncIteration
 
--- a/fireflyquay/links/_http_pool.py
+++ b/fireflyquay/links/_http_pool.py
@@ -12,6 +12,7 @@
 from fireflyquay.world import Incarnation
 
 from ._connection_reset import abort_connection
+from ._graceful_close import count_unsent_bytes
 from ._http_message import MAX_READ_BYTES, HttpLimits
 from ._loop_turns import EventShare, LoopTurns
 from ._monitored_reader import MonitoredReader
@@ -64,6 +65,11 @@
         """Return whether the write buffer still holds unsent bytes."""
         return self._writer.transport.get_write_buffer_size() > 0
 
+    @property
+    def has_unacknowledged_bytes(self) -> bool:
+        """Return whether the peer has not acknowledged all that was sent to it."""
+        return count_unsent_bytes(self._writer) > 0
+
     def reset_for_next_response(self, head: h11.Request, body: bytes) -> None:
         """Prepare to read the next response, after one to a different request."""
         unparsed_bytes, is_closed = self._http.trailing_data
--- a/fireflyquay/links/_tunnel.py
+++ b/fireflyquay/links/_tunnel.py
@@ -14,7 +14,7 @@
 from fireflyquay.membership import Message
 
 from ._connection_reset import abort_connection
-from ._graceful_close import close_gracefully
+from ._graceful_close import close_gracefully, count_unsent_bytes
 from ._monitored_reader import MonitoredReader
 
 FRAME_HEADER_BYTES = 4
@@ -175,7 +175,7 @@
 ) -> None:
     """Forward bytes until either side ends; a client that ends is not waited for."""
     requests = asyncio.ensure_future(_forward_requests(reader, connection[1]))
-    responses = asyncio.ensure_future(_forward_responses(connection[0], writer))
+    responses = asyncio.ensure_future(_forward_responses(connection, writer))
     try:
         await asyncio.wait((requests, responses), return_when=asyncio.FIRST_COMPLETED)
     finally:
@@ -197,10 +197,13 @@
 
 
 async def _forward_responses(
-    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    connection: Connection, writer: asyncio.StreamWriter
 ) -> None:
+    """Forward bytes, and their end unless requests were not received until then."""
+    reader, request_writer = connection
     while data := await reader.read(MAX_CHUNK_BYTES):
         writer.write(encode_frame(data))
         await writer.drain()
-    writer.write(encode_frame(b""))
+    if not count_unsent_bytes(request_writer):
+        writer.write(encode_frame(b""))
     await writer.drain()
