Tell clients of a broken response in their own terms

What callers saw: a 502 whose sentence was "waited 1.48 s among 0: its longest wait is over" after a backend server had broken its response off.

Cause: the reason for which the coordinator grants no slot for another attempt was sent to the client as well as logged.

The log keeps that reason. A client is told that no backend server is free in time, or, if one may have run the request, that it gave no complete response.

Evidence: test_client_is_told_of_a_broken_response_in_its_own_terms failed for requests that may be repeated.

--- a/fireflyquay/gateway/_admission.py
+++ b/fireflyquay/gateway/_admission.py
@@ -18,9 +18,15 @@
     """Report that a request is rejected, with the reason and the retry delay."""
 
     def __init__(
-        self, code: Code, sentence: str, retry_after: float | None = None
+        self,
+        code: Code,
+        sentence: str,
+        retry_after: float | None = None,
+        reason: str = "",
     ) -> None:
         super().__init__(code, sentence)
+        # What decided, for the log; the sentence is for the client.
+        self.reason = reason or sentence
         # Seconds after which the client should retry; None if it should not.
         self.retry_after = retry_after
 
--- a/fireflyquay/gateway/_ingress.py
+++ b/fireflyquay/gateway/_ingress.py
@@ -59,6 +59,11 @@
 # does not know yet, or no more.
 UNKNOWN_BACKEND_WAIT_SECONDS = 0.05
 NO_ACCOUNT_ID = ClientAccountId("")
+# What clients are told; the log has the numbers that decided.
+BUSY_SENTENCE = "No backend server for the request is free in time."
+LOST_RESPONSE_SENTENCE = (
+    "A backend server gave no complete response, and no other got the request."
+)
 # Outcome in the log of a request that got its response; others are named by a code.
 SERVED = "served"
 
@@ -168,7 +173,7 @@
                 self._metrics.record_on_time(call.rank)
         except RejectionError as rejection:
             corrected = _correct_rejection(call, rejection)
-            outcome, reason = corrected.code.value, corrected.sentence
+            outcome, reason = corrected.code.value, corrected.reason
             await self._reject(exchange, call, responder, corrected)
         except TimeoutError:
             timeout = _make_timeout_rejection(call)
@@ -365,7 +370,9 @@
             decision = await self._slot_client.acquire(slot_request)
         if isinstance(decision, Refusal):
             code = Code.EXCEEDS_MEMORY if decision.exceeds_room else decision.code
-            raise RejectionError(code, decision.reason, decision.retry_after)
+            is_busy = code is Code.OVERLOADED
+            sentence = BUSY_SENTENCE if is_busy else decision.reason
+            raise RejectionError(code, sentence, decision.retry_after, decision.reason)
         call.is_charged = True
         self._metrics.record_wait(call.service, decision.waited)
         backend = self._replicas.backends.get(decision.backend)
@@ -503,7 +510,9 @@
     """Replace a rejection that wrongly states that the request has not run."""
     states_not_run = get_http_status(rejection.code) in NOT_RUN_STATUSES
     if states_not_run and call is not None and call.may_have_run:
-        return RejectionError(Code.BACKEND_FAILED, rejection.sentence)
+        return RejectionError(
+            Code.BACKEND_FAILED, LOST_RESPONSE_SENTENCE, reason=rejection.reason
+        )
     return rejection
 
 
