Close an idle connection as soon as its peer sends something on it

What operators of similar systems saw: a faulty worker sends bytes without end, and the machine that had called it keeps them until its memory is used up. Here: up to 64 idle connections are kept to each address, and whatever arrives on one was buffered until the next exchange looked at it.

Cause: an idle connection was judged only when it was taken from the pool.

Bytes that nobody requested close the connection at once, and are not buffered; a log line names the address.

--- a/fireflyquay/links/_http_pool.py
+++ b/fireflyquay/links/_http_pool.py
@@ -6,8 +6,10 @@
 import select
 from abc import ABC, abstractmethod
 from collections import deque
+from collections.abc import Callable
 
 import h11
+import logbook
 
 from fireflyquay.world import Incarnation
 
@@ -18,6 +20,8 @@
 from ._monitored_reader import MonitoredReader
 from ._sockets import convert_address_errors, enable_dead_peer_detection
 
+LOG = logbook.Logger("connections")
+
 Address = tuple[str, int]
 
 MAX_IDLE_CONNECTIONS_PER_ADDRESS = 64
@@ -113,11 +117,20 @@
             self._consumed_bytes += len(data)
             self._http.receive_data(data)
 
+    def watch(self, on_unexpected: Callable[[], None] | None) -> None:
+        """Set what is called when the peer sends something, while it is idle."""
+        self._reader.on_unexpected = on_unexpected
+
+    @property
+    def has_unread_bytes(self) -> bool:
+        """Return whether the peer has sent more than the exchanges before took."""
+        return self._reader.received_bytes != self._consumed_bytes
+
     def is_stale(self) -> bool:
         """Return whether the peer closed the connection or sent unexpected bytes."""
         if self._writer.transport.is_closing() or self._reader.closed.is_set():
             return True
-        if self._reader.received_bytes != self._consumed_bytes:
+        if self.has_unread_bytes:
             return True
         poll = select.poll()
         sock = self._writer.get_extra_info("socket")
@@ -199,6 +212,7 @@
                     connection_limit_seconds,
                     connection.peer_keep_alive_seconds - KEEP_ALIVE_MARGIN_SECONDS,
                 )
+            connection.watch(None)
             idle_seconds = now - connection.idle_since
             if idle_seconds < connection_limit_seconds:
                 connection.idle_seconds = idle_seconds
@@ -212,11 +226,13 @@
     ) -> None:
         """Add a connection to the pool; close the oldest beyond the limits.
 
-        A closed pool keeps none: an exchange may end after it was closed.
+        A closed pool keeps none: an exchange may end after it was closed. A peer that
+        sends something meanwhile is faulty, and may send without end.
         """
-        if self._is_closed:
+        if self._is_closed or connection.has_unread_bytes:
             connection.abort()
             return
+        connection.watch(lambda: self._drop(address, connection))
         connection.idle_since = now
         connections = self._idle_connections.setdefault(address, deque())
         connections.append(connection)
@@ -231,6 +247,14 @@
         """Return whether a connection to an address is kept."""
         return bool(self._idle_connections.get(address))
 
+    def _drop(self, address: Address, connection: ClientConnection) -> None:
+        host, port = address
+        LOG.warning("bytes on an idle connection", extra={"host": host, "port": port})
+        connection.abort()
+        connections = self._idle_connections.get(address)
+        if connections is not None and connection in connections:
+            connections.remove(connection)
+
     def discard(self, address: Address) -> None:
         """Close the idle connections to an address."""
         for connection in self._idle_connections.pop(address, ()):
--- a/fireflyquay/links/_monitored_reader.py
+++ b/fireflyquay/links/_monitored_reader.py
@@ -26,6 +26,8 @@
         self.closed = asyncio.Event()
         # Called once, when the peer has closed the connection, or it is lost.
         self.on_closed: Callable[[], None] | None = None
+        # Called before received bytes are buffered, while nothing is expected.
+        self.on_unexpected: Callable[[], None] | None = None
         # VM that carries the connection; empty if it is direct.
         self.carrier = Incarnation("")
         # Number of bytes received so far, including those that were not read.
@@ -42,8 +44,11 @@
         return len(self._buffer)
 
     def feed_data(self, data: bytes) -> None:
-        """Count and buffer received bytes."""
+        """Count and buffer received bytes, unless none are expected."""
         self.received_bytes += len(data)
+        if self.on_unexpected is not None:
+            self.on_unexpected()
+            return
         super().feed_data(data)
 
     def feed_eof(self) -> None:
