Log that the store holds no configuration any more

What an engineer saw: VMs that refuse requests as their configuration grows stale, and no line that says why, since the store answers.

A configuration that is gone counts as a failed read: "store read failed" and "store lost" name it. The one in force stays until its age forbids it.

Evidence: the test failed before, without a line in the log.

--- a/fireflyquay/gateway/_state_replicas.py
+++ b/fireflyquay/gateway/_state_replicas.py
@@ -16,7 +16,13 @@
     Freshness,
 )
 from fireflyquay.links import MIN_PATIENCE_SECONDS, HttpFailure
-from fireflyquay.world import BackendEntry, BackendServerId, Incarnation, RepeatRule
+from fireflyquay.world import (
+    BackendEntry,
+    BackendServerId,
+    Code,
+    Incarnation,
+    RepeatRule,
+)
 
 from ._clock import AgeClock
 from ._dialect import FleetSource
@@ -253,7 +259,11 @@
         sent_at = self._clock.read()
         snapshot = await self._source.read_config()
         if snapshot.config is None:
-            return
+            if self.config.config is None:
+                return
+            # Otherwise the age would grow without a cause in the log.
+            sentence = "The store holds no configuration any more."
+            raise HttpFailure(Code.NOT_FOUND, sentence, True)
         freshness = Freshness(snapshot.revision, sent_at)
         superseded_at = self.config.superseded_at
         if not self.config.apply_config(snapshot.config, freshness):
--- a/fireflyquay/gateway/tests/test_state_replicas.py
+++ b/fireflyquay/gateway/tests/test_state_replicas.py
@@ -9,8 +9,8 @@
 
 from emulator import run_virtual
 from fireflyquay.dispatch import REREGISTRATION_SECONDS, Freshness
-from fireflyquay.dispatch.tests.builders import make_backend_entry
-from fireflyquay.gateway import BackendsSnapshot, StoredRecord
+from fireflyquay.dispatch.tests.builders import make_backend_entry, make_config
+from fireflyquay.gateway import BackendsSnapshot, ConfigSnapshot, StoredRecord
 from fireflyquay.gateway._clock import LoopClock
 from fireflyquay.gateway._state_replicas import StateReplicas
 from fireflyquay.links import HttpFailure
@@ -117,6 +117,37 @@
     run_virtual(run())
 
 
+class VanishingConfig:
+    """Hold a configuration until it is removed."""
+
+    def __init__(self):
+        self.config = make_config(7)
+
+    async def read_config(self):
+        return ConfigSnapshot(self.config, 9)
+
+
+def test_removed_configuration_is_logged_and_keeps_the_one_in_force():
+    source = VanishingConfig()
+    replicas = StateReplicas(source, LoopClock(), 0.5, lambda: True)
+    log = logbook.TestHandler()
+
+    async def run():
+        poll = asyncio.create_task(replicas.poll_config())
+        await asyncio.sleep(1.0)
+        source.config = None
+        await asyncio.sleep(3.0)
+        poll.cancel()
+        return replicas.compute_config_age()
+
+    with log.applicationbound():
+        age = run_virtual(run())
+    assert replicas.config.version == 7
+    assert age > 2.0
+    lost = [it for it in log.records if it.message == "store lost"]
+    assert "no configuration" in lost[0].extra["cause"]
+
+
 def test_many_unreadable_registrations_do_not_make_a_log_line_too_long():
     names = tuple("x" * 256 for _ in range(5000))
 
