--- a/fireflyquay/dispatch/tests/test_zone_preference.py
+++ b/fireflyquay/dispatch/tests/test_zone_preference.py
@@ -101,7 +101,7 @@
         for zone in ZONES
         if zone != ZONES[turn % 3]
     ]
-    assert max(shares) < 0.2
+    assert max(shares) < 0.1
     assert sum(shares) / len(shares) < 0.05
 
 
