Let the soak silence open connections to the store once a run

New connections work; the time is drawn apart, so that seeds draw the other faults as before. The soak had only relays that silence new connections too.

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -45,10 +45,13 @@
         history: SoakHistory,
         rng: random.Random,
         draws_later_faults: bool = True,
+        silences: random.Random | None = None,
     ) -> None:
         self._fleet = fleet
         self._history = history
         self._rng = rng
+        # Draws when connections go silent, apart from all other faults.
+        self._silences = silences
         self._tasks: set[asyncio.Task[None]] = set()
         # The order determines which faults a seed draws.
         self._faults: list[Callable[[], Awaitable[None]]] = [
@@ -78,6 +81,8 @@
         end = loop.time() + seconds
         if self._fleet.needs_upgrade:
             self._tasks.add(loop.create_task(self._upgrade_in_turn(seconds)))
+        if self._silences is not None:
+            self._tasks.add(loop.create_task(self._silence_connections(seconds)))
         while loop.time() < end:
             fault = self._rng.choice(self._faults)
             self._history.count_fault(fault.__name__)
@@ -143,6 +148,14 @@
         with self._history.record_fault_interval(self._fleet.gateways[number].host):
             await self._disrupt(self._fleet.store_relays[number])
 
+    async def _silence_connections(self, seconds: float) -> None:
+        """Let the open connections to the store go silent once; new ones work."""
+        assert self._silences is not None
+        await asyncio.sleep(self._silences.uniform(0.0, seconds))
+        self._history.count_fault("silence_connections")
+        for relay in self._fleet.store_relays:
+            relay.silence_open()
+
     async def fail_store(self) -> None:
         """Make the store fail or delay the requests of all gateways."""
         switches = self._fleet.store.switches
--- a/soak/_relay.py
+++ b/soak/_relay.py
@@ -37,6 +37,8 @@
         self.port = 0
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        # Those of connections that deliver nothing any more.
+        self._silent_writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> int:
         """Start listening and return the port."""
@@ -53,6 +55,10 @@
             for writer in list(self._writers):
                 abort_connection(writer)
 
+    def silence_open(self) -> None:
+        """Forward nothing more over open connections; new ones work."""
+        self._silent_writers |= self._writers
+
     async def close(self) -> None:
         """Stop listening and reset all connections."""
         if self._server is not None:
@@ -84,6 +90,7 @@
             pass
         finally:
             self._writers.difference_update(writers)
+            self._silent_writers.difference_update(writers)
             for open_writer in writers:
                 open_writer.close()
 
@@ -95,7 +102,7 @@
     ) -> None:
         while True:
             data = await reader.read(CHUNK_BYTES)
-            while self._is_blocked(is_response):
+            while writer in self._silent_writers or self._is_blocked(is_response):
                 await asyncio.sleep(POLL_INTERVAL_SECONDS)
             if self.mode is Mode.DELAY:
                 await asyncio.sleep(self.delay_seconds)
--- a/soak/_soak_run.py
+++ b/soak/_soak_run.py
@@ -64,8 +64,9 @@
         traffic = TrafficGenerator(fleet, history, rng)
         traffic_task = asyncio.ensure_future(traffic.run())
         # The faults have their own generator, so that traffic does not change them.
+        silences = random.Random(seed + 2) if draws_later_faults else None
         injector = FaultInjector(
-            fleet, history, random.Random(seed + 1), draws_later_faults
+            fleet, history, random.Random(seed + 1), draws_later_faults, silences
         )
         await injector.run(seconds)
         fault_free_since = asyncio.get_running_loop().time() + RECOVERY_SECONDS
