--- a/fireflyquay/links/__init__.py
+++ b/fireflyquay/links/__init__.py
@@ -26,6 +26,7 @@
 from ._http_statuses import get_http_status
 from ._idempotent_reader import MIN_PATIENCE_SECONDS, IdempotentReader
 from ._json_log import JsonLineHandler
+from ._lenient_json import decode_json
 from ._peer import (
     Envelope,
     Link,
@@ -72,6 +73,7 @@
     "VmList",
     "abort_connection",
     "join_headers",
+    "decode_json",
     "encode_sse",
     "get_http_status",
     "JsonLineHandler",
