Request one copy of a newer configuration however many VMs have it

With the versions that probes state since the waits were derived, a coordinator that can't read would have requested a copy from every VM whose probe came: 20 of 20 in the test. Now one is requested in a tenth of a second, and from the same VM again after half a second.

--- a/fireflyquay/dispatch/_replica_sync.py
+++ b/fireflyquay/dispatch/_replica_sync.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 from abc import ABC, abstractmethod
 from collections import OrderedDict
 from collections.abc import Callable
@@ -27,7 +28,9 @@
 
 # Bounds the memory for requests that are never answered.
 MAX_PENDING_REQUESTS = 256
-# Seconds after which a copy of the configuration is requested from the same VM again.
+# Seconds after which a copy of the configuration is requested from another VM, and from
+# the same VM again. Many VMs may state a newer version at the same time.
+COPY_INTERVAL_SECONDS = 0.1
 COPY_RETRY_SECONDS = 0.5
 
 
@@ -99,7 +102,7 @@
         # far as it is known. Tells whom to ask, and proves nothing.
         self._stated_at: dict[Incarnation, float] = {}
         # VM that was last requested to send the configuration, and when.
-        self._copy_request: tuple[Incarnation | None, float] = (None, 0.0)
+        self._copy_request: tuple[Incarnation | None, float] = (None, -math.inf)
 
     def make_probe(self, is_ready: bool, now: float) -> Probe:
         """Return a probe of the state of another VM."""
@@ -185,7 +188,8 @@
         if self._listener.learn_version(sender, version, confirmed_at):
             return []
         asked, asked_at = self._copy_request
-        if asked == sender and now - asked_at < COPY_RETRY_SECONDS:
+        pause = COPY_RETRY_SECONDS if asked == sender else COPY_INTERVAL_SECONDS
+        if now - asked_at < pause:
             return []
         self._copy_request = (sender, now)
         return [ConfigRequest(self._assign_number(now))]
--- a/fireflyquay/dispatch/tests/test_replicas.py
+++ b/fireflyquay/dispatch/tests/test_replicas.py
@@ -2,8 +2,13 @@
 
 from fireflyquay.dispatch import BackendRegistry, ConfigReplica, Freshness, ReplicaSync
 from fireflyquay.dispatch._backend_registry import REREGISTRATION_SECONDS
-from fireflyquay.dispatch._control_message import ConfigResponse, Probe, ProbeResponse
-from fireflyquay.world import BackendPhase
+from fireflyquay.dispatch._control_message import (
+    ConfigRequest,
+    ConfigResponse,
+    Probe,
+    ProbeResponse,
+)
+from fireflyquay.world import BackendPhase, Incarnation
 
 from .builders import (
     OTHER_VM,
@@ -214,3 +219,36 @@
         OTHER_VM, Probe(4, True, make_vm(OTHER_VM)), 1.0
     )
     assert response.unready == ()
+
+
+def test_vm_that_can_not_read_requests_one_copy_of_a_version_that_many_have():
+    behind = make_replica_sync(4, confirmed_at=1.0)
+    requests = []
+    for number in range(20):
+        sender = Incarnation(f"vm-{number}")
+        probe = Probe(number, True, make_vm(sender), False, 7, 0.2)
+        replies, _ = behind.handle_message(sender, probe, 2.0 + number / 1000)
+        requests += [it for it in replies if isinstance(it, ConfigRequest)]
+    assert len(requests) == 1
+    # The first may have ended before it sent its copy.
+    probe = Probe(20, True, make_vm(OTHER_VM), False, 7, 0.2)
+    replies, _ = behind.handle_message(OTHER_VM, probe, 2.3)
+    [copy_request] = [it for it in replies if isinstance(it, ConfigRequest)]
+    response = ConfigResponse(copy_request.number, make_config(7), 7, 0.2)
+    assert behind.handle_message(OTHER_VM, response, 2.31)[1]
+    assert behind.config.version == 7
+    assert behind.config.superseded_at is None
+
+
+def test_vm_with_old_replicas_finds_the_one_that_states_the_freshest():
+    behind = make_replica_sync(4, confirmed_at=1.0)
+    assert behind.find_fresher_vm(3.0) is None
+    for name, age in (("old", 2.5), ("fresh", 0.3), ("other", 1.0)):
+        sender = Incarnation(name)
+        probe = Probe(1, True, make_vm(sender), False, 4, age)
+        behind.handle_message(sender, probe, 3.0)
+    assert behind.find_fresher_vm(3.0) == "fresh"
+    # What a probe states proves nothing: it may have been delayed.
+    assert behind.config.compute_age(3.0) == 2.0
+    behind.remove_vm(Incarnation("fresh"))
+    assert behind.find_fresher_vm(3.0) == "other"
