Forget a newer version that the store turns out not to hold

A version that was known from hearsay kept superseding the one in force even after the store had come back from a copy without it. A read that was sent later than the proof clears it; until then it holds, since a read may come before the version that proves it old.

--- a/fireflyquay/dispatch/_config_replica.py
+++ b/fireflyquay/dispatch/_config_replica.py
@@ -44,12 +44,20 @@
         if is_new:
             self.config = config
             self._build_indexes(config)
-            if config.version >= self.newest_version:
-                self.newest_version = config.version
-                self.superseded_at = None
+        if config.version >= self.newest_version or self._is_proven_newest(freshness):
+            self.newest_version = config.version
+            self.superseded_at = None
         self.mark_confirmed(freshness)
         return is_new
 
+    def _is_proven_newest(self, freshness: Freshness) -> bool:
+        """Return whether a read came after the proof of a newer version.
+
+        The store had come back from a copy without that version.
+        """
+        superseded_at = self.superseded_at
+        return superseded_at is not None and freshness.confirmed_at > superseded_at
+
     def note_version(self, version: int, confirmed_at: float) -> bool:
         """Record that a VM read a version; return whether it is the newest known."""
         if version <= self.newest_version:
--- a/fireflyquay/dispatch/tests/test_replicas.py
+++ b/fireflyquay/dispatch/tests/test_replicas.py
@@ -221,6 +221,18 @@
     assert response.unready == ()
 
 
+def test_version_that_the_store_lost_supersedes_none_after_the_next_read():
+    replica = ConfigReplica()
+    replica.apply_config(make_config(8), Freshness(1, 10.0))
+    assert replica.note_version(9, 10.5)
+    # This read may have come before that version.
+    replica.apply_config(make_config(8), Freshness(1, 10.4))
+    assert replica.superseded_at == 10.5
+    replica.apply_config(make_config(8), Freshness(1, 11.0))
+    assert replica.superseded_at is None
+    assert replica.note_version(9, 11.2)
+
+
 def test_vm_that_can_not_read_requests_one_copy_of_a_version_that_many_have():
     behind = make_replica_sync(4, confirmed_at=1.0)
     requests = []
--- a/fireflyquay/gateway/_gateway_metrics.py
+++ b/fireflyquay/gateway/_gateway_metrics.py
@@ -91,7 +91,6 @@
         self._first_output_seconds = self._make_histogram(
             "first_output_seconds", "Time from arrival to the first output.", "route"
         )
-
         self._store_reads = self._make_counter(
             "store_reads", "Reads of the store.", "kind", "outcome"
         )
--- a/fireflyquay/gateway/_settings.py
+++ b/fireflyquay/gateway/_settings.py
@@ -16,13 +16,12 @@
 OptionalAddress = Annotated[
     str, Meta(pattern=r"^([0-9A-Za-z.:_-]{1,253}:[0-9]{1,5})?$")
 ]
-# Bound on the time until a change is in force, where the settings state none.
-CHANGE_SECONDS = 2.0
-
 Name = Annotated[str, Meta(pattern=r"^[A-Za-z0-9._-]{1,64}$")]
 Port = Annotated[int, Meta(ge=1, le=65535)]
 Seconds = Annotated[float, Meta(gt=0, le=86400)]
 Ratio = Annotated[float, Meta(ge=0, le=100)]
+# Seconds until a change is in force, where the settings state no bound.
+CHANGE_SECONDS = 2.0
 
 
 @dataclass(frozen=True, slots=True)
