--- a/fireflyquay/links/__init__.py
+++ b/fireflyquay/links/__init__.py
@@ -3,13 +3,8 @@
 from ._body_memory import BodyMemory
 from ._connection_guard import ConnectionGuard
 from ._connection_reset import abort_connection
-from ._http_client import (
-    BackendClient,
-    BackendExchange,
-    ExchangeOptions,
-    HttpClient,
-    HttpExchange,
-)
+from ._http_client import BackendClient, HttpClient
+from ._http_exchange import BackendExchange, ExchangeOptions, HttpExchange
 from ._http_message import (
     CallerDisconnectedError,
     HttpFailure,
