--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 	PYTHONPATH=platform:. $(VENV)/bin/python -m demo
 
 test: $(STAMP)
-	$(VENV)/bin/python -m pytest -n $(TEST_PROCESSES) -m "not alone"
+	$(VENV)/bin/python -m pytest -n $(TEST_PROCESSES) --dist worksteal -m "not alone"
 	$(VENV)/bin/python -m pytest -m alone
 
 lint: $(STAMP)
