Log which VM a change of the registry came from, and gaps that count as outages

Changes of the registry now name their source, those copied from other VMs are logged like those read from the store, and a gap that is taken for an outage of the store has a line of its own with its length.

No decision changes.

--- a/fireflyquay/dispatch/__init__.py
+++ b/fireflyquay/dispatch/__init__.py
@@ -56,7 +56,7 @@
     QuotaLimiter,
     QuotaMargin,
 )
-from ._replica_sync import ConfigListener, ReplicaSync
+from ._replica_sync import ReplicaListener, ReplicaSync
 from ._retry_budget import RetryBudget
 from ._rollout import ReadProgress, ReserveExposure, RolloutAction, WriteStatus
 from ._rollout_messages import (
@@ -87,7 +87,6 @@
     "BackendPause",
     "BackendRegistry",
     "Cancellation",
-    "ConfigListener",
     "ConfigReplica",
     "ControlMessage",
     "Coordinator",
@@ -127,6 +126,7 @@
     "UsageHistory",
     "UsageLog",
     "Refusal",
+    "ReplicaListener",
     "ReplicaSync",
     "ReplicaSyncMessage",
     "BackendNews",
--- a/fireflyquay/dispatch/_backend_registry.py
+++ b/fireflyquay/dispatch/_backend_registry.py
@@ -87,11 +87,16 @@
         self.freshness = freshness
         return changes
 
-    def detect_outage(self, confirmed_at: float, now: float) -> None:
-        """Expect missing entries if none were confirmed for long before this time."""
+    def detect_outage(self, confirmed_at: float, now: float) -> bool:
+        """Expect missing entries if none were confirmed for long before this time.
+
+        Return whether that is so.
+        """
         gap = confirmed_at - self.freshness.confirmed_at
-        if self.freshness.revision and gap > OUTAGE_SECONDS:
-            self.expect_missing(now, REREGISTRATION_SECONDS)
+        if not self.freshness.revision or gap <= OUTAGE_SECONDS:
+            return False
+        self.expect_missing(now, REREGISTRATION_SECONDS)
+        return True
 
     def expect_missing(self, since: float, seconds: float) -> None:
         """Expect that entries of live backend servers may be missing for some time."""
--- a/fireflyquay/dispatch/_replica_sync.py
+++ b/fireflyquay/dispatch/_replica_sync.py
@@ -6,7 +6,7 @@
 import math
 from abc import ABC, abstractmethod
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from fireflyquay.membership import (
     Message,
@@ -34,8 +34,8 @@
 COPY_RETRY_SECONDS = 0.5
 
 
-class ConfigListener(ABC):
-    """React to what other VMs state of the configuration."""
+class ReplicaListener(ABC):
+    """React to what other VMs state of the replicated state."""
 
     @abstractmethod
     def learn_version(
@@ -54,9 +54,17 @@
         at the given time, unless this VM is the first to know.
         """
 
+    @abstractmethod
+    def report_backends(self, source: str, changes: Sequence[str]) -> None:
+        """Log changes of the backend registry, unless there are none."""
+
+    @abstractmethod
+    def report_observation_gap(self, source: str, seconds: float) -> None:
+        """Log that entries may be missing after a time without a confirmation."""
 
-class _IdleListener(ConfigListener):
-    """Leave every configuration to the other VMs."""
+
+class _IdleListener(ReplicaListener):
+    """Read nothing, and log nothing."""
 
     def learn_version(
         self, sender: Incarnation, version: int, confirmed_at: float
@@ -66,6 +74,12 @@
     def report_config(self, source: str, superseded_at: float | None) -> None:
         pass
 
+    def report_backends(self, source: str, changes: Sequence[str]) -> None:
+        pass
+
+    def report_observation_gap(self, source: str, seconds: float) -> None:
+        pass
+
 
 class ReplicaSync:
     """Confirm and update the configuration and the backend registry from other VMs.
@@ -79,7 +93,7 @@
         own_vm: EntryVm,
         config: ConfigReplica,
         backends: BackendRegistry,
-        listener: ConfigListener | None = None,
+        listener: ReplicaListener | None = None,
         is_short_of_memory: Callable[[], bool] = lambda: False,
     ) -> None:
         self._own_vm = own_vm
@@ -149,7 +163,7 @@
             case ConfigResponse():
                 return [], self._apply_config(sender, message)
             case BackendsResponse():
-                return [], self._apply_backends(message, now)
+                return [], self._apply_backends(sender, message, now)
         return [], False
 
     def remove_vm(self, incarnation: Incarnation) -> None:
@@ -257,7 +271,7 @@
         if freshness.confirmed_at <= self._backends.freshness.confirmed_at:
             return follow_ups
         if response.backends_digest == self._backends.digest:
-            self._backends.detect_outage(freshness.confirmed_at, now)
+            self._detect_outage(sender, freshness.confirmed_at, now)
             self._backends.mark_confirmed(freshness)
         else:
             follow_ups.append(BackendsRequest(self._assign_number(now)))
@@ -274,13 +288,24 @@
             self._listener.report_config(sender, superseded_at)
         return is_new
 
-    def _apply_backends(self, response: BackendsResponse, now: float) -> bool:
+    def _apply_backends(
+        self, sender: Incarnation, response: BackendsResponse, now: float
+    ) -> bool:
         sent_at = self._sent_at.pop(response.number, None)
         if sent_at is None:
             return False
         freshness = Freshness(response.revision, sent_at - response.age)
         if freshness.confirmed_at <= self._backends.freshness.confirmed_at:
             return False
-        self._backends.detect_outage(freshness.confirmed_at, now)
+        self._detect_outage(sender, freshness.confirmed_at, now)
         self._backends.expect_missing(sent_at, response.recovery_seconds)
-        return bool(self._backends.replace_all(response.entries, freshness))
+        changes = self._backends.replace_all(response.entries, freshness)
+        self._listener.report_backends(sender, changes)
+        return bool(changes)
+
+    def _detect_outage(
+        self, sender: Incarnation, confirmed_at: float, now: float
+    ) -> None:
+        gap = confirmed_at - self._backends.freshness.confirmed_at
+        if self._backends.detect_outage(confirmed_at, now):
+            self._listener.report_observation_gap(sender, gap)
--- a/fireflyquay/gateway/_state_replicas.py
+++ b/fireflyquay/gateway/_state_replicas.py
@@ -11,9 +11,9 @@
 from fireflyquay.dispatch import (
     REREGISTRATION_SECONDS,
     BackendRegistry,
-    ConfigListener,
     ConfigReplica,
     Freshness,
+    ReplicaListener,
 )
 from fireflyquay.links import MIN_PATIENCE_SECONDS, HttpFailure
 from fireflyquay.world import (
@@ -55,7 +55,7 @@
 STORE_SOURCE = "store"
 
 
-class StateReplicas(ConfigListener):
+class StateReplicas(ReplicaListener):
     """Poll the store for the configuration and backend registry, and report changes."""
 
     def __init__(
@@ -150,6 +150,22 @@
             },
         )
 
+    def report_backends(self, source: str, changes: Sequence[str]) -> None:
+        """Log changes of the backend registry, unless there are none."""
+        if not changes:
+            return
+        extra = {
+            "revision": self.backends.freshness.revision,
+            "changes": changes,
+            "source": source,
+        }
+        LOG.info("backend servers changed", extra=extra)
+
+    def report_observation_gap(self, source: str, seconds: float) -> None:
+        """Log that entries may be missing after a time without a confirmation."""
+        extra = {"gap": round(seconds, 3), "source": source}
+        LOG.warning("registrations may be missing", extra=extra)
+
     async def confirm_backends(self, since: float) -> None:
         """Wait until reads sent since a time confirm the registry and its versions.
 
@@ -287,7 +303,9 @@
     async def _read_backends_and_versions(self, sent_at: float) -> None:
         snapshot = await self._source.list_backends()
         now = self._clock.read()
-        self.backends.detect_outage(sent_at, now)
+        gap = sent_at - self.backends.freshness.confirmed_at
+        if self.backends.detect_outage(sent_at, now):
+            self.report_observation_gap(STORE_SOURCE, gap)
         # Other VMs may have confirmed the state since the restore.
         if 0 < self.backends.freshness.revision < snapshot.restored_revision:
             LOG.warning("store restored", extra={"revision": snapshot.revision})
@@ -313,13 +331,9 @@
         self, entries: Sequence[BackendEntry], freshness: Freshness
     ) -> None:
         changes = self.backends.replace_all(entries, freshness)
-        if not changes:
-            return
-        LOG.info(
-            "backend servers changed",
-            extra={"revision": freshness.revision, "changes": changes},
-        )
-        self.on_change()
+        self.report_backends(STORE_SOURCE, changes)
+        if changes:
+            self.on_change()
 
     def _has_resumable_streams(self) -> bool:
         """Return whether clients may resume streams, as far as is known."""
