Take only what was observed for an outage of the store

Cause: a VM that has had no confirmation for 2.5 s took that for an outage of the store, also if it had been suspended itself, and retained the missing entry. Its followers copied the list, which did not tell listed from retained entries.

VMs now state for how long the store has responded to one VM after the other. The grace ends two seconds after the earliest of these times, a coordinator with a gap asks for them, and retained entries are named in copies and taken only by VMs whose own observation leaves room for an outage. A real outage leaves no VM with such an observation, so lapsed entries are kept as before.

--- a/fireflyquay/dispatch/_backend_registry.py
+++ b/fireflyquay/dispatch/_backend_registry.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 import msgspec
 from xxhash import xxh64_intdigest
@@ -19,7 +19,7 @@
 from ._freshness import Freshness
 from ._version_record import VersionKey, VersionReading
 
-# Seconds without a confirmation after which the store counts as having been down.
+# Seconds without a confirmation after which the store may have been down.
 OUTAGE_SECONDS = 2.5
 # The platform guarantees that a live backend server registers again within this time
 # after the store's return from an outage.
@@ -45,6 +45,12 @@
         # suspend-aware clock, and those that are.
         self._recovering_until = float("-inf")
         self._retained: frozenset[BackendServerId] = frozenset()
+        # Time since which the store has surely responded to one VM after the other
+        # without a gap, on the suspend-aware clock. A gap here alone proves no outage:
+        # this VM may have been suspended.
+        self._store_up_since: float | None = None
+        # Position of the store's history at which it last came back from a copy.
+        self.restored_revision = 0
         self._digest: int | None = None
         # Time at which each version was last registered, for those that no longer are.
         self._left_at: dict[VersionKey, float] = {}
@@ -59,25 +65,37 @@
         self.freshness = Freshness(0, float("-inf"))
 
     def replace_all(
-        self, entries: Iterable[BackendEntry], freshness: Freshness
+        self,
+        entries: Iterable[BackendEntry],
+        freshness: Freshness,
+        retained: Collection[BackendServerId] = (),
     ) -> list[str]:
         """Replace all entries and return a description of each change.
 
         While registrations may be missing after an outage of the store, missing entries
         are retained, and those of leaving backend servers are not replaced by older
-        ones.
+        ones. ``retained`` names entries that the store did not list, and that another
+        VM retains.
         """
         if freshness.revision < self.freshness.revision:
             return []
-        entries_by_id = {entry.id: entry for entry in entries}
-        is_recovering = freshness.confirmed_at < self._recovering_until
-        if is_recovering:
-            entries_by_id |= {
+        listed = {it.id: it for it in entries if it.id not in retained}
+        missing: dict[BackendServerId, BackendEntry] = {}
+        if self.is_recovering(freshness.confirmed_at):
+            known = {it.id: it for it in entries if it.id in retained} | self._entries
+            missing = {k: it for k, it in known.items() if k not in listed}
+            listed |= {
                 entry.id: entry
                 for entry in self._entries.values()
-                if self._is_reverted(entry, entries_by_id.get(entry.id))
+                if _is_reverted(entry, listed.get(entry.id))
             }
-        changes = self._retain_missing(entries_by_id, is_recovering)
+        changes = [
+            f"{backend_id} missing since the store outage, retained for re-registration"
+            for backend_id in missing
+            if backend_id not in self._retained
+        ]
+        self._retained = frozenset(missing)
+        entries_by_id = listed | missing
         changes += _describe_changes(self._entries, entries_by_id)
         self._observe(freshness.confirmed_at)
         self._record_versions(entries_by_id, freshness.confirmed_at)
@@ -87,17 +105,39 @@
         self.freshness = freshness
         return changes
 
+    def drop_expired(self) -> list[str]:
+        """Remove entries that were retained for long enough; describe each."""
+        if self.is_recovering(self.freshness.confirmed_at) or not self._retained:
+            return []
+        kept = [it for it in self._entries.values() if it.id not in self._retained]
+        return self.replace_all(kept, self.freshness)
+
     def detect_outage(self, confirmed_at: float, now: float) -> bool:
         """Expect missing entries if none were confirmed for long before this time.
 
-        Return whether that is so.
+        Return whether that is so. Another VM may prove that the store was up.
         """
         gap = confirmed_at - self.freshness.confirmed_at
+        if self._store_up_since is None or gap > MAX_OBSERVATION_GAP_SECONDS:
+            self._store_up_since = now
         if not self.freshness.revision or gap <= OUTAGE_SECONDS:
             return False
         self.expect_missing(now, REREGISTRATION_SECONDS)
         return True
 
+    def detect_restore(self, restored_revision: int, now: float) -> bool:
+        """Expect missing entries if the store came back from a copy.
+
+        Return whether that is so.
+        """
+        self.restored_revision = max(self.restored_revision, restored_revision)
+        # Other VMs may have confirmed the state since the restore.
+        if not 0 < self.freshness.revision < restored_revision:
+            return False
+        self._store_up_since = now
+        self.expect_missing(now, REREGISTRATION_SECONDS)
+        return True
+
     def expect_missing(self, since: float, seconds: float) -> None:
         """Expect that entries of live backend servers may be missing for some time."""
         # False if another VM states no number.
@@ -106,15 +146,54 @@
         until = since + min(seconds, REREGISTRATION_SECONDS)
         self._recovering_until = max(self._recovering_until, until)
 
+    def learn_uptime(self, since: float, until: float) -> bool:
+        """Learn that the store has responded to another VM without a gap.
+
+        Return whether that proves that entries which are missing here are gone: the
+        store has been up for as long as backend servers need to register again.
+        """
+        up_since = self._store_up_since
+        if up_since is None or not (
+            since < up_since and until >= up_since - MAX_OBSERVATION_GAP_SECONDS
+        ):
+            return False
+        confirmed_at = self.freshness.confirmed_at
+        was_recovering = self.is_recovering(confirmed_at)
+        self._store_up_since = since
+        return was_recovering and not self.is_recovering(confirmed_at)
+
+    def compute_uptime(self, now: float) -> float | None:
+        """Return the seconds for which the store has surely responded; None at first.
+
+        The last of them are those since the last confirmation.
+        """
+        return None if self._store_up_since is None else now - self._store_up_since
+
     def compute_recovery_seconds(self, now: float) -> float:
         """Return the seconds for which entries may still be missing."""
-        return max(0.0, self._recovering_until - now)
+        return max(0.0, self._compute_recovery_end() - now)
+
+    def is_recovering(self, confirmed_at: float) -> bool:
+        """Return whether a list that was confirmed at a time may lack live servers."""
+        return confirmed_at < self._compute_recovery_end()
+
+    def _compute_recovery_end(self) -> float:
+        if self._store_up_since is None:
+            return self._recovering_until
+        reregistered_by = self._store_up_since + REREGISTRATION_SECONDS
+        return min(self._recovering_until, reregistered_by)
+
+    @property
+    def retained(self) -> frozenset[BackendServerId]:
+        """Return the entries that the store did not list when it was last read."""
+        return self._retained
 
     @property
     def digest(self) -> int:
-        """Return a hash of all entries, to compare replicas of different VMs."""
+        """Return a hash of what the store listed, to compare replicas of VMs."""
         if self._digest is None:
-            ordered = sorted(self._entries.items())
+            listed = self._entries.keys() - self._retained
+            ordered = [(it, self._entries[it]) for it in sorted(listed)]
             self._digest = xxh64_intdigest(msgspec.msgpack.encode(ordered)) >> 1
         return self._digest
 
@@ -256,34 +335,6 @@
             )
         self.unrecorded_versions |= joining
 
-    @staticmethod
-    def _is_reverted(known: BackendEntry, listed: BackendEntry | None) -> bool:
-        """Return whether a listed entry is from before its backend server's leave."""
-        return (
-            listed is not None
-            and known.phase is BackendPhase.LEAVING
-            and listed.phase is BackendPhase.READY
-            and known.born_ms == listed.born_ms
-        )
-
-    def _retain_missing(
-        self, entries_by_id: dict[BackendServerId, BackendEntry], is_recovering: bool
-    ) -> list[str]:
-        missing = {}
-        if is_recovering:
-            missing = {
-                backend_id: entry
-                for backend_id, entry in self._entries.items()
-                if backend_id not in entries_by_id
-            }
-        newly_missing = [it for it in missing if it not in self._retained]
-        entries_by_id |= missing
-        self._retained = frozenset(missing)
-        return [
-            f"{backend_id} missing since the store outage, retained for re-registration"
-            for backend_id in newly_missing
-        ]
-
 
 def list_ready_versions(entries: Iterable[BackendEntry]) -> frozenset[VersionKey]:
     """Return the versions of the backend servers that accept requests."""
@@ -305,3 +356,13 @@
         elif before != entry:
             changes.append(f"{backend_id} changed")
     return changes
+
+
+def _is_reverted(known: BackendEntry, listed: BackendEntry | None) -> bool:
+    """Return whether a listed entry is from before its backend server's leave."""
+    return (
+        listed is not None
+        and known.phase is BackendPhase.LEAVING
+        and listed.phase is BackendPhase.READY
+        and known.born_ms == listed.born_ms
+    )
--- a/fireflyquay/dispatch/_control_message.py
+++ b/fireflyquay/dispatch/_control_message.py
@@ -238,6 +238,11 @@
     ledger: Ledger | None = None
     # VMs whose memory is short at present.
     short_of_memory: tuple[Incarnation, ...] = ()
+    # Seconds before its last confirmation and since, for which the store has responded
+    # to one VM after the other without a gap; None if the sender does not state it.
+    store_uptime: float | None = None
+    # Position at which the store last came back from a copy.
+    restored_revision: int = 0
 
 
 class ConfigRequest(Message, tag="WantConfig"):
@@ -270,6 +275,12 @@
     age: float
     # Seconds for which entries may still be missing after an outage of the store.
     recovery_seconds: float = 0.0
+    # Those of the entries that the store does not list, and that the sender expects to
+    # be registered again.
+    retained: tuple[BackendServerId, ...] = ()
+    # As in ``ProbeResponse``.
+    store_uptime: float | None = None
+    restored_revision: int = 0
 
 
 ReplicaSyncMessage = (
--- a/fireflyquay/dispatch/_replica_sync.py
+++ b/fireflyquay/dispatch/_replica_sync.py
@@ -4,6 +4,7 @@
 
 import itertools
 import math
+import random
 from abc import ABC, abstractmethod
 from collections import OrderedDict
 from collections.abc import Callable, Sequence
@@ -32,6 +33,9 @@
 # the same VM again. Many VMs may state a newer version at the same time.
 COPY_INTERVAL_SECONDS = 0.1
 COPY_RETRY_SECONDS = 0.5
+# VMs that a coordinator asks at a time about a gap in its own observation: few, as each
+# VM probes the coordinator anyway.
+WITNESS_COUNT = 3
 
 
 class ReplicaListener(ABC):
@@ -62,6 +66,10 @@
     def report_observation_gap(self, source: str, seconds: float) -> None:
         """Log that entries may be missing after a time without a confirmation."""
 
+    @abstractmethod
+    def report_uptime(self, source: str, seconds: float) -> None:
+        """Log that no entries are missing, as the store was up for some seconds."""
+
 
 class _IdleListener(ReplicaListener):
     """Read nothing, and log nothing."""
@@ -80,6 +88,9 @@
     def report_observation_gap(self, source: str, seconds: float) -> None:
         pass
 
+    def report_uptime(self, source: str, seconds: float) -> None:
+        pass
+
 
 class ReplicaSync:
     """Confirm and update the configuration and the backend registry from other VMs.
@@ -137,6 +148,14 @@
         age = now - self._stated_at[freshest]
         return freshest if age < self._compute_replica_age(now) else None
 
+    def choose_witnesses(
+        self, others: Sequence[Incarnation], rng: random.Random, now: float
+    ) -> list[Incarnation]:
+        """Return the VMs to ask whether the store was up while this VM did not look."""
+        if not self._backends.is_recovering(now):
+            return []
+        return rng.sample(others, min(WITNESS_COUNT, len(others)))
+
     def list_short_of_memory(self, is_coordinating: bool) -> frozenset[Incarnation]:
         """Return the VMs whose memory is short, as far as this VM knows."""
         known = self._reported_short if is_coordinating else self._told_short
@@ -159,7 +178,7 @@
             case BackendsRequest(number):
                 return [self._make_backends_response(number, now)], False
             case ProbeResponse():
-                return self._handle_probe_response(sender, message, now), False
+                return self._handle_probe_response(sender, message, now)
             case ConfigResponse():
                 return [], self._apply_config(sender, message)
             case BackendsResponse():
@@ -230,6 +249,8 @@
             backends.freshness.compute_age(now),
             tuple(self._reported_unready),
             short_of_memory=tuple(self.list_short_of_memory(is_coordinating=True)),
+            store_uptime=backends.compute_uptime(now),
+            restored_revision=backends.restored_revision,
         )
 
     def _make_config_response(self, number: int, now: float) -> list[Message]:
@@ -247,14 +268,17 @@
             backends.freshness.revision,
             backends.freshness.compute_age(now),
             backends.compute_recovery_seconds(now),
+            tuple(backends.retained),
+            backends.compute_uptime(now),
+            backends.restored_revision,
         )
 
     def _handle_probe_response(
         self, sender: Incarnation, response: ProbeResponse, now: float
-    ) -> list[Message]:
+    ) -> tuple[list[Message], bool]:
         sent_at = self._sent_at.pop(response.number, None)
         if sent_at is None:
-            return []
+            return [], False
         self.unready = frozenset(response.unready)
         self._told_short = frozenset(response.short_of_memory)
         follow_ups: list[Message] = []
@@ -268,14 +292,14 @@
         freshness = Freshness(
             response.backends_revision, sent_at - response.backends_age
         )
-        if freshness.confirmed_at <= self._backends.freshness.confirmed_at:
-            return follow_ups
-        if response.backends_digest == self._backends.digest:
-            self._detect_outage(sender, freshness.confirmed_at, now)
-            self._backends.mark_confirmed(freshness)
-        else:
+        is_fresher = freshness.confirmed_at > self._backends.freshness.confirmed_at
+        if is_fresher and response.backends_digest != self._backends.digest:
             follow_ups.append(BackendsRequest(self._assign_number(now)))
-        return follow_ups
+            return follow_ups, False
+        self._observe_store(sender, response, freshness.confirmed_at, now)
+        if is_fresher:
+            self._backends.mark_confirmed(freshness)
+        return follow_ups, self._drop_expired(sender)
 
     def _apply_config(self, sender: Incarnation, response: ConfigResponse) -> bool:
         sent_at = self._sent_at.pop(response.number, None)
@@ -295,17 +319,41 @@
         if sent_at is None:
             return False
         freshness = Freshness(response.revision, sent_at - response.age)
-        if freshness.confirmed_at <= self._backends.freshness.confirmed_at:
-            return False
-        self._detect_outage(sender, freshness.confirmed_at, now)
-        self._backends.expect_missing(sent_at, response.recovery_seconds)
-        changes = self._backends.replace_all(response.entries, freshness)
+        self._observe_store(sender, response, freshness.confirmed_at, now)
+        backends = self._backends
+        if freshness.confirmed_at <= backends.freshness.confirmed_at:
+            return self._drop_expired(sender)
+        backends.expect_missing(sent_at, response.recovery_seconds)
+        if response.store_uptime is None and response.recovery_seconds > 0:
+            # The sender's build does not state which entries it only retains. This VM
+            # soon reads the store itself.
+            if backends.freshness.revision and not backends.is_recovering(
+                freshness.confirmed_at
+            ):
+                return False
+        changes = backends.replace_all(response.entries, freshness, response.retained)
         self._listener.report_backends(sender, changes)
         return bool(changes)
 
-    def _detect_outage(
-        self, sender: Incarnation, confirmed_at: float, now: float
+    def _observe_store(
+        self,
+        sender: Incarnation,
+        response: ProbeResponse | BackendsResponse,
+        confirmed_at: float,
+        now: float,
     ) -> None:
-        gap = confirmed_at - self._backends.freshness.confirmed_at
-        if self._backends.detect_outage(confirmed_at, now):
+        """Learn from another VM for how long the store has been up."""
+        backends = self._backends
+        gap = confirmed_at - backends.freshness.confirmed_at
+        if backends.detect_outage(confirmed_at, now):
             self._listener.report_observation_gap(sender, gap)
+        backends.detect_restore(response.restored_revision, now)
+        uptime = response.store_uptime
+        # The response may have been sent long after its request, and have waited here.
+        if uptime is not None and backends.learn_uptime(now - uptime, confirmed_at):
+            self._listener.report_uptime(sender, uptime)
+
+    def _drop_expired(self, sender: Incarnation) -> bool:
+        changes = self._backends.drop_expired()
+        self._listener.report_backends(sender, changes)
+        return bool(changes)
--- a/fireflyquay/gateway/_fleet.py
+++ b/fireflyquay/gateway/_fleet.py
@@ -283,13 +283,17 @@
             if now - last_heard_at > UNRESPONSIVE_AFTER_SECONDS:
                 self.mark_unresponsive(coordinator)
         others = [it for it in self._ranking if it != self._own.incarnation]
+        replica_sync, age_now = self._replica_sync, self._clock.read()
+        if coordinator == self._own.incarnation:
+            # The other VMs learn from their coordinator.
+            targets |= set(replica_sync.choose_witnesses(others, self._rng, age_now))
         if others and self._are_replicas_old():
             targets.add(self._rng.choice(others))
-            fresher = self._replica_sync.find_fresher_vm(self._clock.read())
+            fresher = replica_sync.find_fresher_vm(age_now)
             if fresher is not None:
                 targets.add(fresher)
         for target in targets:
-            probe = self._replica_sync.make_probe(self._is_ready(), self._clock.read())
+            probe = replica_sync.make_probe(self._is_ready(), age_now)
             self.send(target, probe)
 
     def _strength_key(self, incarnation: Incarnation) -> int:
--- a/fireflyquay/gateway/_state_replicas.py
+++ b/fireflyquay/gateway/_state_replicas.py
@@ -9,7 +9,6 @@
 import logbook
 
 from fireflyquay.dispatch import (
-    REREGISTRATION_SECONDS,
     BackendRegistry,
     ConfigReplica,
     Freshness,
@@ -166,6 +165,11 @@
         extra = {"gap": round(seconds, 3), "source": source}
         LOG.warning("registrations may be missing", extra=extra)
 
+    def report_uptime(self, source: str, seconds: float) -> None:
+        """Log that no entries are missing, as the store was up for some seconds."""
+        extra = {"store_uptime": round(seconds, 3), "source": source}
+        LOG.info("registrations are complete", extra=extra)
+
     async def confirm_backends(self, since: float) -> None:
         """Wait until reads sent since a time confirm the registry and its versions.
 
@@ -306,10 +310,8 @@
         gap = sent_at - self.backends.freshness.confirmed_at
         if self.backends.detect_outage(sent_at, now):
             self.report_observation_gap(STORE_SOURCE, gap)
-        # Other VMs may have confirmed the state since the restore.
-        if 0 < self.backends.freshness.revision < snapshot.restored_revision:
+        if self.backends.detect_restore(snapshot.restored_revision, now):
             LOG.warning("store restored", extra={"revision": snapshot.revision})
-            self.backends.expect_missing(now, REREGISTRATION_SECONDS)
         freshness = Freshness(snapshot.revision, sent_at)
         joining = self._versions.find_joining(snapshot)
         entries = withhold(snapshot.entries, joining)
