--- a/fireflyquay/gateway/_gateway.py
+++ b/fireflyquay/gateway/_gateway.py
@@ -305,6 +305,16 @@
             "Time since the configuration was proven current.",
             self.replicas.compute_config_age,
         )
+        add_gauge(
+            "registry_age_seconds",
+            "Time since the backend registry was proven current.",
+            self.replicas.compute_registry_age,
+        )
+        add_gauge(
+            "unreadable_registrations",
+            "Registrations of the last list that can't be read.",
+            lambda: self.replicas.unreadable_count,
+        )
         add_gauge(
             "in_progress", "Requests in progress.", lambda: self._ingress.in_progress
         )
--- a/fireflyquay/gateway/_state_replicas.py
+++ b/fireflyquay/gateway/_state_replicas.py
@@ -189,6 +189,15 @@
         """Return the seconds since the configuration was last confirmed current."""
         return self.config.compute_age(self._clock.read())
 
+    def compute_registry_age(self) -> float:
+        """Return the seconds since the backend registry was confirmed current."""
+        return self.backends.freshness.compute_age(self._clock.read())
+
+    @property
+    def unreadable_count(self) -> int:
+        """Return how many registrations of the last list can't be read."""
+        return len(self._unreadable)
+
     def report_late_changes(self) -> None:
         """Log the replicas whose bound is shorter than the waits of the longest way."""
         for kind, timing in self._timings.items():
