--- a/fireflyquay/links/__init__.py
+++ b/fireflyquay/links/__init__.py
@@ -22,6 +22,7 @@
 from ._idempotent_reader import MIN_PATIENCE_SECONDS, IdempotentReader
 from ._json_log import JsonLineHandler
 from ._lenient_json import decode_json
+from ._object_search import ObjectSearch
 from ._peer import (
     Envelope,
     Link,
@@ -79,6 +80,7 @@
     "BackendClient",
     "MessageCallback",
     "PeerAddress",
+    "ObjectSearch",
     "PeerLink",
     "PeerTraffic",
 ]
