Ask for API keys by what a configuration states, not by its accounts

Cause: requests were asked for a key if the configuration had accounts. A list that is empty, a field that is absent and a configuration that was never read were one value. The logs show the version in force everywhere after 0.2 s and requests granted by it, which excludes a late version; with its account left without keys the key is refused, which excludes a stale index.

The configuration now states whether requests carry keys, and only the statement that they don't opens its routes. A copy of the build before, which lacks the statement, is used only if it has accounts. The same confusion: null, an empty key, and the project's own interface without contracts.

--- a/emulator/_configuration.py
+++ b/emulator/_configuration.py
@@ -85,6 +85,7 @@
         {ServiceId(name): Service(ServiceId(name), 500) for name in services},
         limits,
         tuple(_make_account(site, name, key) for name, key in keys.items()),
+        requires_keys=True,
     )
 
 
--- a/fireflyquay/daemons/_fleet_check.py
+++ b/fireflyquay/daemons/_fleet_check.py
@@ -46,6 +46,9 @@
             problems.append("no route leads to it")
         findings += _make_findings(f"service {service.id}", problems)
     findings += _make_findings("limits", _check_limits(config))
+    if config.requires_keys and not config.accounts:
+        problem = "are none: only public routes can be used"
+        findings.append(FleetFinding("accounts", problem))
     for account in config.accounts:
         problems = _check_account(replica, account)
         findings += _make_findings(f"account {account.id}", problems)
@@ -81,6 +84,12 @@
         changes.append("Routes of the same host and path are in another order.")
     changes += _describe_entries("Service", old.services, new.services)
     changes += _describe_fields("Limits", old.limits, new.limits)
+    if old.requires_keys != new.requires_keys:
+        changes.append(
+            "Requests need API keys."
+            if new.requires_keys
+            else "Requests need no API keys any more."
+        )
     old_accounts = {it.id: it for it in old.accounts}
     new_accounts = {it.id: it for it in new.accounts}
     return changes + list(_describe_entries("Account", old_accounts, new_accounts))
--- a/fireflyquay/daemons/tests/test_fleet_check.py
+++ b/fireflyquay/daemons/tests/test_fleet_check.py
@@ -227,3 +227,13 @@
     assert "in force already" in describe_changes(CONFIG, changed)[0]
     older = replace(changed, version=2)
     assert "no gateway will apply it" in describe_changes(CONFIG, older)[1]
+
+
+def test_check_names_a_configuration_whose_routes_nobody_can_use():
+    closed = replace(CONFIG, accounts=(), requires_keys=True)
+    [finding] = [it for it in check_fleet(closed) if it.place == "accounts"]
+    assert finding.problem == "are none: only public routes can be used"
+    opened = replace(closed, version=4, requires_keys=False)
+    assert not [it for it in check_fleet(opened) if it.place == "accounts"]
+    assert "Requests need no API keys any more." in describe_changes(closed, opened)
+    assert "Requests need API keys." in describe_changes(opened, closed)
--- a/fireflyquay/dispatch/_config_replica.py
+++ b/fireflyquay/dispatch/_config_replica.py
@@ -83,8 +83,14 @@
                 return route
         return None
 
+    @property
+    def requires_keys(self) -> bool:
+        """Return whether requests carry API keys, except on public routes."""
+        # Only a statement opens the routes.
+        return self.config is None or self.config.requires_keys is not False
+
     def find_account_by_api_key(self, api_key: str) -> ClientAccount | None:
-        """Return the client account that an API key belongs to."""
+        """Return the client account that an API key belongs to; None without a key."""
         return self._accounts_by_api_key.get(api_key)
 
     def get_account(self, account_id: ClientAccountId) -> ClientAccount | None:
@@ -112,4 +118,5 @@
 def _index_accounts_by_api_key(
     accounts: Sequence[ClientAccount],
 ) -> dict[str, ClientAccount]:
-    return {key: account for account in accounts for key in account.keys}
+    # A request without a key has an empty one.
+    return {key: account for account in accounts for key in account.keys if key}
--- a/fireflyquay/dispatch/_replica_sync.py
+++ b/fireflyquay/dispatch/_replica_sync.py
@@ -58,6 +58,10 @@
         at the given time, unless this VM is the first to know.
         """
 
+    @abstractmethod
+    def report_unclear_config(self, source: str, version: int) -> None:
+        """Log a copy that does not tell whether requests carry API keys."""
+
     @abstractmethod
     def report_backends(self, source: str, changes: Sequence[str]) -> None:
         """Log changes of the backend registry, unless there are none."""
@@ -82,6 +86,9 @@
     def report_config(self, source: str, superseded_at: float | None) -> None:
         pass
 
+    def report_unclear_config(self, source: str, version: int) -> None:
+        pass
+
     def report_backends(self, source: str, changes: Sequence[str]) -> None:
         pass
 
@@ -305,6 +312,11 @@
         sent_at = self._sent_at.pop(response.number, None)
         if sent_at is None:
             return False
+        if not response.config.states_keys:
+            # From a build that does not tell an empty list of accounts from none. This
+            # VM keeps what it has until it reads the store.
+            self._listener.report_unclear_config(sender, response.config.version)
+            return False
         freshness = Freshness(response.revision, sent_at - response.age)
         superseded_at = self._config.superseded_at
         is_new = self._config.apply_config(response.config, freshness)
--- a/fireflyquay/dispatch/tests/builders.py
+++ b/fireflyquay/dispatch/tests/builders.py
@@ -124,7 +124,8 @@
     accounts: tuple[ClientAccount, ...] = (),
 ) -> FleetConfig:
     limits = ClientLimits(16384, 4 * 1024 * 1024, 3.0, 15.0)
-    return FleetConfig(version, routes or (make_route(),), {}, limits, accounts)
+    routes = routes or (make_route(),)
+    return FleetConfig(version, routes, {}, limits, accounts, bool(accounts))
 
 
 def make_coordinator(
--- a/fireflyquay/dispatch/tests/test_replicas.py
+++ b/fireflyquay/dispatch/tests/test_replicas.py
@@ -1,5 +1,9 @@
 """Tests of replicated state: versions, freshness and synchronization."""
 
+from dataclasses import replace
+
+import pytest
+
 from fireflyquay.dispatch import BackendRegistry, ConfigReplica, Freshness, ReplicaSync
 from fireflyquay.dispatch._backend_registry import REREGISTRATION_SECONDS
 from fireflyquay.dispatch._control_message import (
@@ -48,6 +52,36 @@
     assert replica.find_account_by_api_key("key-2") is None
 
 
+def test_request_without_a_key_finds_no_account():
+    replica = ConfigReplica()
+    accounts = (make_account(keys=("", "key-1")),)
+    replica.apply_config(make_config(1, accounts=accounts), Freshness(1, 0.0))
+    assert replica.find_account_by_api_key("") is None
+
+
+# Guards against review/9 (CONFIG): an empty list does not tell whether keys are needed.
+@pytest.mark.parametrize("accounts", [(), (make_account(),)])
+def test_copy_of_a_build_that_states_no_key_rule_opens_no_route(accounts):
+    sync = make_replica_sync(4, 1.0)
+    config = replace(make_config(7, accounts=accounts), requires_keys=None)
+    [request] = ask_for_config(sync)
+    response = ConfigResponse(request.number, config, 7, 0.1)
+    assert sync.handle_message(OTHER_VM, response, 2.1)[1] is bool(accounts)
+    assert sync.config.version == (7 if accounts else 4)
+    assert sync.config.compute_age(2.1) == pytest.approx(0.2 if accounts else 1.1)
+    assert sync.config.requires_keys is bool(accounts)
+
+
+def test_configuration_that_was_never_read_requires_keys():
+    assert ConfigReplica().requires_keys
+
+
+def ask_for_config(sync):
+    probe = Probe(1, True, make_vm(OTHER_VM), False, 7, 0.2)
+    replies, _ = sync.handle_message(OTHER_VM, probe, 2.0)
+    return [it for it in replies if isinstance(it, ConfigRequest)]
+
+
 def test_missing_backend_is_removed_at_once_without_outage():
     registry = BackendRegistry()
     registry.replace_all(
--- a/fireflyquay/gateway/_admission.py
+++ b/fireflyquay/gateway/_admission.py
@@ -36,7 +36,7 @@
     """Hold the route and client account under which a request was admitted."""
 
     route: Route
-    # None on public routes, and if the configuration has no client accounts.
+    # None on public routes, and if requests carry no API keys.
     account: ClientAccount | None
     # Version and age in seconds of the configuration that admitted the request.
     version: int
@@ -107,7 +107,7 @@
             "No route has this host and path.",
         )
     account = None
-    if replica.config.accounts and not route.is_public:
+    if replica.requires_keys and not route.is_public:
         account = replica.find_account_by_api_key(metadata.api_key)
         if account is None:
             raise RejectionError(
--- a/fireflyquay/gateway/_state_replicas.py
+++ b/fireflyquay/gateway/_state_replicas.py
@@ -144,11 +144,17 @@
                 "revision": self.config.freshness.revision,
                 "routes": len(config.routes),
                 "accounts": len(config.accounts),
+                "requires_keys": self.config.requires_keys,
                 "source": source,
                 "behind": round(behind, 3),
             },
         )
 
+    def report_unclear_config(self, source: str, version: int) -> None:
+        """Log a copy that does not tell whether requests carry API keys."""
+        extra = {"version": version, "source": source}
+        LOG.warning("configuration of another build not used", extra=extra)
+
     def report_backends(self, source: str, changes: Sequence[str]) -> None:
         """Log changes of the backend registry, unless there are none."""
         if not changes:
--- a/fireflyquay/interface/_contract_source.py
+++ b/fireflyquay/interface/_contract_source.py
@@ -166,6 +166,7 @@
         {pool: Service(pool, MAX_CONNECTIONS) for pool in pools},
         limits,
         tuple(_make_client_account(contract) for contract in contracts),
+        requires_keys=True,
     )
 
 
--- a/fireflyquay/interface/tests/test_odd_records.py
+++ b/fireflyquay/interface/tests/test_odd_records.py
@@ -90,3 +90,11 @@
     assert account.keys == {"good-token"}
     assert all(it.share > 0 and it.max_in_flight >= 0 for it in config.accounts)
     msgspec.msgpack.encode(ConfigResponse(1, config, 1, 0.0))
+
+
+def test_requests_need_a_token_where_there_are_no_contracts():
+    odd = make_value(CONTRACTS_PREFIX, "odd", "contract", {"customer": 5})
+    for values in ([], [odd]):
+        source = ContractSource(ListStore(values), None, SETTINGS)
+        config = asyncio.run(source.read_config()).config
+        assert (config.accounts, config.requires_keys) == ((), True)
--- a/fireflyquay/world/_fleet_config.py
+++ b/fireflyquay/world/_fleet_config.py
@@ -155,5 +155,12 @@
     routes: tuple[Route, ...]
     services: dict[ServiceId, Service]
     limits: ClientLimits
-    # Empty if requests carry no API keys.
     accounts: tuple[ClientAccount, ...]
+    # Whether requests carry API keys, except on public routes: without accounts, no key
+    # is valid then. None if a VM of an earlier build did not state it.
+    requires_keys: bool | None = None
+
+    @property
+    def states_keys(self) -> bool:
+        """Return whether it is known which requests carry API keys."""
+        return self.requires_keys is not None or bool(self.accounts)
