Judge a status that promises before the first byte, whatever the length

Cause: the status was judged behind the whole body, and a body of over 256 KiB was passed on before, status and all. The same answer of up to 256 KiB became a 502, which excludes a missing judgement. At the bound such an answer is now given up, so that the client gets 502, or another worker the request if it may run again.

--- a/fireflyquay/dispatch/tests/test_observation_gaps.py
+++ b/fireflyquay/dispatch/tests/test_observation_gaps.py
@@ -76,6 +76,21 @@
         fleet.run(1.0)
 
 
+def test_suspensions_of_a_follower_do_not_renew_its_grace():
+    fleet = RegistryFleet(3, LIVE)
+    fleet.suspend(2)
+    fleet.run(1.0)
+    fleet.store.remove("s1")
+    fleet.run(2.0)
+    for _ in range(6):
+        fleet.resume(2)
+        # The VM probes its coordinator once meanwhile.
+        fleet.run(0.4)
+        assert not fleet.vms[2].accepts("s1")
+        fleet.suspend(2)
+        fleet.run(2.7)
+
+
 # Each suspends a VM and resumes it some seconds after the beginning of the outage.
 SUSPENSIONS_IN_OUTAGES = {
     "none": (),
--- a/fireflyquay/gateway/_forwarder.py
+++ b/fireflyquay/gateway/_forwarder.py
@@ -470,9 +470,14 @@
         body = bytearray()
         async for chunk in self._read_chunks(stream):
             body += chunk
-            if len(body) > MAX_BUFFERED_BYTES:
-                await self._forward_unbuffered(stream, body)
-                return Outcome.DELIVERED
+            if len(body) <= MAX_BUFFERED_BYTES:
+                continue
+            if stream.status in NOT_RUN_STATUSES:
+                # Replaced below, so that the client gets none of it.
+                body.clear()
+                break
+            await self._forward_unbuffered(stream, body)
+            return Outcome.DELIVERED
         if self._exchange.states_not_run(stream.status, bytes(body)):
             return self._handle_declined(stream.status)
         if stream.ends_with_connection and 200 <= stream.status < 300:
@@ -482,6 +487,8 @@
         if status in NOT_RUN_STATUSES:
             # The status alone doesn't prove that the request has not run.
             status, keeps_seal = BAD_GATEWAY, False
+            extra = {"id": self._call.metadata.attempt_id, "status": stream.status}
+            LOG.info("response does not prove that nothing ran", extra=extra)
         response = replace(
             self._exchange.translate_response(
                 status, stream.raw_headers, bytes(body), keeps_seal
