Let a worker leave in the soak while the coordinator is suspended

It now counts requests by the gateway that took them and leaves out those whose gateway, worker or store had a fault within three seconds, which holds for less than a whole run.

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -7,12 +7,13 @@
 import signal
 from collections.abc import Awaitable, Callable
 
-from fleetwire.tests.fleet import REPOSITORY_ROOT, GatewayProcess
+from fleetwire.tests.fleet import REPOSITORY_ROOT, GatewayProcess, find_coordinator
 from fleetwire.tests.store_standin import StoreFault
 from fleetwire.tests.worker_responses import Behavior
+from fleetwire.tests.worker_standin import WorkerStandIn
 
 from ._fleet import ENGINE_SERVICE, PLAIN_SERVICE, Fleet
-from ._history import SoakHistory
+from ._history import STORE, SoakHistory
 from ._relay import Mode, Relay
 
 # Upper limit; most faults are shorter.
@@ -33,6 +34,8 @@
 # Requests per second that a worker states to take, and for how long.
 REQUEST_LIMITS = (0.5, 1.0, 2.2)
 LIMIT_SECONDS = 8.0
+# Time for which the gateway that coordinates is suspended while a worker leaves.
+LEAVE_SECONDS = 3.5
 DISRUPTIVE_MODES = [Mode.RESET, Mode.SILENT, Mode.ONE_WAY]
 
 
@@ -46,12 +49,15 @@
         rng: random.Random,
         draws_later_faults: bool = True,
         silences: random.Random | None = None,
+        leaves: random.Random | None = None,
     ) -> None:
         self._fleet = fleet
         self._history = history
         self._rng = rng
         # Draws when connections go silent, apart from all other faults.
         self._silences = silences
+        # The same for the worker that leaves while the coordinator is suspended.
+        self._leaves = leaves
         self._tasks: set[asyncio.Task[None]] = set()
         # The order determines which faults a seed draws.
         self._faults: list[Callable[[], Awaitable[None]]] = [
@@ -83,6 +89,8 @@
             self._tasks.add(loop.create_task(self._upgrade_in_turn(seconds)))
         if self._silences is not None:
             self._tasks.add(loop.create_task(self._silence_connections(seconds)))
+        if self._leaves is not None:
+            self._tasks.add(loop.create_task(self._leave_unnoticed(seconds)))
         while loop.time() < end:
             fault = self._rng.choice(self._faults)
             self._history.count_fault(fault.__name__)
@@ -153,8 +161,29 @@
         assert self._silences is not None
         await asyncio.sleep(self._silences.uniform(0.0, seconds))
         self._history.count_fault("silence_connections")
-        for relay in self._fleet.store_relays:
-            relay.silence_open()
+        with self._history.record_fault_interval(STORE):
+            for relay in self._fleet.store_relays:
+                relay.silence_open()
+
+    async def _leave_unnoticed(self, seconds: float) -> None:
+        """Remove a worker's registration while the coordinator is suspended, once."""
+        rng, store = self._leaves, self._fleet.store
+        assert rng is not None
+        await asyncio.sleep(rng.uniform(0.0, seconds / 2))
+        coordinator = find_coordinator(self._fleet.gateways)
+        service = rng.choice((PLAIN_SERVICE, ENGINE_SERVICE))
+        leaving = rng.choice(self._list_registered(service))
+        await self._fleet.add_worker(service)
+        self._history.count_fault("leave_unnoticed")
+        with self._history.record_fault_interval(coordinator.host):
+            coordinator.signal(signal.SIGSTOP)
+            waited = rng.uniform(0.0, 1.0)
+            await asyncio.sleep(waited)
+            if ("servers", leaving.name) in store.objects:
+                store.remove("servers", leaving.name)
+                self._history.record_draining(leaving.name)
+            await asyncio.sleep(LEAVE_SECONDS - waited)
+            coordinator.signal(signal.SIGCONT)
 
     async def fail_store(self) -> None:
         """Make the store fail or delay the requests of all gateways."""
@@ -170,8 +199,9 @@
 
     async def disrupt_worker_connections(self) -> None:
         """Disrupt the connections to a worker."""
-        relays = list(self._fleet.worker_relays.values())
-        await self._disrupt(self._rng.choice(relays))
+        name = self._rng.choice(list(self._fleet.worker_relays))
+        with self._history.record_fault_interval(name):
+            await self._disrupt(self._fleet.worker_relays[name])
 
     async def inject_worker_behaviors(self) -> None:
         """Set faulty behaviors for a worker's next requests."""
@@ -231,12 +261,7 @@
         service = self._rng.choice((PLAIN_SERVICE, ENGINE_SERVICE))
         objects = self._fleet.store.objects
         # May include workers that are draining already.
-        candidates = [
-            worker
-            for worker in self._fleet.workers
-            if objects.get(("servers", worker.name), {}).get("spec", {}).get("service")
-            == service
-        ]
+        candidates = self._list_registered(service)
         if len(candidates) < 2:
             return
         draining = self._rng.choice(candidates)
@@ -259,5 +284,14 @@
         await asyncio.sleep(self._draw_duration())
         relay.set_mode(Mode.PASS)
 
+    def _list_registered(self, service: str) -> list[WorkerStandIn]:
+        objects = self._fleet.store.objects
+        return [
+            worker
+            for worker in self._fleet.workers
+            if objects.get(("servers", worker.name), {}).get("spec", {}).get("service")
+            == service
+        ]
+
     def _draw_duration(self) -> float:
         return min(MAX_FAULT_SECONDS, self._rng.expovariate(1.0))
--- a/soak/_history.py
+++ b/soak/_history.py
@@ -20,6 +20,8 @@
 RESPONSE_MARGIN_SECONDS = 1.0
 # Time after a fault in which a gateway may still be slow.
 FAULT_RECOVERY_SECONDS = 3.0
+# Stands for the connections to the store in the list of faults.
+STORE = "store"
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 # Time from a worker's first statement of a request limit until the limit must be kept,
 # and the window in which it is counted with a margin.
@@ -42,7 +44,8 @@
         self._draining_since: dict[str, float] = {}
         # Worker, limit, start and end of each stated request limit.
         self._limit_intervals: list[tuple[str, float, float, float]] = []
-        # Host, start and end of each fault; an empty host stands for all gateways.
+        # Host or worker, start and end of each fault; an empty host stands for all
+        # gateways.
         self._fault_intervals: list[tuple[str, float, float]] = []
 
     def record_violation(self, message: str) -> None:
@@ -55,7 +58,7 @@
 
     @contextmanager
     def record_fault_interval(self, host: str = "") -> Iterator[None]:
-        """Record the duration of the block as a fault of one gateway, or of all."""
+        """Record the duration of the block as a fault of a part, or of all gateways."""
         loop = asyncio.get_running_loop()
         since = loop.time()
         try:
@@ -147,17 +150,37 @@
         ]
 
     def _find_requests_after_draining(self, workers: list[WorkerStandIn]) -> list[str]:
-        """Find requests to draining workers, if no gateway or store fault occurred."""
-        if self._fault_intervals:
-            # A VM that was cut off or suspended may act on outdated registrations.
-            return []
-        return [
-            f"{worker.name} got {received.attempt_id} after it was marked as draining"
-            for worker in workers
-            for received in worker.received_requests
-            if received.received_at
-            > self._draining_since.get(worker.name, 1e18) + LEAVING_GRACE_SECONDS
-        ]
+        """Find requests to draining workers through gateways that had no fault."""
+        hosts = {
+            name: host
+            for outcome in self.outcomes
+            for name, host in zip(outcome.attempt_ids, outcome.hosts, strict=False)
+        }
+        found = []
+        for worker in workers:
+            since = self._draining_since.get(worker.name)
+            if since is None or self._was_faulty(("", STORE), since):
+                continue
+            for received in worker.received_requests:
+                seconds = received.received_at - since
+                # A VM that was cut off or suspended may act on old registrations.
+                parts = ("", STORE, worker.name, hosts.get(received.attempt_id, ""))
+                if seconds <= LEAVING_GRACE_SECONDS or self._was_faulty(
+                    parts, received.received_at
+                ):
+                    continue
+                found.append(
+                    f"{worker.name} got {received.attempt_id} {seconds:.1f} s after it "
+                    "was marked as draining"
+                )
+        return found
+
+    def _was_faulty(self, parts: tuple[str, ...], at: float) -> bool:
+        """Return whether one of some parts had a fault at a time or shortly before."""
+        return any(
+            part in parts and began <= at and ended >= at - FAULT_RECOVERY_SECONDS
+            for part, began, ended in self._fault_intervals
+        )
 
     def _find_requests_beyond_limits(self, workers: list[WorkerStandIn]) -> list[str]:
         """Find windows in which a worker got more requests than it stated to take."""
--- a/soak/_soak_run.py
+++ b/soak/_soak_run.py
@@ -65,8 +65,14 @@
         traffic_task = asyncio.ensure_future(traffic.run())
         # The faults have their own generator, so that traffic does not change them.
         silences = random.Random(seed + 2) if draws_later_faults else None
+        leaves = random.Random(seed + 3) if draws_later_faults else None
         injector = FaultInjector(
-            fleet, history, random.Random(seed + 1), draws_later_faults, silences
+            fleet,
+            history,
+            random.Random(seed + 1),
+            draws_later_faults,
+            silences,
+            leaves,
         )
         await injector.run(seconds)
         fault_free_since = asyncio.get_running_loop().time() + RECOVERY_SECONDS
