Pass on targets whose escapes are no UTF-8

Callers with such a target (/caf%E9) were answered 400 for good, though targets are passed on unchanged: the path, which only the choice of a route needs, was decoded strictly. What is no UTF-8 is replaced there now, and matches no prefix by that.

--- a/fireflyquay/links/_http_connection.py
+++ b/fireflyquay/links/_http_connection.py
@@ -80,8 +80,9 @@
 def _parse_target(target: bytes) -> tuple[str, dict[str, str]]:
     try:
         parts = urlsplit(target.decode("ascii"))
-        path = unquote(parts.path, errors="strict")
-        pairs = parse_qsl(parts.query, keep_blank_values=True, errors="strict")
+        # Escapes need not be UTF-8. What is passed on is the target itself.
+        path = unquote(parts.path, errors="replace")
+        pairs = parse_qsl(parts.query, keep_blank_values=True, errors="replace")
     except ValueError:
         raise HttpRequestError(400, Code.BAD_REQUEST, "Bad request target.") from None
     if not path.startswith("/"):
