Let no other VM's uptime end the grace after a restore of the store

Found by reading: a VM that has not learned yet that the store came back from a copy still states a long uptime, and a coordinator that asked it gave up the backend servers that the copy lacks. The time of the restore is a lower bound now. The test fails before.

--- a/fireflyquay/dispatch/_backend_registry.py
+++ b/fireflyquay/dispatch/_backend_registry.py
@@ -49,8 +49,10 @@
         # without a gap, on the suspend-aware clock. A gap here alone proves no outage:
         # this VM may have been suspended.
         self._store_up_since: float | None = None
-        # Position of the store's history at which it last came back from a copy.
+        # Position of the store's history at which it last came back from a copy, and
+        # the time at which this VM learned of it.
         self.restored_revision = 0
+        self._restored_at = float("-inf")
         self._digest: int | None = None
         # Time at which each version was last registered, for those that no longer are.
         self._left_at: dict[VersionKey, float] = {}
@@ -134,7 +136,7 @@
         # Other VMs may have confirmed the state since the restore.
         if not 0 < self.freshness.revision < restored_revision:
             return False
-        self._store_up_since = now
+        self._store_up_since = self._restored_at = now
         self.expect_missing(now, REREGISTRATION_SECONDS)
         return True
 
@@ -153,6 +155,8 @@
         store has been up for as long as backend servers need to register again.
         """
         up_since = self._store_up_since
+        # The other VM may not have learned of a restore yet.
+        since = max(since, self._restored_at)
         if up_since is None or not (
             since < up_since and until >= up_since - MAX_OBSERVATION_GAP_SECONDS
         ):
--- a/fireflyquay/dispatch/tests/test_observation_gaps.py
+++ b/fireflyquay/dispatch/tests/test_observation_gaps.py
@@ -193,6 +193,20 @@
     assert not receiver.backends.accepts_requests("s1")
 
 
+def test_vm_that_has_not_learned_of_a_restore_ends_no_grace():
+    asking, witness = make_replica_sync(10.0), make_replica_sync(10.0)
+    restored = 1 << 40
+    for at in (12.0, 14.0, 15.9):
+        read(witness, [make_backend_entry("s1")], at)
+        read(asking, [make_backend_entry("s1")], at)
+    assert asking.backends.detect_restore(restored, 16.0)
+    read(asking, [], 16.0, restored + 1)
+    exchange(asking, witness, 16.1)
+    assert asking.backends.accepts_requests("s1")
+    read(asking, [], 16.0 + REREGISTRATION_SECONDS, restored + 1)
+    assert not asking.backends.accepts_requests("s1")
+
+
 @pytest.mark.parametrize("seed", range(40))
 def test_drawn_suspensions_and_outages_neither_revive_nor_give_up_backends(seed):
     rng = random.Random(seed)
