Serialize the crashes of one worker in the soak

Seed 52005 ended with "address already in use": a worker was drawn twice within 0.3 s, and the second restart found the first listening. A crash now waits until the worker listens again.

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import signal
+from collections import defaultdict
 from collections.abc import Awaitable, Callable
 
 from fleetwire.tests.fleet import REPOSITORY_ROOT, GatewayProcess, find_coordinator
@@ -59,6 +60,7 @@
         # The same for the worker that leaves while the coordinator is suspended.
         self._leaves = leaves
         self._tasks: set[asyncio.Task[None]] = set()
+        self._crash_locks: defaultdict[str, asyncio.Lock] = defaultdict(asyncio.Lock)
         # The order determines which faults a seed draws.
         self._faults: list[Callable[[], Awaitable[None]]] = [
             self.kill_gateway,
@@ -252,9 +254,11 @@
     async def crash_worker(self) -> None:
         """Crash a worker and restart it at its address after a random time."""
         worker = self._rng.choice(self._fleet.workers)
-        await worker.crash()
-        await asyncio.sleep(self._draw_duration())
-        await worker.start()
+        # Another crash of the same worker waits until it listens again.
+        async with self._crash_locks[worker.name]:
+            await worker.crash()
+            await asyncio.sleep(self._draw_duration())
+            await worker.start()
 
     async def replace_worker(self) -> None:
         """Add a worker and drain another one of the same service."""
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -21,12 +21,15 @@
 REGRESSION_SEEDS = {
     1006: "a link that had just connected never closed, so a stop never ended",
     3029: "the soak test awaited the end of a process that had not been signaled",
+    52005: "a worker that had been crashed twice was started while it listened",
 }
+# Those that draw all faults.
+LATER_SEEDS = (LATER_SEED, 52005)
 
 
 @pytest.mark.parametrize("seed", [SEED, LATER_SEED, *REGRESSION_SEEDS])
 def test_seed_violates_no_guarantee(seed):
-    draws_later_faults = seed == LATER_SEED
+    draws_later_faults = seed in LATER_SEEDS
     result = asyncio.run(
         run_soak(
             seed,
@@ -69,6 +72,26 @@
     assert run_virtual(run()) == []
 
 
+# Guards against seed 52005: a worker that listened already was started once more.
+def test_overlapping_crashes_of_a_worker_start_it_once_each():
+    async def run():
+        states = []
+
+        async def crash():
+            states.append("down")
+
+        async def start():
+            states.append("up")
+
+        worker = SimpleNamespace(name="i-1", crash=crash, start=start)
+        fleet = SimpleNamespace(workers=[worker])
+        injector = FaultInjector(fleet, SoakHistory(), random.Random(1))
+        await asyncio.gather(*(injector.crash_worker() for _ in range(3)))
+        return states
+
+    assert run_virtual(run()) == ["down", "up"] * 3
+
+
 def test_upgrade_replaces_each_gateway_in_turn():
     async def run():
         started = []
