Show that a burst is granted again where few VMs survive mass kills

In the emulation, where all of 8 VMs but one or two are killed three times, four of eight draws exceed the limit of a window (511,000 to 623,000 tokens, 496,400 allowed).

--- a/proofs/tests/test_quotas_over_handovers.py
+++ b/proofs/tests/test_quotas_over_handovers.py
@@ -1,5 +1,7 @@
 """Tests of quotas while coordinators change and VMs lose each other."""
 
+import random
+
 import pytest
 
 from .quota_pressure import LIMIT, press
@@ -87,6 +89,35 @@
     assert len(pressure.refusals) <= 3
 
 
+def kill_all_but(survivor_count, seed):
+    """Return a disruption that kills most VMs three times within five seconds."""
+
+    async def kill_most(emulation):
+        rng = random.Random(seed)
+        await emulation.run(3.0)
+        for _ in range(3):
+            coordinator = emulation.find_coordinator()
+            hosts = emulation.list_hosts()
+            others = [it for it in hosts if it != coordinator]
+            survivors = rng.sample(others, survivor_count)
+            killed = [it for it in hosts if it not in survivors]
+            for host in killed:
+                emulation.kill(host)
+            await emulation.run(0.5)
+            for host in killed:
+                await emulation.add_vm(host)
+            await emulation.run(1.1)
+
+    return kill_most
+
+
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("survivor_count", [1, 2])
+def test_burst_is_granted_once_where_few_vms_survive(survivor_count, seed):
+    pressure = press(kill_all_but(survivor_count, seed))
+    assert pressure.find_highest_usage() <= LIMIT
+
+
 def cut_off(emulation, hosts, seconds):
     """Cut VMs off from all other VMs; clients and the store still reach them."""
     for host in hosts:
