--- a/review/kit3/kit.py
+++ b/review/kit3/kit.py
@@ -278,6 +278,7 @@
         self.keep_alive_s = keep_alive_s
         self.id = f"i-{port:05d}{next(_ids):06x}"
         self.born = int(time.time() * 1000)
+        self.version = "v1"
         self.runs: list[str] = []
         self.running = 0
         self._record = record
@@ -288,7 +289,7 @@
             "service": self.service,
             "address": f"{self.host}:{self.port}",
             "zone": self.zone,
-            "version": "v1",
+            "version": self.version,
             "slots": self.slots,
             "state": state,
             "warmupLeftMs": 0,
@@ -409,6 +410,7 @@
         memory_mb: int = 150,
         zone: str = "gladstone",
         seeds: tuple[str, ...] = (),
+        further: str = "",
     ) -> None:
         self.host = f"127.0.0.{number}"
         self.port, self.ready_port, self.directory_port, self.peer_port = ports[:4]
@@ -448,7 +450,7 @@
 max_keep = 5
 apply = 2.0
 drain = 2.0
-"""
+{further}"""
         )
         self.process: asyncio.subprocess.Process | None = None
 
