Let no single observation become the whole estimate of a speed

When another backend server crashed, its streams were passed on to such servers and their connections closed (LOST).

Cause: engines prefill prompts in turns, so two long prompts may have their first outputs in one step. The second one's prefill then measures as 0 s. An observation of as many units as the decay constant (50,000 tokens) erased all earlier ones, so the estimate became exactly 0, and the next first output divided by it.

Prompts whose first outputs coincide count as one observation, as their prefills were interleaved. A first output within the allowance for decoding only bounds the prefill from above.

--- a/fireflyquay/dispatch/_backend_load.py
+++ b/fireflyquay/dispatch/_backend_load.py
@@ -179,21 +179,10 @@
         if run is None or run.first_output_at is not None:
             return None
         run.first_output_at = now
-        started_at, self.last_first_output_at = (
-            max(run.granted_at, self.last_first_output_at),
-            now,
-        )
+        previous_at, self.last_first_output_at = self.last_first_output_at, now
         if not run.request.prompt_tokens:
             return run
-        prefill_seconds = max(
-            0.0,
-            now
-            - started_at
-            - DECODE_STEPS_TO_FIRST_OUTPUT * self.decode.seconds_per_unit,
-        )
-        self._record_work(
-            self.prefill, started_at, now, prefill_seconds, run.request.prompt_tokens
-        )
+        self._record_prefill(run, previous_at, now)
         self._update_prefill_backlog(now)
         return run
 
@@ -325,6 +314,23 @@
         """Suspend grants until the given loop time."""
         self.paused_until = max(self.paused_until, until)
 
+    def _record_prefill(self, run: Run, previous_at: float, now: float) -> None:
+        """Update the prefill speed from a run's first output.
+
+        ``previous_at`` is the loop time of the first output before it, of any run.
+        """
+        started_at, tokens = max(run.granted_at, previous_at), run.request.prompt_tokens
+        elapsed = now - started_at
+        seconds = elapsed - DECODE_STEPS_TO_FIRST_OUTPUT * self.decode.seconds_per_unit
+        if seconds > 0.0:
+            self._record_work(self.prefill, started_at, now, seconds, tokens)
+        elif previous_at >= run.granted_at:
+            # Engines prefill prompts in turns, so several may be done at once.
+            self.prefill.extend_latest(tokens)
+        elif elapsed < tokens * self.prefill.seconds_per_unit:
+            # Only an upper bound of the prefill was measured.
+            self.prefill.record(elapsed, tokens)
+
     def _record_work(
         self,
         estimator: TimePerUnitEstimator,
