Keep the weight of what readings were worth while runs tell nothing of it

Runs whose readings explain nothing still halved the weight of all earlier runs every few dozen runs, without bound. After some thousand of them, the next run alone decided whether readings count: one observation became the whole estimate.

Evidence: test_runs_that_explain_nothing_leave_the_weight_of_earlier_ones failed before (30,000 such runs, then one false one, and readings weighed nothing).

Change: earlier runs keep the weight of about one run. An age before the reading, which only a run with a later start could have, tells nothing.

--- a/fireflyquay/dispatch/_machine_load.py
+++ b/fireflyquay/dispatch/_machine_load.py
@@ -26,6 +26,8 @@
 # Weight of the assumed slope, as the sum of squared deviations: about ten runs on slow
 # and fast machines.
 ASSUMED_SLOPE_WEIGHT = 3.0
+# Least weight that earlier runs keep: about one run.
+MIN_SLOPE_WEIGHT = ASSUMED_SLOPE_WEIGHT / 10
 # Decay constants of what is learned, in runs.
 SERVICE_DECAY_RUNS = 300
 SERVER_DECAY_RUNS = 40
@@ -68,8 +70,11 @@
 
     def record(self, predicted: float, measured: float) -> None:
         """Record the predicted and measured deviation of a run's time."""
-        self._products = self._products * self._decay + predicted * measured
-        self._squares = self._squares * self._decay + predicted * predicted
+        if self._squares * self._decay >= MIN_SLOPE_WEIGHT:
+            self._products *= self._decay
+            self._squares *= self._decay
+        self._products += predicted * measured
+        self._squares += predicted * predicted
 
 
 class _Mean:
@@ -141,7 +146,7 @@
         ``age`` is that of the reading in the middle of the run.
         """
         step = int(age / AGE_STEP_SECONDS)
-        if step >= AGE_STEPS:
+        if not 0 <= step < AGE_STEPS:
             return
         self._slopes[step].record(stated, measured)
         self._update_integral()
--- a/fireflyquay/dispatch/tests/test_observations.py
+++ b/fireflyquay/dispatch/tests/test_observations.py
@@ -5,7 +5,7 @@
 import pytest
 
 from .._backend_load import BackendLoad
-from .._machine_load import MachineLoads
+from .._machine_load import MachineLoads, MachineReading
 from .._time_per_unit_estimator import TimePerUnitEstimator
 from .builders import SERVICE, make_backend_entry, make_request
 
@@ -117,3 +117,17 @@
     load.record_first_output(("vm", 2), now + 0.1)
     load.record_end(("vm", 2), now + 0.1, 800, 0.0, False)
     assert load.decode.seconds_per_unit >= before / 4
+
+
+# Guards against one run that decides what readings are worth, after many that
+# told nothing of it.
+def test_runs_that_explain_nothing_leave_the_weight_of_earlier_ones():
+    machine = MachineLoads().track_machine(SERVICE)
+    machine.record_reading(MachineReading(1.0, 0.0), 1.0)
+    for number in range(30_000):
+        now = 10.0 + number
+        machine.record_run(now - 0.05, now, 1.0)
+    machine.record_reading(MachineReading(1.1, 0.0), 40_020.0)
+    machine.record_run(40_020.0, 40_020.0, 0.0)
+    machine.record_reading(MachineReading(2.0, 0.0), 40_021.0)
+    assert machine.forecast_factor(40_021.0, 0.01) > 1.3
