Deliver an answer though what it tells of a backend server can't be recorded

Cause: the path of an answer runs through bookkeeping: the coordinator's beliefs, metrics, durations of runs, crash evidence, copies of origins, the log line of a grant and of the end. An unexpected error in any of them ended the request; one in the crash check ended a retry that was due.

Change: such work is contained. Its error is counted by the work that it ended (fireflyquay_gateway_unexpected_errors) and logged with its trace once for each place in the code, up to 100 places. A message to the coordinator that fails at the own VM is still sent to the one that is followed. The line `ended` of a request that ends with INTERNAL states the cause. An emulation fails at its end if a gateway had an unexpected error, unless a test allows it; an error in a handler is one.

Evidence: the new tests let one record fail at a time on three VMs.

--- a/emulator/_emulation.py
+++ b/emulator/_emulation.py
@@ -4,12 +4,16 @@
 
 import asyncio
 import random
+from collections import Counter
 from collections.abc import Coroutine, Sequence
 from dataclasses import replace
+from functools import partial
 from typing import Any
 
 from fireflyquay.dispatch import SlotSchedulerSettings
 from fireflyquay.gateway import Gateway, LoopClock
+from fireflyquay.links import CallerDisconnectedError, HttpRequest
+from fireflyquay.unexpected_errors import UnexpectedErrors
 from fireflyquay.world import (
     BackendPhase,
     Incarnation,
@@ -26,6 +30,7 @@
 from ._history import Fault, History, PlannedChange, RolloutRecord
 from ._loop import VirtualLoop, run_virtual
 from ._network import EmulatedLink, Network
+from ._responder import EmulatedResponder
 from ._servers import CrashingParts, EmulatedEngine, EmulatedServer, make_servers
 from ._site import Kind, RolloutPlan, Site
 from ._store import EmulatedSource, EmulatedStore
@@ -40,6 +45,16 @@
 # rollback until the servers of the new version leave.
 ROLLOUT_CHECK_SECONDS = 0.05
 ROLLBACK_DRAIN_SECONDS = 3.0
+# Kinds of unexpected errors that the failure of an emulation names.
+MAX_REPORTED_ERRORS = 10
+
+
+class UnexpectedErrorsFoundError(Exception):
+    """Report that gateways had errors that no code expects."""
+
+    def __init__(self, found: Sequence[str]) -> None:
+        works = Counter(found).most_common(MAX_REPORTED_ERRORS)
+        super().__init__(", ".join(f"{work} ({count})" for work, count in works))
 
 
 class Emulation:
@@ -64,6 +79,8 @@
         # Running gateways by host, without those that were killed or stopped.
         self.gateways: dict[str, Gateway] = {}
         self.frozen: set[str] = set()
+        # Whether the emulation fails at its end if gateways had unexpected errors.
+        self.fails_on_errors = True
         self._started_vm_count = 0
         self._open_faults: dict[tuple[str, str], float] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
@@ -88,6 +105,12 @@
         return self
 
     async def __aexit__(self, *error: object) -> None:
+        await self._end()
+        found = self.history.unexpected_errors
+        if found and self.fails_on_errors and error[0] is None:
+            raise UnexpectedErrorsFoundError(found)
+
+    async def _end(self) -> None:
         for (kind, target), since in list(self._open_faults.items()):
             self._close_fault(kind, target, since)
         self.history.ended_at = self.loop.time()
@@ -162,10 +185,21 @@
             incarnation=incarnation,
             scheduler_settings=self._scheduler_settings,
         )
+        self._watch_errors(host, gateway.errors)
         self.gateways[host] = gateway
         await self.loop.create_task_as(host, gateway.start_tasks())
         return host
 
+    def _watch_errors(self, host: str, errors: UnexpectedErrors) -> None:
+        count = errors.on_error
+
+        def record(work: str) -> None:
+            self.history.unexpected_errors.append(f"{host}: {work}")
+            if count is not None:
+                count(work)
+
+        errors.on_error = record
+
     def kill(self, host: str) -> None:
         """Kill a gateway's process."""
         gateway = self.gateways.pop(host)
@@ -349,7 +383,7 @@
 
     def _find_handler(self, host: str) -> Any:
         gateway = self.gateways.get(host)
-        return None if gateway is None else gateway.handle
+        return None if gateway is None else partial(_handle, gateway)
 
     def _remove_gateway(self, host: str, gateway: Gateway) -> None:
         """Remove a gateway unless its host runs a newer one."""
@@ -379,6 +413,18 @@
         task.add_done_callback(self._tasks.discard)
 
 
+async def _handle(
+    gateway: Gateway, request: HttpRequest, responder: EmulatedResponder
+) -> None:
+    """Handle a request as a connection does."""
+    try:
+        await gateway.handle(request, responder)
+    except CallerDisconnectedError:
+        raise
+    except Exception as error:
+        gateway.errors.record("HTTP request", error)
+
+
 def emulate(
     site: Site,
     seconds: float,
--- a/emulator/_history.py
+++ b/emulator/_history.py
@@ -137,6 +137,8 @@
     faults: list[Fault] = field(default_factory=list)
     planned_changes: list[PlannedChange] = field(default_factory=list)
     rollouts: list[RolloutRecord] = field(default_factory=list)
+    # What unexpected errors of gateways ended, with the gateway's host.
+    unexpected_errors: list[str] = field(default_factory=list)
     # Number of calls to the store, and of messages between VMs.
     store_calls: int = 0
     messages: int = 0
--- a/fireflyquay/gateway/_forwarder.py
+++ b/fireflyquay/gateway/_forwarder.py
@@ -17,7 +17,8 @@
     HttpFailure,
     HttpStream,
 )
-from fireflyquay.world import BackendEntry, Code, RepeatRule
+from fireflyquay.unexpected_errors import UnexpectedErrors
+from fireflyquay.world import AttemptId, BackendEntry, Code, RepeatRule
 
 from ._backend_paths import BackendPaths, Finding
 from ._call import Call, Outcome, fingerprint_request
@@ -77,7 +78,9 @@
         quarantine: Quarantine,
         metrics: GatewayMetrics,
         stop_guard: StopGuard,
+        errors: UnexpectedErrors | None = None,
     ) -> None:
+        self.errors = errors or UnexpectedErrors()
         self.client = client
         self.paths = paths
         self.stop_guard = stop_guard
@@ -97,10 +100,11 @@
         started_at, is_resumed = loop.time(), bool(call.last_event_id)
         try:
             outcome = await attempt.execute()
-            self.metrics.record_attempt(call.service, outcome.value)
             is_success = outcome is Outcome.DELIVERED and 200 <= attempt.status < 300
-            if is_success and not is_resumed:
-                self.stop_guard.record_run(call, loop.time() - started_at)
+            with self.errors.contain("record of an attempt", id=attempt.id):
+                self.metrics.record_attempt(call.service, outcome.value)
+                if is_success and not is_resumed:
+                    self.stop_guard.record_run(call, loop.time() - started_at)
             is_wasted = outcome not in HEALTHY_OUTCOMES
             failed = is_wasted or attempt.status >= 500
             attempt.result = _classify(outcome, attempt.status)
@@ -112,9 +116,10 @@
             raise
         finally:
             if is_wasted and slot_request.prompt_tokens:
-                self.metrics.record_wasted_prefill(
-                    call.service, slot_request.prompt_tokens
-                )
+                with self.errors.contain("record of a wasted prefill", id=attempt.id):
+                    self.metrics.record_wasted_prefill(
+                        call.service, slot_request.prompt_tokens
+                    )
             if call.crash_check is None:
                 attempt.release(failed)
 
@@ -149,6 +154,7 @@
         self._quarantine = forwarder.quarantine
         self._metrics = forwarder.metrics
         self._stop_guard = forwarder.stop_guard
+        self._errors = forwarder.errors
         self._call = call
         self._slot_request = slot_request
         self._backend = backend
@@ -178,6 +184,11 @@
         # In seconds, within this attempt only.
         self.longest_gap = 0.0
 
+    @property
+    def id(self) -> AttemptId:
+        """Return the id of the client's attempt."""
+        return self._call.metadata.attempt_id
+
     async def execute(self) -> Outcome:
         """Send the request and relay the response to the client."""
         call = self._call
@@ -293,12 +304,16 @@
         """
         finding = Finding.UNKNOWN
         try:
-            finding = await self._paths.examine(self._backend.address)
+            with self._errors.contain("examination of a path", id=self.id):
+                finding = await self._paths.examine(self._backend.address)
         finally:
             self.result = RESULTS_BY_FINDING.get(finding, RunResult.UNKNOWN)
             self.release(finding in (Finding.REACHABLE, Finding.SERVER_DOWN))
-        if finding is not Finding.SERVER_DOWN:
-            return
+        if finding is Finding.SERVER_DOWN:
+            with self._errors.contain("record of a crash", id=self.id):
+                self._record_crash()
+
+    def _record_crash(self) -> None:
         # The next process may answer before it has registered.
         self._slot_client.pause(self._backend.id, 0.0, True)
         call, seconds = self._call, self._seconds_of_output
@@ -445,7 +460,8 @@
         if not self._was_sound:
             self._was_sound = True
             seconds = self._compute_seconds_of_output() or 0.0
-            self._quarantine.record_sound(self._call, seconds)
+            with self._errors.contain("record of a sound run", id=self.id):
+                self._quarantine.record_sound(self._call, seconds)
 
     def _handle_declined(self, status: int, is_full: bool = False) -> Outcome:
         backend_id = self._backend.id
@@ -519,7 +535,8 @@
         if call.first_output_at is None:
             call.first_output_at = now
             seconds = now - call.arrived_at
-            self._metrics.record_first_output(call.admission.route.name, seconds)
+            with self._errors.contain("record of a first output", id=self.id):
+                self._metrics.record_first_output(call.admission.route.name, seconds)
 
     async def _forward_unbuffered(
         self, stream: HttpStream, buffered: bytearray
--- a/fireflyquay/gateway/_gateway.py
+++ b/fireflyquay/gateway/_gateway.py
@@ -31,6 +31,7 @@
     LinkFactory,
     PeerLink,
 )
+from fireflyquay.unexpected_errors import UnexpectedErrors
 from fireflyquay.world import (
     BackendServerId,
     EntryVm,
@@ -129,8 +130,12 @@
         self._clock = clock or BootClock()
         rng = rng or random.Random()
         self.metrics = GatewayMetrics()
+        self.errors = UnexpectedErrors()
+        self.errors.on_error = self.metrics.record_unexpected_error
         promises, vm = settings.promises, settings.vm
-        self._guard = ConnectionGuard(_make_memory_account(vm), vm.events_per_turn)
+        self._guard = ConnectionGuard(
+            _make_memory_account(vm), vm.events_per_turn, self.errors
+        )
         self._make_link = make_link
         self.incarnation = incarnation or generate_incarnation()
         self.replicas = StateReplicas(
@@ -155,7 +160,7 @@
             settings.rollout if source.keeps_rollouts() else None,
         )
         self._coordinator.beliefs.on_leaving = self._exclude_leaving
-        self._slot_client = SlotClient(self.incarnation, self._coordinator)
+        self._slot_client = SlotClient(self.incarnation, self._coordinator, self.errors)
         self._quarantine = Quarantine(self._clock, rng)
         self._evidence = EvidenceKeeper(
             source, self._quarantine, self._clock, lambda: self.fleet.is_coordinating
@@ -166,6 +171,7 @@
             self._coordinator.count_runs,
             self._clock,
             lambda: self.fleet.is_coordinating,
+            self.errors,
         )
         self._stream_locator = StreamLocator(
             self._coordinator.origins,
@@ -209,6 +215,7 @@
             self._quarantine,
             self.metrics,
             self._stop_guard,
+            self.errors,
         )
         self._ingress = Ingress(
             self.incarnation,
@@ -226,6 +233,7 @@
             self.metrics,
             promises,
             rng,
+            self.errors,
         )
         self._add_gauges()
         self.entry_selector = EntrySelector(self.fleet, self.is_ready, rng)
@@ -624,10 +632,21 @@
         await self._client.close()
 
     def _spawn(self, run: Callable[[], Awaitable[None]]) -> None:
-        task = asyncio.get_running_loop().create_task(_restart_on_failure(run))
+        task = asyncio.get_running_loop().create_task(self._restart_on_failure(run))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    async def _restart_on_failure(self, run: Callable[[], Awaitable[None]]) -> None:
+        """Run a task to its end; restart it after an unexpected exception."""
+        while True:
+            try:
+                await run()
+                return
+            except Exception:
+                self.errors.add("task")
+                LOG.exception("a task failed", extra={"task": run.__qualname__})
+                await asyncio.sleep(TASK_RETRY_SECONDS)
+
     def _exclude_leaving(self, backend: BackendServerId, born_ms: int) -> None:
         self.replicas.backends.mark_leaving(backend, born_ms)
         self._apply_replicas()
@@ -682,17 +701,6 @@
     return RESUMABLE_TIME_FACTOR * max(timeouts, default=DEFAULT_TIMEOUT_SECONDS)
 
 
-async def _restart_on_failure(run: Callable[[], Awaitable[None]]) -> None:
-    """Run a task to its end; restart it after an unexpected exception."""
-    while True:
-        try:
-            await run()
-            return
-        except Exception:
-            LOG.exception("a task failed", extra={"task": run.__qualname__})
-            await asyncio.sleep(TASK_RETRY_SECONDS)
-
-
 def _round_age(seconds: float) -> float:
     return round(seconds, 2) if math.isfinite(seconds) else UNKNOWN_AGE_SECONDS
 
--- a/fireflyquay/gateway/_gateway_metrics.py
+++ b/fireflyquay/gateway/_gateway_metrics.py
@@ -91,6 +91,9 @@
         self._first_output_seconds = self._make_histogram(
             "first_output_seconds", "Time from arrival to the first output.", "route"
         )
+        self._unexpected_errors = self._make_counter(
+            "unexpected_errors", "Faults of the program, by what they ended.", "work"
+        )
         self._store_reads = self._make_counter(
             "store_reads", "Reads of the store.", "kind", "outcome"
         )
@@ -99,6 +102,10 @@
             "Time for which a configuration that came into force was known elsewhere.",
         )
 
+    def record_unexpected_error(self, work: str) -> None:
+        """Record an error that no code expects, by the work that it ended."""
+        self._unexpected_errors.labels(work).inc()
+
     def record_store_read(self, kind: StoreRead, succeeded: bool) -> None:
         """Record the outcome of a read of the store."""
         self._store_reads.labels(kind.value, "read" if succeeded else "failed").inc()
--- a/fireflyquay/gateway/_ingress.py
+++ b/fireflyquay/gateway/_ingress.py
@@ -16,6 +16,7 @@
     HttpResponder,
     get_http_status,
 )
+from fireflyquay.unexpected_errors import UnexpectedErrors
 from fireflyquay.world import (
     BackendEntry,
     ClientAccount,
@@ -88,8 +89,10 @@
         metrics: GatewayMetrics,
         promises: PromiseSettings,
         rng: random.Random,
+        errors: UnexpectedErrors,
     ) -> None:
         self._own = own
+        self._errors = errors
         self._zone = zone
         self._dialect = dialect
         self._replicas = replicas
@@ -169,8 +172,9 @@
                     await self._stream_locator.locate(call)
                 await self._run_attempts(call)
             outcome = SERVED
-            if met_objectives(call, loop.time()):
-                self._metrics.record_on_time(call.rank)
+            with self._errors.contain("record of a request on time"):
+                if met_objectives(call, loop.time()):
+                    self._metrics.record_on_time(call.rank)
         except RejectionError as rejection:
             corrected = _correct_rejection(call, rejection)
             outcome, reason = corrected.code.value, corrected.reason
@@ -182,8 +186,12 @@
         except (asyncio.CancelledError, CallerDisconnectedError):
             outcome = Code.CALLER_GONE.value
             raise
+        except Exception as error:
+            reason = repr(error)
+            raise
         finally:
-            self._log_end(exchange, call, outcome, reason, loop.time() - arrived_at)
+            with self._errors.contain("record of a request's end"):
+                self._log_end(exchange, call, outcome, reason, loop.time() - arrived_at)
 
     async def _reject(
         self,
@@ -374,6 +382,13 @@
             sentence = BUSY_SENTENCE if is_busy else decision.reason
             raise RejectionError(code, sentence, decision.retry_after, decision.reason)
         call.is_charged = True
+        with self._errors.contain("record of a grant", id=call.metadata.attempt_id):
+            self._record_grant(call, slot_request, decision)
+        return decision, slot_request
+
+    def _record_grant(
+        self, call: Call, slot_request: SlotRequest, decision: Grant
+    ) -> None:
         self._metrics.record_wait(call.service, decision.waited)
         backend = self._replicas.backends.get(decision.backend)
         LOG.info(
@@ -390,7 +405,6 @@
                 "config_age": round(call.admission.config_age, 2),
             },
         )
-        return decision, slot_request
 
     def _make_slot_request(self, call: Call) -> SlotRequest:
         now = asyncio.get_running_loop().time()
--- a/fireflyquay/gateway/_rollout_keeper.py
+++ b/fireflyquay/gateway/_rollout_keeper.py
@@ -15,6 +15,7 @@
     WriteStatus,
 )
 from fireflyquay.links import HttpFailure
+from fireflyquay.unexpected_errors import UnexpectedErrors
 from fireflyquay.world import BackendServerId, ServiceId
 
 from ._clock import AgeClock
@@ -43,7 +44,9 @@
         count_runs: Callable[[ServiceId], dict[BackendServerId, int]],
         clock: AgeClock,
         coordinates: Callable[[], bool],
+        errors: UnexpectedErrors | None = None,
     ) -> None:
+        self._errors = errors or UnexpectedErrors()
         self._source = source
         self._rollouts = rollouts
         self._count_runs = count_runs
@@ -104,10 +107,10 @@
         except HttpFailure as failure:
             self._failed_at = loop.time()
             self._report(False, failure.sentence)
-        except Exception:
+        except Exception as error:
             # Without another read, a new version would be held back for good.
             self._failed_at = loop.time()
-            LOG.exception("roll-outs not followed")
+            self._errors.record("read of roll-outs", error)
         finally:
             self._is_reading = False
 
@@ -124,8 +127,8 @@
             retry_seconds = 0.0
         except HttpFailure as failure:
             self._report(False, failure.sentence)
-        except Exception:
-            LOG.exception("roll-out not advanced", extra={"service": action.service})
+        except Exception as error:
+            self._errors.record("roll-out", error, service=action.service)
         self._rollouts.apply_failure(action.service, loop.time(), retry_seconds)
 
     async def _call(self, action: RolloutAction) -> bool:
--- a/fireflyquay/gateway/_slot_client.py
+++ b/fireflyquay/gateway/_slot_client.py
@@ -35,6 +35,7 @@
     UsageLog,
 )
 from fireflyquay.membership import Message
+from fireflyquay.unexpected_errors import UnexpectedErrors
 from fireflyquay.world import (
     AttemptId,
     BackendEntry,
@@ -132,8 +133,14 @@
     reached.
     """
 
-    def __init__(self, own: Incarnation, coordinator: Coordinator) -> None:
+    def __init__(
+        self,
+        own: Incarnation,
+        coordinator: Coordinator,
+        errors: UnexpectedErrors | None = None,
+    ) -> None:
         self._own = own
+        self._errors = errors or UnexpectedErrors()
         # Decides if this VM is the coordinator or has no other.
         self._local_coordinator = coordinator
         self._peers: Peers | None = None
@@ -178,7 +185,8 @@
         number, version = slot_request.number, backend.version
         self._notify(FirstOutput(number, backend.id, version, reading))
         if slot_request.stream and self._peers is not None:
-            self._copy_origin(slot_request.stream, self._peers)
+            with self._errors.contain("copy of an origin", id=slot_request.attempt_id):
+                self._copy_origin(slot_request.stream, self._peers)
 
     def release(
         self,
@@ -272,6 +280,16 @@
         ``sent_at`` is the loop time at which the request was sent. All VMs learn of a
         change, since each of them may have to take over from the coordinator.
         """
+        with self._errors.contain("statements of a response", backend=backend.id):
+            self._spread_statements(backend, metadata, sent_at, rejected)
+
+    def _spread_statements(
+        self,
+        backend: BackendEntry,
+        metadata: ResponseMetadata,
+        sent_at: float,
+        rejected: SlotRequest | None,
+    ) -> None:
         now = asyncio.get_running_loop().time()
         news = BackendNews(
             backend.id,
@@ -375,18 +393,22 @@
         """Deliver decisions of the local coordinator to the owners of the requests."""
         now = asyncio.get_running_loop().time()
         for decision in decisions:
-            if decision.owner != self._own:
-                if self._peers is not None:
-                    self._peers.send(decision.owner, decision)
-                continue
-            pending = self._pending.get(decision.number)
-            if pending is not None and pending.target == self._own:
-                self._resolve(decision, now)
-            elif isinstance(decision, Grant):
-                cancellation = Cancellation(decision.number, True)
-                self.deliver_decisions(
-                    self._local_coordinator.handle_message(self._own, cancellation, now)
-                )
+            with self._errors.contain("delivery of a decision", vm=decision.owner):
+                self._deliver(decision, now)
+
+    def _deliver(self, decision: Decision, now: float) -> None:
+        if decision.owner != self._own:
+            if self._peers is not None:
+                self._peers.send(decision.owner, decision)
+            return
+        pending = self._pending.get(decision.number)
+        if pending is not None and pending.target == self._own:
+            self._resolve(decision, now)
+        elif isinstance(decision, Grant):
+            cancellation = Cancellation(decision.number, True)
+            self.deliver_decisions(
+                self._local_coordinator.handle_message(self._own, cancellation, now)
+            )
 
     def count_waiting(self) -> int:
         """Return the number of this VM's requests that wait for a slot."""
@@ -423,9 +445,11 @@
         while True:
             await asyncio.sleep(ADVANCE_INTERVAL_SECONDS)
             now = loop.time()
-            self._follow_coordinator(now)
-            self._skip_unresponsive(now)
-            self.deliver_decisions(self._local_coordinator.advance(now))
+            with self._errors.contain("choice of the coordinator"):
+                self._follow_coordinator(now)
+                self._skip_unresponsive(now)
+            with self._errors.contain("grants"):
+                self.deliver_decisions(self._local_coordinator.advance(now))
 
     def _submit(self, pending: _PendingRequest, now: float) -> None:
         if pending.target == self._own:
@@ -550,11 +574,14 @@
     def _notify(self, message: MessageToCoordinator) -> None:
         """Send a message to the local coordinator and to the one that is followed."""
         now = asyncio.get_running_loop().time()
-        self.deliver_decisions(
-            self._local_coordinator.handle_message(self._own, message, now)
-        )
+        work = type(message).__name__
+        with self._errors.contain(work):
+            self.deliver_decisions(
+                self._local_coordinator.handle_message(self._own, message, now)
+            )
         if self._coordinator_vm != self._own and self._peers is not None:
-            self._peers.send(self._coordinator_vm, message)
+            with self._errors.contain(work, vm=self._coordinator_vm):
+                self._peers.send(self._coordinator_vm, message)
 
 
 def _log_machine_weight(service: ServiceId, weight: float) -> None:
--- a/fireflyquay/gateway/tests/test_gateway_tasks.py
+++ b/fireflyquay/gateway/tests/test_gateway_tasks.py
@@ -23,9 +23,11 @@
                 raise ValueError("unexpected error")
 
             source.list_backends = fail
+            emulation.fails_on_errors = False
             await emulation.run(3.0)
             emulation.remove("app-0")
             await emulation.run(2.0)
+            assert len(emulation.history.unexpected_errors) == 1
             return gateway.replicas.backends.accepts_requests("app-0")
 
     log = logbook.TestHandler()
--- /dev/null
+++ b/fireflyquay/gateway/tests/test_unexpected_errors.py
@@ -0,0 +1,106 @@
+"""What an error that no code expects may end."""
+
+import logbook
+import pytest
+from prometheus_client import generate_latest
+
+from emulator import Emulation, run_virtual
+from emulator._emulation import UnexpectedErrorsFoundError
+from fireflyquay.dispatch import RunDurations
+from fireflyquay.dispatch._backend_load import BackendLoad
+from fireflyquay.dispatch._rank_statistics import RankStatistics
+from fireflyquay.gateway._gateway_metrics import GatewayMetrics
+from fireflyquay.gateway._quarantine import Quarantine
+from fireflyquay.gateway._slot_client import SlotClient
+from fireflyquay.unexpected_errors import UnexpectedErrors
+from proofs import make_site
+
+BOOKKEEPING = (
+    (BackendLoad, "record_first_output"),
+    (RankStatistics, "record_first_output"),
+    (GatewayMetrics, "record_attempt"),
+    (GatewayMetrics, "record_end"),
+    (GatewayMetrics, "record_first_output"),
+    (GatewayMetrics, "record_on_time"),
+    (GatewayMetrics, "record_wait"),
+    (GatewayMetrics, "record_wasted_prefill"),
+    (Quarantine, "record_sound"),
+    (RunDurations, "record"),
+    (SlotClient, "_copy_origin"),
+)
+
+
+def fail(*arguments, **options):
+    raise ZeroDivisionError("division by zero")
+
+
+def play(seconds=4.0, load=1.0, vms=3, prepare=lambda emulation: None):
+    """Play some traffic; return the history and the fleet's log."""
+
+    async def scenario():
+        async with Emulation(make_site(vms=vms, load=load), seed=1) as emulation:
+            emulation.fails_on_errors = False
+            prepare(emulation)
+            emulation.start_traffic(seconds)
+            await emulation.run(seconds + 10.0)
+        return emulation.history
+
+    log = logbook.TestHandler()
+    with log.applicationbound():
+        return run_virtual(scenario()), log.records
+
+
+# Guards against answers that were ready and reached no client, because what they tell
+# of a backend server could not be recorded.
+@pytest.mark.parametrize(
+    "owner, name", BOOKKEEPING, ids=lambda it: getattr(it, "__name__", it)
+)
+def test_answer_is_delivered_though_its_record_fails(monkeypatch, owner, name):
+    monkeypatch.setattr(owner, name, fail)
+    history, log = play()
+    assert len(history.requests) > 50
+    assert all(it.is_complete for it in history.attempts if it.status == 200)
+    share = sum(it.is_served for it in history.requests) / len(history.requests)
+    assert share > 0.9
+    if history.unexpected_errors:
+        messages = [it.message for it in log]
+        assert 0 < messages.count("unexpected error") <= 10
+    else:
+        assert name in ("record_wasted_prefill", "_copy_origin")
+
+
+def test_emulation_fails_on_an_unexpected_error(monkeypatch):
+    async def scenario():
+        async with Emulation(make_site(vms=1), seed=1) as emulation:
+            emulation.start_traffic(1.0)
+            await emulation.run(2.0)
+
+    run_virtual(scenario())
+    monkeypatch.setattr(BackendLoad, "record_end", fail)
+    with pytest.raises(UnexpectedErrorsFoundError, match="RunEnded|speed after a run"):
+        run_virtual(scenario())
+
+
+def test_each_cause_is_logged_once_and_every_error_counted():
+    errors, log = UnexpectedErrors(), logbook.TestHandler()
+    works = []
+    errors.on_error = works.append
+    with log.applicationbound():
+        for _ in range(5):
+            with errors.contain("speed", backend="s1"):
+                fail()
+        with errors.contain("speed"):
+            raise ValueError("another")
+    assert (errors.count, len(works)) == (6, 6)
+    first, second = log.records
+    assert first.extra["backend"] == "s1"
+    assert "ZeroDivisionError" in first.formatted_exception
+    assert second.extra["cause"] == "ValueError('another')"
+
+
+def test_metrics_count_unexpected_errors_by_the_work_that_they_ended():
+    metrics = GatewayMetrics()
+    metrics.record_unexpected_error("speed")
+    text = generate_latest(metrics.registry).decode()
+    name = "fireflyquay_gateway_unexpected_errors_total"
+    assert f'{name}{{work="speed"}} 1.0' in text
--- a/fireflyquay/links/_connection_guard.py
+++ b/fireflyquay/links/_connection_guard.py
@@ -9,6 +9,7 @@
 import logbook
 
 from fireflyquay.dispatch import MemoryAccount, MemoryHolder, MemoryUse
+from fireflyquay.unexpected_errors import UnexpectedErrors
 
 from ._connection_reset import abort_connection
 from ._loop_turns import DEFAULT_EVENTS_PER_TURN, LoopTurns
@@ -52,7 +53,9 @@
         self,
         account: MemoryAccount | None = None,
         events_per_turn: int = DEFAULT_EVENTS_PER_TURN,
+        errors: UnexpectedErrors | None = None,
     ) -> None:
+        self.errors = errors or UnexpectedErrors()
         self.account = account or MemoryAccount()
         self.turns = LoopTurns(events_per_turn)
         self._connections: dict[MemoryHolder, GuardedConnection] = {}
--- a/fireflyquay/links/_http_connection.py
+++ b/fireflyquay/links/_http_connection.py
@@ -198,8 +198,8 @@
         except asyncio.CancelledError:
             self.abort()
             raise
-        except Exception:
-            LOG.exception("Unexpected error on an HTTP connection.")
+        except Exception as error:
+            self._guard.errors.record("HTTP connection", error)
             self.abort()
         finally:
             self._release_body()
@@ -346,8 +346,10 @@
             await self._handler(request, responder)
         except CallerDisconnectedError:
             responder.abort()
-        except Exception:
-            LOG.exception("Handler failed on {} {}.", request.method, request.path)
+        except Exception as error:
+            self._guard.errors.record(
+                "HTTP request", error, method=request.method, path=request.path
+            )
         finally:
             self._responder = None
         if not responder.finished:
