Let an unexpected error cost the message, request or VM that it concerns

Cause: loops that handle many things ended with the first one that failed: messages of other VMs, changes of the membership, decisions to deliver, services and requests in a pass over the queues, checks of connections. A grant that had been made before the error in the same pass was lost with it, and a run whose end could not be recorded kept its slot.

Change: the error costs the item. A request for which the coordinator fails is refused with 503 and a Retry-After, which is true: it has no slot, and a grant that would still come is given back. A request that can't be placed no longer holds up those behind it. Refusals need no forecast. Decisions made before an error are delivered. The end of a run frees its slot, and a first output names the stream's origin, whether or not they can be learned from. Messages between VMs are the same.

Evidence: test_request_on_which_the_coordinator_fails_costs_no_other failed with Coordinator.submit as before; without the containment, test_messages_behind_one_that_fails_are_handled, test_origin_of_a_stream_is_known_though_the_speed_is_not and record_end of test_answer_is_delivered_though_its_record_fails failed too. 732 tests of dispatch, gateway, links and membership pass.

--- a/fireflyquay/dispatch/_coordinator.py
+++ b/fireflyquay/dispatch/_coordinator.py
@@ -34,6 +34,7 @@
 from ._limit_history import LimitHistory
 from ._machine_load import MachineLoads
 from ._quota_limiter import QuotaLimiter, QuotaShortage
+from ._refusal_policy import make_failure_refusal
 from ._retry_budget import RetryBudget
 from ._rollouts import Rollouts
 from ._scheduler import SlotScheduler
@@ -176,7 +177,21 @@
         return belief.request_limit.rate
 
     def submit(self, request: SlotRequest, now: float) -> list[Decision]:
-        """Enqueue a request unless a limit refuses it; return all new decisions."""
+        """Enqueue a request unless a limit refuses it; return all new decisions.
+
+        A request on which this fails unexpectedly is refused.
+        """
+        try:
+            return self._submit(request, now)
+        except Exception as error:
+            errors, key = self._scheduler.errors, (request.owner, request.number)
+            errors.record("request for a slot", error, id=request.attempt_id)
+            self._refund(key)
+            with errors.contain("withdrawal of a request", id=request.attempt_id):
+                self._scheduler.cancel(key, now)
+            return [make_failure_refusal(request)]
+
+    def _submit(self, request: SlotRequest, now: float) -> list[Decision]:
         if request.is_charged:
             return self._enqueue(request, now)
         if not request.is_retry:
--- a/fireflyquay/dispatch/_refusal_policy.py
+++ b/fireflyquay/dispatch/_refusal_policy.py
@@ -14,6 +14,8 @@
 
 # Retry-After for a service without backend servers, which may have one by then.
 NO_BACKEND_RETRY_AFTER_SECONDS = 1.0
+# Retry-After of a request on which the scheduler failed.
+FAILURE_RETRY_AFTER_SECONDS = 0.5
 
 
 class RefusalCause(StrEnum):
@@ -117,6 +119,16 @@
     )
 
 
+def make_failure_refusal(request: SlotRequest) -> Refusal:
+    """Return the refusal of a request that an unexpected error kept from a decision."""
+    seconds = min(
+        FAILURE_RETRY_AFTER_SECONDS,
+        HONORED_TIME_SHARE * request.seconds_to_deadline,
+    )
+    reason = "the scheduler failed on the request"
+    return Refusal(request.owner, request.number, Code.OVERLOADED, seconds, reason)
+
+
 def make_no_backend_refusal(request: SlotRequest) -> Refusal:
     """Return the refusal of a request to a service without backend servers."""
     seconds = min(
--- a/fireflyquay/dispatch/_scheduler.py
+++ b/fireflyquay/dispatch/_scheduler.py
@@ -9,6 +9,7 @@
 
 from msgspec.structs import replace
 
+from fireflyquay.unexpected_errors import UnexpectedErrors
 from fireflyquay.world import (
     BackendEntry,
     BackendServerId,
@@ -26,6 +27,7 @@
 from ._refusal_policy import (
     RefusalCause,
     RefusalPolicy,
+    make_failure_refusal,
     make_no_backend_refusal,
     make_room_refusal,
     make_version_refusal,
@@ -84,8 +86,10 @@
         settings: SlotSchedulerSettings,
         rng: random.Random,
         rollouts: Rollouts | None = None,
+        errors: UnexpectedErrors | None = None,
     ) -> None:
         self._settings = settings
+        self.errors = errors or UnexpectedErrors()
         # Software versions that may be granted.
         self.rollouts = rollouts or Rollouts(Incarnation(""))
         self._rng = rng
@@ -178,7 +182,8 @@
         # The client of a request that was refused before treats another refusal as
         # final.
         if not item.is_done and not was_refused:
-            cause = self._refusals.find_cause(state, request, self.limit_share, now)
+            with self.errors.contain("forecast of a wait", id=request.attempt_id):
+                cause = self._refusals.find_cause(state, request, self.limit_share, now)
         if cause is not None:
             state.queue.remove(item.key)
             decisions.append(self._refuse(state, item, cause, now))
@@ -200,7 +205,8 @@
 
     def cancel(self, key: SlotRequestKey, now: float) -> list[Decision]:
         """Cancel a waiting or running request."""
-        self.rollouts.discard(key)
+        with self.errors.contain("roll-outs after a cancellation"):
+            self.rollouts.discard(key)
         for state in self._states.values():
             state.queue.remove(key)
             for load in state.loads.values():
@@ -220,25 +226,46 @@
 
         A grant alone tells nothing: it may come too late for its VM to use it.
         """
-        self.rollouts.record_first_output(key, now)
+        with self.errors.contain("roll-outs after a first output"):
+            self.rollouts.record_first_output(key, now)
         load = self._find_load(backend)
-        run = None if load is None else load.record_first_output(key, now, reading)
-        if load is not None and run is not None:
+        run = None if load is None else load.runs.get(key)
+        if load is None or run is None:
+            return
+        is_first = run.first_output_at is None
+        with self.errors.contain("speed after a first output", backend=backend):
+            load.record_first_output(key, now, reading)
+        if is_first:
             self._record_origin(run.request, version or load.entry.version, now)
+            self.origins.record_begin(run.request.stream, now)
             state = self._states[run.request.service]
             state.ranks[run.request.rank].record_first_output(now - run.granted_at)
-            self.origins.record_begin(run.request.stream, now)
 
     def end_run(
         self, owner: Incarnation, ended: RunEnded, now: float
     ) -> list[Decision]:
         """End a run and grant its slot to the next request."""
         key = (owner, ended.number)
-        self.rollouts.record_end(key, ended, now)
+        with self.errors.contain("roll-outs after a run"):
+            self.rollouts.record_end(key, ended, now)
         load = self._find_load(ended.backend)
         if load is None:
             return []
         state = self._states[self._services_by_backend[ended.backend]]
+        with self.errors.contain("speed after a run", backend=ended.backend):
+            self._learn_from_end(state, load, key, ended, now)
+        load.discard_run(key, now)
+        return self._assign_slots(state, now)
+
+    def _learn_from_end(
+        self,
+        state: ServiceState,
+        load: BackendLoad,
+        key: SlotRequestKey,
+        ended: RunEnded,
+        now: float,
+    ) -> None:
+        """Update what is known of a backend server and a rank from the end of a run."""
         run = load.runs.get(key)
         if run is not None and not ended.failed:
             state.room.record_success(load.held_tokens)
@@ -255,7 +282,6 @@
             state.ranks[run.request.rank].record_first_output(now - run.granted_at)
         if ended.failed and load.is_failing(state.compute_median_failure_rate()):
             load.pause(now + FAILING_BACKEND_PAUSE_SECONDS)
-        return self._assign_slots(state, now)
 
     def pause(
         self, backend: BackendServerId, until: float, may_restart: bool, now: float
@@ -409,7 +435,8 @@
         decisions: list[Decision] = []
         for state in self._states.values():
             decisions += self._assign_slots(state, now)
-            decisions += self._refuse_late(state, now)
+            with self.errors.contain("refusals of late requests"):
+                self._refuse_late(state, now, decisions)
         return decisions
 
     def count_waiting(self, service: ServiceId) -> int:
@@ -444,6 +471,15 @@
                 make_no_backend_refusal(item.request) for item in state.queue.pop_all()
             ]
         decisions = self._refuse_gone_versions(state)
+        with self.errors.contain("assignment of slots"):
+            self._grant_free_slots(state, now, decisions)
+        for item in state.queue.pop_expired(now):
+            decisions.append(self._refuse(state, item, RefusalCause.WAIT_EXPIRED, now))
+        return decisions
+
+    def _grant_free_slots(
+        self, state: ServiceState, now: float, decisions: list[Decision]
+    ) -> None:
         median_failure_rate = state.compute_median_failure_rate()
         available_loads = [
             load
@@ -469,17 +505,34 @@
                 emptiest = min(available_loads, key=lambda load: load.held_tokens)
                 available_loads.remove(emptiest)
                 continue
-            load = placement.choose(fitting_loads, item, now)
-            if load is None:
+            load = None
+            try:
+                load = placement.choose(fitting_loads, item, now)
+                if load is None:
+                    continue
+                state.queue.remove(item.key)
+                state.queue.record_grant(item)
+                decisions.append(self._make_grant(state, load, item, now))
+            except Exception as error:
+                # Otherwise it would hold up all requests behind it.
+                self.errors.record("grant", error, id=item.request.attempt_id)
+                decisions.append(self._withdraw(state, load, item, now))
                 continue
-            state.queue.remove(item.key)
-            state.queue.record_grant(item)
-            decisions.append(self._make_grant(state, load, item, now))
             if not self._can_grant(load, now):
                 available_loads.remove(load)
-        for item in state.queue.pop_expired(now):
-            decisions.append(self._refuse(state, item, RefusalCause.WAIT_EXPIRED, now))
-        return decisions
+
+    def _withdraw(
+        self,
+        state: ServiceState,
+        load: BackendLoad | None,
+        item: QueuedRequest,
+        now: float,
+    ) -> Refusal:
+        """Remove a request that can't be granted because of an unexpected error."""
+        state.queue.remove(item.key)
+        if load is not None:
+            load.discard_run(item.key, now)
+        return make_failure_refusal(item.request)
 
     def _refuse_gone_versions(self, state: ServiceState) -> list[Decision]:
         """Refuse the streams whose software version has left."""
@@ -493,14 +546,15 @@
                 decisions.append(make_version_refusal(item.request))
         return decisions
 
-    def _refuse_late(self, state: ServiceState, now: float) -> list[Decision]:
+    def _refuse_late(
+        self, state: ServiceState, now: float, decisions: list[Decision]
+    ) -> None:
         """Refuse the late requests of overloaded ranks.
 
         Guards against sustained overload: requests still on time take all slots, and
         late ones would only wait until they are refused. When a burst is over, those
         wait that get the slots which arriving requests leave.
         """
-        decisions: list[Decision] = []
         for rank, statistics in state.ranks.items():
             if not state.queue.count_on_time(rank, now):
                 statistics.record_room(now)
@@ -516,7 +570,6 @@
                     continue
                 state.queue.remove(item.key)
                 decisions.append(self._refuse(state, item, RefusalCause.LATE, now))
-        return decisions
 
     def _can_grant(self, load: BackendLoad, now: float) -> bool:
         slots = load.entry.slots * self._settings.runs_per_slot * self.share
@@ -557,6 +610,19 @@
         item: QueuedRequest,
         cause: RefusalCause,
         now: float,
+    ) -> Refusal:
+        try:
+            return self._make_refusal(state, item, cause, now)
+        except Exception as error:
+            self.errors.record("refusal", error, id=item.request.attempt_id)
+            return make_failure_refusal(item.request)
+
+    def _make_refusal(
+        self,
+        state: ServiceState,
+        item: QueuedRequest,
+        cause: RefusalCause,
+        now: float,
     ) -> Refusal:
         loads = list(state.loads.values())
         slots = sum(
--- a/fireflyquay/gateway/_coordinator_factory.py
+++ b/fireflyquay/gateway/_coordinator_factory.py
@@ -17,6 +17,7 @@
     SlotScheduler,
     SlotSchedulerSettings,
 )
+from fireflyquay.unexpected_errors import UnexpectedErrors
 from fireflyquay.world import Incarnation
 
 from ._settings import PromiseSettings, RolloutSettings
@@ -37,6 +38,7 @@
     settings: SlotSchedulerSettings | None,
     rng: random.Random,
     rollout: RolloutSettings | None = None,
+    errors: UnexpectedErrors | None = None,
 ) -> Coordinator:
     """Return a coordinator that keeps the bounds also when another VM takes over."""
     knowledge = FleetKnowledge()
@@ -62,5 +64,7 @@
             rollout.exposure_share, rollout.exposure_slack, rollout.rollback
         )
     rollouts = Rollouts(own, bounds)
-    scheduler = SlotScheduler(settings or SlotSchedulerSettings(), rng, rollouts)
+    scheduler = SlotScheduler(
+        settings or SlotSchedulerSettings(), rng, rollouts, errors
+    )
     return Coordinator(own, config, scheduler, retries, quotas, knowledge)
--- a/fireflyquay/gateway/_fleet.py
+++ b/fireflyquay/gateway/_fleet.py
@@ -44,6 +44,7 @@
     SendToMember,
     rank_members,
 )
+from fireflyquay.unexpected_errors import UnexpectedErrors
 from fireflyquay.world import (
     EntryVm,
     Incarnation,
@@ -104,9 +105,11 @@
         are_replicas_old: Callable[[], bool],
         on_replicas_change: Callable[[], None],
         rng: random.Random,
+        errors: UnexpectedErrors,
         make_link: LinkFactory = PeerLink,
     ) -> None:
         self._own = own
+        self._errors = errors
         self._seeds = seeds
         self._coordinator = coordinator
         self._slot_client = slot_client
@@ -308,6 +311,11 @@
     def _handle_message(self, sender: Incarnation, message: Message) -> None:
         now = asyncio.get_running_loop().time()
         self._last_heard_at[sender] = now
+        # Otherwise it would end the connection, and the messages behind it.
+        with self._errors.contain("message", type=type(message).__name__, vm=sender):
+            self._dispatch(sender, message, now)
+
+    def _dispatch(self, sender: Incarnation, message: Message, now: float) -> None:
         if isinstance(message, Probe | Handover) and message.vm.incarnation == sender:
             self._unlisted_vms[sender] = message.vm
         if isinstance(message, MessageToCoordinator):
@@ -358,36 +366,42 @@
     def _process_changes(self) -> None:
         now = asyncio.get_running_loop().time()
         for incarnation, kind in self._membership.drain_changes():
-            record = self._membership.get(incarnation)
-            if kind is ChangeKind.CHANGED or record is None:
-                continue
-            LOG.info(
-                "VM joined" if kind is ChangeKind.JOINED else "VM lost",
-                extra={
-                    "vm": incarnation,
-                    "host": record.vm.host,
-                    "zone": record.vm.zone,
-                },
-            )
-            if kind is ChangeKind.JOINED:
-                self._quarantine.send_evidence(incarnation)
-                self._on_replicas_change()
-            if kind is ChangeKind.LOST:
-                if not self._membership.has_ended(incarnation):
-                    address = record.vm.host, record.vm.peer_port
-                    self._missing_until[address] = now + LOST_VM_MEMORY_SECONDS
-                    self._has_lost_vms = True
-                self._replica_sync.remove_vm(incarnation)
-                self._last_heard_at.pop(incarnation, None)
-                self._unlisted_vms.pop(incarnation, None)
-                self._first_probed_at.pop(incarnation, None)
-                self._skipped_until.pop(incarnation, None)
-                self._slot_client.deliver_decisions(
-                    self._coordinator.remove_vm(incarnation, now)
-                )
-                self._disconnect(record.vm)
+            with self._errors.contain("change of the members", vm=incarnation):
+                self._process_change(incarnation, kind, now)
         self._forget_missing_vms(now)
 
+    def _process_change(
+        self, incarnation: Incarnation, kind: ChangeKind, now: float
+    ) -> None:
+        record = self._membership.get(incarnation)
+        if kind is ChangeKind.CHANGED or record is None:
+            return
+        LOG.info(
+            "VM joined" if kind is ChangeKind.JOINED else "VM lost",
+            extra={
+                "vm": incarnation,
+                "host": record.vm.host,
+                "zone": record.vm.zone,
+            },
+        )
+        if kind is ChangeKind.JOINED:
+            self._quarantine.send_evidence(incarnation)
+            self._on_replicas_change()
+            return
+        if not self._membership.has_ended(incarnation):
+            address = record.vm.host, record.vm.peer_port
+            self._missing_until[address] = now + LOST_VM_MEMORY_SECONDS
+            self._has_lost_vms = True
+        self._replica_sync.remove_vm(incarnation)
+        self._last_heard_at.pop(incarnation, None)
+        self._unlisted_vms.pop(incarnation, None)
+        self._first_probed_at.pop(incarnation, None)
+        self._skipped_until.pop(incarnation, None)
+        self._disconnect(record.vm)
+        self._slot_client.deliver_decisions(
+            self._coordinator.remove_vm(incarnation, now)
+        )
+
     def _disconnect(self, vm: EntryVm) -> None:
         task = asyncio.get_running_loop().create_task(self._link.disconnect(vm))
         self._disconnect_tasks.add(task)
--- a/fireflyquay/gateway/_gateway.py
+++ b/fireflyquay/gateway/_gateway.py
@@ -158,6 +158,7 @@
             scheduler_settings,
             rng,
             settings.rollout if source.keeps_rollouts() else None,
+            self.errors,
         )
         self._coordinator.beliefs.on_leaving = self._exclude_leaving
         self._slot_client = SlotClient(self.incarnation, self._coordinator, self.errors)
@@ -298,6 +299,7 @@
             self.replicas.are_old,
             self._apply_replicas,
             rng,
+            self.errors,
             self._make_link,
         )
 
--- a/fireflyquay/links/_connection_guard.py
+++ b/fireflyquay/links/_connection_guard.py
@@ -110,16 +110,23 @@
         """Measure all connections; close those that are lost or have to give way."""
         now = asyncio.get_running_loop().time()
         for holder, connection in tuple(self._connections.items()):
-            if connection.writer.transport.is_closing():
-                continue
-            if _is_reset(connection.writer):
-                abort_connection(connection.writer)
-                continue
-            previous_bytes = holder.use.unsent_bytes
-            self.account.record(holder, connection.measure(), now)
-            _tolerate_pause(connection, previous_bytes, holder.use.unsent_bytes)
+            with self.errors.contain("check of a connection"):
+                self._check_connection(holder, connection, now)
         for holder in self.account.choose_yielding(now):
-            self._close(holder, now)
+            with self.errors.contain("close of a connection"):
+                self._close(holder, now)
+
+    def _check_connection(
+        self, holder: MemoryHolder, connection: GuardedConnection, now: float
+    ) -> None:
+        if connection.writer.transport.is_closing():
+            return
+        if _is_reset(connection.writer):
+            abort_connection(connection.writer)
+            return
+        previous_bytes = holder.use.unsent_bytes
+        self.account.record(holder, connection.measure(), now)
+        _tolerate_pause(connection, previous_bytes, holder.use.unsent_bytes)
 
     def _close(self, holder: MemoryHolder, now: float) -> None:
         connection = self._connections[holder]
