Let emulated connections be reset

In the emulator, the examination of a path through another VM ended with an AttributeError, which asyncio only reported as an exception that nobody retrieved, and the VM took the path for unknown. The product's own connections have the methods.

--- a/emulator/_backend_client.py
+++ b/emulator/_backend_client.py
@@ -47,6 +47,14 @@
     def get_extra_info(self, name: str) -> None:
         """Return no socket."""
 
+    def get_write_buffer_size(self) -> int:
+        """Return 0, since no bytes are sent."""
+        return 0
+
+    def is_closing(self) -> bool:
+        """Return False: only its owner uses the connection."""
+        return False
+
     def abort(self) -> None:
         """Do nothing, since no bytes are sent."""
 
