Prefill prompts in turns in emulated engines

PROTOCOL.md says that prompts are prefilled in chunks, interleaved with the tokens of other requests. All prompts now share the chunk of a step.

--- a/emulator/_servers.py
+++ b/emulator/_servers.py
@@ -268,7 +268,8 @@
 class EmulatedEngine(EmulatedServer):
     """Run streams in one batch.
 
-    Each step decodes a token of each stream and prefills a chunk of one prompt.
+    Each step decodes a token of each stream and prefills a chunk that all new prompts
+    share, so the first outputs of several may coincide.
     """
 
     def __init__(
@@ -303,39 +304,40 @@
             self._has_scheduled_step = False
             return
         model, loop = self._model, asyncio.get_running_loop()
-        prefilling = next(
-            (job for job in self.running if job.prompt_tokens_left > 0), None
-        )
+        prefilling = [job for job in self.running if job.prompt_tokens_left > 0]
         decoding = [job for job in self.running if job.prompt_tokens_left <= 0]
         seconds = 0.0
-        chunk_tokens = 0
+        shares = share_chunk(
+            model.chunk_tokens, [job.prompt_tokens_left for job in prefilling]
+        )
         if decoding:
             seconds += model.step_seconds + model.step_seconds_per_request * (
                 len(decoding) - 1
             )
-        if prefilling is not None:
-            chunk_tokens = min(model.chunk_tokens, prefilling.prompt_tokens_left)
-            # Prefill and decoding of a step run in parallel.
-            seconds = max(seconds, chunk_tokens / model.prefill_rate)
+        # Prefill and decoding of a step run in parallel.
+        seconds = max(seconds, sum(shares) / model.prefill_rate)
         seconds *= self._time_factor * self.slowdown
         faults = [self.find_version_fault(job) for job in self.running]
         seconds *= max((it.slowdown for it in faults if it), default=1.0)
-        loop.call_later(seconds, self._finish_step, prefilling, chunk_tokens, decoding)
+        prefilled = list(zip(prefilling, shares, strict=True))
+        loop.call_later(seconds, self._finish_step, prefilled, decoding)
 
     def _finish_step(
-        self, prefilling: Job | None, chunk_tokens: int, decoding: list[Job]
+        self, prefilled: list[tuple[Job, int]], decoding: list[Job]
     ) -> None:
-        if prefilling is not None and not prefilling.is_finished:
-            if prefilling.crashes:
+        for job, tokens in prefilled:
+            if job.is_finished:
+                continue
+            if job.crashes:
                 self.crash()
                 self._has_scheduled_step = False
                 return
-            prefilling.prompt_tokens_left -= chunk_tokens
-            if prefilling.prompt_tokens_left <= 0:
-                self._cache_prefix(prefilling)
-                if self.draw_failure(prefilling, self._rng):
-                    prefilling.send_output(FAILURE_OUTPUT)
-                    self.complete(prefilling)
+            job.prompt_tokens_left -= tokens
+            if job.prompt_tokens_left <= 0:
+                self._cache_prefix(job)
+                if self.draw_failure(job, self._rng):
+                    job.send_output(FAILURE_OUTPUT)
+                    self.complete(job)
         for job in decoding:
             if job.is_finished:
                 continue
@@ -373,6 +375,21 @@
             self._prefix_cache.popitem(last=False)
 
 
+def share_chunk(chunk_tokens: int, tokens_left: list[int]) -> list[int]:
+    """Return how many tokens of each prompt a step prefills.
+
+    Prompts get equal parts, and what short ones leave goes to the longer ones.
+    """
+    shares = [0] * len(tokens_left)
+    for number, index in enumerate(
+        sorted(range(len(tokens_left)), key=lambda it: tokens_left[it])
+    ):
+        part = -(-chunk_tokens // (len(tokens_left) - number))
+        shares[index] = min(tokens_left[index], part)
+        chunk_tokens -= shares[index]
+    return shares
+
+
 async def iter_output(job: Job) -> AsyncIterator[bytes]:
     """Yield a request's output; raise ConnectionLost if the connection is lost."""
     while True:
--- a/emulator/tests/test_emulation.py
+++ b/emulator/tests/test_emulation.py
@@ -7,6 +7,7 @@
 
 from emulator import Emulation, History, VirtualLoop, emulate, run_virtual, summarize
 from emulator._report import EmulationResult, format_kinds, format_ways
+from emulator._servers import share_chunk
 from emulator._ways import WAYS
 from proofs import make_site
 
@@ -152,3 +153,18 @@
     )
     assert kind.largest_tenth_served < 1.0
     assert kind.next_fifth_served == 1.0
+
+
+@pytest.mark.parametrize(
+    "tokens_left, shares",
+    [
+        ([], []),
+        ([9000], [1024]),
+        ([9000, 9000], [512, 512]),
+        ([100, 9000], [100, 924]),
+        ([9000, 100, 9000], [462, 100, 462]),
+        ([10, 20], [10, 20]),
+    ],
+)
+def test_prompts_share_the_chunk_of_a_step(tokens_left, shares):
+    assert share_chunk(1024, tokens_left) == shares
