--- a/soak/_soak_run.py
+++ b/soak/_soak_run.py
@@ -81,6 +81,8 @@
         await asyncio.gather(traffic_task, return_exceptions=True)
         await traffic.finish()
         violations = history.find_violations(fleet.workers)
+        for gateway in fleet.gateways:
+            violations += gateway.list_unexpected_errors()
         served_share = history.compute_served_share(fault_free_since)
         if served_share < MIN_SERVED_SHARE:
             violations.append(
--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -82,6 +82,15 @@
     BackendLoad.can_continue = lambda *_: True
 
 
+def fail_to_learn() -> None:
+    """Fail on what the end of a run tells of a backend server."""
+
+    def record_end(self: BackendLoad, *_: object) -> None:
+        raise ZeroDivisionError
+
+    BackendLoad.record_end = record_end
+
+
 MUTANTS: dict[str, Callable[[], None]] = {
     it.__name__: it
     for it in (
@@ -92,6 +101,7 @@
         answer_never,
         ignore_limits,
         ignore_versions,
+        fail_to_learn,
     )
 }
 
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -42,6 +42,12 @@
     assert not result.violations, result.violations
 
 
+# Guards against faults of the program that the logs name and no rule shows.
+def test_unexpected_error_of_a_gateway_is_a_violation():
+    result = asyncio.run(run_soak(SEED, 1.0, GATEWAY_COUNT, "fail_to_learn"))
+    assert any("unexpected error" in it for it in result.violations)
+
+
 def test_planned_stop_awaits_only_the_signaled_process():
     async def run():
         old_process, new_process = asyncio.Event(), asyncio.Event()
