Try a third worker when the second one's response does not continue a stream

What callers saw: a stream that broke off and whose next worker responded with 302, 400, 404, a body that is no stream, or a large error was given up at once, though the route allowed more attempts.

Cause: the forwarder sent that response as the beginning of another one on the same exchange. h11 raised LocalProtocolError, which ended the request as a fault of the program.

--- a/fireflyquay/gateway/_forwarder.py
+++ b/fireflyquay/gateway/_forwarder.py
@@ -515,6 +515,7 @@
         if status >= 500 and rule is not RepeatRule.AT_MOST_ONCE:
             self._call.failure_response = response
             return Outcome.FAILED
+        self._check_not_begun()
         await self._call.send(response)
         return Outcome.DELIVERED
 
@@ -538,9 +539,17 @@
             with self._errors.contain("record of a first output", id=self.id):
                 self._metrics.record_first_output(call.admission.route.name, seconds)
 
+    def _check_not_begun(self) -> None:
+        """Raise BrokenResponseError if the client has the beginning of a stream."""
+        if self._call.responder.started:
+            raise BrokenResponseError(
+                f"A response with status {self.status} does not continue the stream."
+            )
+
     async def _forward_unbuffered(
         self, stream: HttpStream, buffered: bytearray
     ) -> None:
+        self._check_not_begun()
         headers = self._exchange.translate_headers(stream.raw_headers)
         responder = self._call.responder
         await responder.start(stream.status, headers, stream.ends_with_connection)
