Name the module of unexpected errors in the table of layers

test_imports_follow_the_layers failed for the nine modules that import it. It imports no other package of the product, so it is of the lowest layer, like signals.

--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -8,6 +8,7 @@
 PRODUCT_FOLDER = Path(__file__).parent.parent / "fireflyquay"
 LAYER_BY_PACKAGE = {
     "signals": 0,
+    "unexpected_errors": 0,
     "world": 0,
     "checks": 1,
     "contracts": 1,
