Take every loss of a client's connection for a disconnect

Callers saw nothing more, as theirs was the connection that was lost; but the request ended as an unexpected error, with a trace in the log, instead of as one whose client left.

Cause: a response waited for a client that read nothing; after a stall, the guard aborted the connection, of which asyncio reports no error to those who wait. The wait ended as if the buffer were drained, and options were set on the closed socket. The same question about other losses: an unreachable host is an OSError, but no ConnectionError, and left the responder as it was.

Now a wait that ends on a closed socket raises ConnectionResetError, the responder takes any OSError of a wait for a disconnect, and options of closed sockets are left alone.

--- a/fireflyquay/links/_graceful_close.py
+++ b/fireflyquay/links/_graceful_close.py
@@ -11,7 +11,7 @@
 
 from ._connection_reset import set_reset_on_close
 from ._http_message import MAX_READ_BYTES
-from ._sockets import enable_dead_peer_detection, tolerate_closed_window
+from ._sockets import enable_dead_peer_detection, is_closed, tolerate_closed_window
 
 _COUNT = struct.Struct("i")
 # Interval between checks whether the peer has acknowledged what was sent.
@@ -33,7 +33,7 @@
     """
     buffered_bytes = writer.transport.get_write_buffer_size()
     sock = writer.get_extra_info("socket")
-    if sock is None or sock.fileno() < 0:
+    if sock is None or is_closed(writer):
         return buffered_bytes
     try:
         answer = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(_COUNT.size))
@@ -45,8 +45,8 @@
 async def drain(writer: asyncio.StreamWriter, max_stall_seconds: float) -> None:
     """Wait until the write buffer is drained.
 
-    Raises TimeoutError if the peer receives nothing for the given time, and
-    ConnectionError if the connection is lost.
+    Raises TimeoutError if the peer receives nothing for the given time, and OSError if
+    the connection is lost.
     """
     loop = asyncio.get_running_loop()
     unsent_bytes, progress_at = count_unsent_bytes(writer), loop.time()
@@ -56,6 +56,9 @@
             wait = asyncio.timeout(min(max_stall_seconds, STALL_SECONDS))
             async with wait:
                 await writer.drain()
+            if is_closed(writer):
+                # asyncio reports no error to those who wait when it was aborted.
+                raise ConnectionResetError("the connection was aborted")
             if has_stalled:
                 enable_dead_peer_detection(writer)
             return
@@ -148,7 +151,7 @@
 def _check_connection(writer: asyncio.StreamWriter) -> None:
     """Raise OSError if the connection was lost, which only a read would notice."""
     sock = writer.get_extra_info("socket")
-    if sock is None or sock.fileno() < 0:
+    if sock is None or is_closed(writer):
         return
     error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
     if error:
--- a/fireflyquay/links/_http_responder.py
+++ b/fireflyquay/links/_http_responder.py
@@ -126,6 +126,6 @@
             return
         try:
             await drain(self._writer, self._limits.idle_timeout)
-        except (TimeoutError, ConnectionError):
+        except OSError:
             abort_connection(self._writer)
             raise CallerDisconnectedError from None
--- a/fireflyquay/links/_sockets.py
+++ b/fireflyquay/links/_sockets.py
@@ -21,15 +21,29 @@
 _SEGMENT_COUNT = struct.Struct("=I")
 
 
+def is_closed(writer: asyncio.StreamWriter) -> bool:
+    """Return whether the socket of a connection is closed, as after its loss."""
+    sock = writer.get_extra_info("socket")
+    return sock is not None and sock.fileno() < 0
+
+
+def _find_tcp_socket(writer: asyncio.StreamWriter) -> socket.socket | None:
+    """Return the socket of an open TCP connection."""
+    sock = writer.get_extra_info("socket")
+    if sock is None or is_closed(writer):
+        return None
+    if sock.family not in (socket.AF_INET, socket.AF_INET6):
+        return None
+    return sock
+
+
 def tolerate_closed_window(writer: asyncio.StreamWriter, seconds: float) -> None:
     """Keep the connection for a time although its peer reads nothing.
 
     The kernel does not tell a peer that acknowledges but reads nothing from a dead one.
     """
-    sock = writer.get_extra_info("socket")
-    if sock is None or sock.fileno() < 0:
-        return
-    if sock.family not in (socket.AF_INET, socket.AF_INET6):
+    sock = _find_tcp_socket(writer)
+    if sock is None:
         return
     sock.setsockopt(
         socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(seconds * MS_PER_SECOND)
@@ -41,8 +55,8 @@
 
     A peer that has gone leaves bytes that were sent without an acknowledgement.
     """
-    sock = writer.get_extra_info("socket")
-    if sock is None or sock.family not in (socket.AF_INET, socket.AF_INET6):
+    sock = _find_tcp_socket(writer)
+    if sock is None:
         return False
     info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
     [unacknowledged_segments] = _SEGMENT_COUNT.unpack_from(info, UNACKNOWLEDGED_OFFSET)
@@ -62,8 +76,8 @@
 
     That is the given time after sending what the peer does not acknowledge.
     """
-    sock = writer.get_extra_info("socket")
-    if sock is None or sock.family not in (socket.AF_INET, socket.AF_INET6):
+    sock = _find_tcp_socket(writer)
+    if sock is None:
         return
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_INTERVAL_SECONDS)
