Learn no speed from a request that did not run

Cause: the end of a run that was never sent, or that the backend server declined with a status below 500, was reported as that of a run without failure, so the time to the refusal went into the speed of plain requests, the waits of its rank and the room of its service, and lowered the rate of failures.

RunEnded says now whether the request ran; what did not run frees its slot, and nothing is learned from it. The field is the last one and has a default, so a build before it reads the message and is read.

--- a/fireflyquay/dispatch/_control_message.py
+++ b/fireflyquay/dispatch/_control_message.py
@@ -71,6 +71,8 @@
     seconds: float | None = None
     # How slow the machine was; None if the response did not state it.
     reading: MachineReading | None = None
+    # False if nothing was sent, or if the backend server declined the request.
+    has_run: bool = True
 
 
 class BackendPause(Message, tag="Pause"):
--- a/fireflyquay/dispatch/_scheduler.py
+++ b/fireflyquay/dispatch/_scheduler.py
@@ -266,6 +266,9 @@
         now: float,
     ) -> None:
         """Update what is known of a backend server and a rank from the end of a run."""
+        if not (ended.has_run or ended.failed):
+            # The time to a refusal is no run's.
+            return
         run = load.runs.get(key)
         if run is not None and not ended.failed:
             state.room.record_success(load.held_tokens)
--- a/fireflyquay/dispatch/tests/test_coordinator.py
+++ b/fireflyquay/dispatch/tests/test_coordinator.py
@@ -453,3 +453,20 @@
     quotas.record_sums(OTHER_VM, ((ACCOUNT, 6, 6000.0),), 10.0)
     assert quotas.charge(account, 100.0, 1.0, 10.0) is not None
     assert quotas.charge(account, 100.0, 1.0, 10.2) is None
+
+
+def test_server_that_declines_seems_no_faster():
+    # Guards against taking the time to a refusal for that of a run.
+    coordinator = make_coordinator()
+    coordinator.set_backends(
+        [make_backend_entry("declines", 10), make_backend_entry("runs", 10)]
+    )
+    chosen = []
+    for number in range(60):
+        now = number * 0.2
+        [grant] = coordinator.submit(make_request(number, prompt_tokens=0), now)
+        has_run = grant.backend == "runs"
+        ended = RunEnded(number, grant.backend, 0, 0.0, False, has_run=has_run)
+        coordinator.handle_message(OWN_VM, ended, now + (0.05 if has_run else 0.001))
+        chosen.append(grant.backend)
+    assert chosen[20:].count("declines") <= 20
--- a/fireflyquay/gateway/_forwarder.py
+++ b/fireflyquay/gateway/_forwarder.py
@@ -607,7 +607,7 @@
 def _classify(outcome: Outcome, status: int) -> RunResult:
     """Return what an attempt tells of the backend server's software."""
     if outcome in (Outcome.NOT_RUN, Outcome.NOT_SENT, Outcome.UNSENDABLE):
-        return RunResult.UNKNOWN
+        return RunResult.NOT_RUN
     is_sound = outcome is Outcome.DELIVERED and 200 <= status < 300
     return RunResult.SOUND if is_sound else RunResult.FAULTY
 
--- a/fireflyquay/gateway/_slot_client.py
+++ b/fireflyquay/gateway/_slot_client.py
@@ -72,6 +72,8 @@
     FAULTY = "FAULTY"
     # The server's process ended.
     CRASHED = "CRASHED"
+    # Nothing was sent, or the server declined the request.
+    NOT_RUN = "NOT_RUN"
 
 
 class Peers(ABC):
@@ -214,6 +216,7 @@
                 result is RunResult.CRASHED,
                 seconds,
                 reading,
+                result is not RunResult.NOT_RUN,
             )
         )
 
