Let a begun stream wait for a slot until its deadline

What callers saw: a stream that had begun, and whose backend server crashed, was cut although a slot came free in time.

Cause: the wait was bounded as that of a request whose client has nothing yet: a share of the time for which clients wait for a first output, which may be over when a stream is taken up again, and of the time to the deadline. Such a stream also counted as late, as its objective for the first output has passed: all fresh requests of its rank went before it, and in an overload it was refused with the late ones. A VM would have taken a coordinator for unresponsive that lets it wait for longer.

Change: a new request that is refused is told so, and may come back; a stream that is refused loses what its client has, and no status can say so. So a begun stream waits for as long as it may run, is not late, and goes in the order of first attempts within its rank. Ranks are as before.

--- a/fireflyquay/dispatch/_refusal_policy.py
+++ b/fireflyquay/dispatch/_refusal_policy.py
@@ -52,7 +52,7 @@
         A stream that continues is queued regardless: what its client has would be lost,
         and the forecast counts slots of other versions.
         """
-        if request.version is not None:
+        if request.has_begun:
             return None
         waiting = state.queue.count_on_time(request.rank, now)
         statistics = state.ranks[request.rank]
--- a/fireflyquay/dispatch/_scheduler.py
+++ b/fireflyquay/dispatch/_scheduler.py
@@ -157,15 +157,11 @@
         state.room.stated_tokens = memory_tokens
         if request.total_tokens > memory_tokens:
             return [make_room_refusal(request, memory_tokens)]
-        settings = self._settings
         was_refused = self.refused_requests.was_refused_recently(
             request.fingerprint, now
         )
         request, first_arrived_at = self._recognize_retry(request, now)
-        max_wait = min(
-            settings.max_give_up_wait_share * request.seconds_to_give_up,
-            settings.max_deadline_wait_share * request.seconds_to_deadline,
-        )
+        max_wait = self._compute_max_wait(request)
         statistics = state.ranks[request.rank]
         if first_arrived_at is None:
             statistics.record_arrival(now, request.latency_objective)
@@ -189,6 +185,19 @@
             decisions.append(self._refuse(state, item, cause, now))
         return decisions
 
+    def _compute_max_wait(self, request: SlotRequest) -> float:
+        """Return the seconds after which a request that still waits is refused.
+
+        A refusal costs the client of a stream that has begun what it has received, and
+        can't be told by a status, so such a stream waits for as long as it may run.
+        """
+        if request.has_begun:
+            return request.seconds_of_use
+        return min(
+            self._settings.max_give_up_wait_share * request.seconds_of_use,
+            self._settings.max_deadline_wait_share * request.seconds_to_deadline,
+        )
+
     def _recognize_retry(
         self, request: SlotRequest, now: float
     ) -> tuple[SlotRequest, float | None]:
--- a/fireflyquay/dispatch/_slot_messages.py
+++ b/fireflyquay/dispatch/_slot_messages.py
@@ -72,6 +72,16 @@
         """Return the tokens that the run may hold at its end."""
         return self.prompt_tokens + self.max_output_tokens
 
+    @property
+    def has_begun(self) -> bool:
+        """Return whether the client has received the beginning of a stream."""
+        return self.version is not None
+
+    @property
+    def seconds_of_use(self) -> float:
+        """Return the seconds for which the client has a use for a grant."""
+        return self.seconds_to_deadline if self.has_begun else self.seconds_to_give_up
+
     @property
     def age(self) -> float:
         """Return the seconds since the request arrived, as far as they are known."""
--- a/fireflyquay/dispatch/_slot_queue.py
+++ b/fireflyquay/dispatch/_slot_queue.py
@@ -51,8 +51,11 @@
         return SHARED_FLOW if self.weight is None else self.request.account
 
     def is_late(self, now: float) -> bool:
-        """Return whether a grant now would usually miss the objective."""
-        return now > self.latest_start
+        """Return whether a grant now would usually miss the objective.
+
+        A stream that has begun has met it, or the client has waited longer already.
+        """
+        return now > self.latest_start and not self.request.has_begun
 
 
 @dataclass(slots=True)
--- a/fireflyquay/dispatch/tests/test_coordinator.py
+++ b/fireflyquay/dispatch/tests/test_coordinator.py
@@ -470,3 +470,65 @@
         coordinator.handle_message(OWN_VM, ended, now + (0.05 if has_run else 0.001))
         chosen.append(grant.backend)
     assert chosen[20:].count("declines") <= 20
+
+
+def make_versioned_entry():
+    return replace(make_backend_entry("s1", slots=1), version="v1")
+
+
+def make_begun_request(number, **overrides):
+    """Return the request of a stream whose backend server has crashed."""
+    fields = {"version": "v1", "seconds_to_objective": -0.5, "seconds_to_give_up": -0.1}
+    return make_request(number, is_retry=True, **{**fields, **overrides})
+
+
+def test_begun_stream_waits_for_a_slot_until_its_deadline():
+    # Guards against bounding its wait as that of a request whose client has nothing.
+    coordinator = make_coordinator()
+    coordinator.set_backends([make_versioned_entry()])
+    coordinator.submit(make_request(1), 0.0)
+    begun = make_begun_request(2, seconds_to_deadline=6.0)
+    decisions = coordinator.submit(begun, 0.0)
+    for at in (0.5, 1.0, 3.0, 5.0):
+        decisions += coordinator.advance(at)
+    assert decisions == []
+    ended = RunEnded(1, "s1", 50, 0.0, False)
+    decisions = coordinator.handle_message(OWN_VM, ended, 5.5)
+    assert list_granted_keys(decisions) == [(OWN_VM, 2)]
+
+
+def test_begun_stream_is_refused_at_its_deadline():
+    coordinator = make_coordinator()
+    coordinator.set_backends([make_versioned_entry()])
+    coordinator.submit(make_request(1), 0.0)
+    coordinator.submit(make_begun_request(2, seconds_to_deadline=2.0), 0.0)
+    [refusal] = coordinator.advance(2.1)
+    assert isinstance(refusal, Refusal)
+
+
+def test_begun_stream_precedes_fresh_requests_of_its_rank():
+    # Guards against ranking it with late requests, which wait for all on time.
+    coordinator = make_coordinator()
+    coordinator.set_backends([make_versioned_entry()])
+    coordinator.submit(make_request(1), 1.0)
+    coordinator.submit(make_request(2, latency_objective=1.0), 1.1)
+    coordinator.submit(make_begun_request(3, latency_objective=1.0), 1.2)
+    coordinator.submit(make_request(4, rank=1, latency_objective=1.0), 1.2)
+    ended = RunEnded(1, "s1", 50, 0.0, False)
+    decisions = coordinator.handle_message(OWN_VM, ended, 1.4)
+    assert list_granted_keys(decisions) == [(OWN_VM, 3)]
+
+
+def test_begun_stream_is_not_refused_in_an_overload_of_its_rank():
+    coordinator = make_coordinator()
+    coordinator.set_backends([make_versioned_entry()])
+    coordinator.submit(make_request(0), 0.0)
+    decisions = coordinator.submit(make_begun_request(1), 0.0)
+    for number in range(2, 9):
+        request = make_request(number, seconds_to_objective=0.4)
+        decisions += coordinator.submit(request, 0.0)
+    for at in (0.1, 1.0, 2.0):
+        decisions += coordinator.advance(at)
+    refusals = [it for it in decisions if isinstance(it, Refusal)]
+    assert len(refusals) >= 6
+    assert 1 not in [it.number for it in refusals]
--- a/fireflyquay/gateway/_slot_client.py
+++ b/fireflyquay/gateway/_slot_client.py
@@ -515,7 +515,7 @@
             elapsed = now - pending.sent_at
             limit = CONFIRM_TIMEOUT_SECONDS
             if pending.is_confirmed:
-                limit += max(0.0, pending.slot_request.seconds_to_give_up)
+                limit += max(0.0, pending.slot_request.seconds_of_use)
             if elapsed > limit and pending.target != self._own:
                 assert self._peers is not None
                 self._peers.mark_unresponsive(pending.target)
