Drop a backend server from its former service when it starts again for another

Cause: identity of a backend server is its id, the start of its process and its service; SlotScheduler.set_backends compared ids only. A process that started again under its id for another service got a load there and kept that of the former one. Nothing checked the service between a grant and the attempt.

Now a server that is listed for another service leaves the former one, with its runs, which ended with their process. Ingress checks the service like the version before an attempt, as its coordinator may not have learned it yet, and a run that a VM reports occupies no slot of another service.

--- a/fireflyquay/dispatch/_scheduler.py
+++ b/fireflyquay/dispatch/_scheduler.py
@@ -116,8 +116,13 @@
         """Replace the backend servers that may receive requests, if they have slots."""
         entries_by_id = {entry.id: entry for entry in entries if entry.slots > 0}
         self.rollouts.set_backends(entries_by_id.values())
-        for backend_id in self._services_by_backend.keys() - entries_by_id.keys():
-            state = self._states[self._services_by_backend.pop(backend_id)]
+        for backend_id, service in tuple(self._services_by_backend.items()):
+            entry = entries_by_id.get(backend_id)
+            if entry is not None and entry.service == service:
+                continue
+            # A process may start again under its id for another service.
+            del self._services_by_backend[backend_id]
+            state = self._states[service]
             state.loads.pop(backend_id, None)
             state.has_lost_backends = True
         for backend_id, entry in entries_by_id.items():
@@ -411,7 +416,7 @@
         It names no origin: it may not have had output yet.
         """
         load = self._find_load(backend)
-        if load is not None:
+        if load is not None and load.entry.service == request.service:
             load.add_run((request.owner, request.number), request, granted_at)
 
     def drop_unreported_runs(
--- a/fireflyquay/dispatch/tests/test_coordinator.py
+++ b/fireflyquay/dispatch/tests/test_coordinator.py
@@ -532,3 +532,20 @@
     refusals = [it for it in decisions if isinstance(it, Refusal)]
     assert len(refusals) >= 6
     assert 1 not in [it.number for it in refusals]
+
+
+def test_server_that_starts_again_for_another_service_leaves_its_former_one():
+    coordinator = make_coordinator()
+    entry = make_backend_entry("s1", slots=1)
+    coordinator.set_backends([entry])
+    first = make_request(1)
+    [grant] = coordinator.submit(first, 0.0)
+    moved = replace(entry, service="other", born_ms=entry.born_ms + 1)
+    coordinator.set_backends([moved])
+    [refusal] = coordinator.submit(make_request(2), 0.1)
+    assert refusal.code is Code.NO_BACKEND_SERVER
+    # The run of the former service ended with its process, and occupies no slot.
+    run = ActiveRun(first, grant.backend, 0.1)
+    coordinator.handle_message(OWN_VM, ActiveRunsReport((run,)), 0.2)
+    decisions = coordinator.submit(make_request(3, service="other"), 0.3)
+    assert list_granted_keys(decisions) == [(OWN_VM, 3)]
--- a/fireflyquay/gateway/_ingress.py
+++ b/fireflyquay/gateway/_ingress.py
@@ -337,10 +337,12 @@
         backend = self._replicas.backends.get(grant.backend)
         if backend is None:
             return None
-        is_of_version = call.version in (None, backend.version)
-        if not is_of_version or not self._replicas.backends.accepts_requests(
-            backend.id
-        ):
+        is_suitable = (
+            backend.service == call.service
+            and call.version in (None, backend.version)
+            and self._replicas.backends.accepts_requests(backend.id)
+        )
+        if not is_suitable:
             # The coordinator has not learned it yet.
             call.unusable_backends.append(backend.id)
             return None
