Complete a roll-out only when no run is on the old backend servers

Cause: a deadline of planned work stood above accepted work. The time for the old runs to end was cut to a share of the order's time, and once it was over the switch was completed with the reason "time limit, N old runs left".

No run holds it up for longer than until its own deadline, after which no client waits.

--- a/fireflyquay/dispatch/_coordinator.py
+++ b/fireflyquay/dispatch/_coordinator.py
@@ -102,9 +102,9 @@
         """Return the roll-outs that bound which versions are granted."""
         return self._scheduler.rollouts
 
-    def count_runs(self, service: ServiceId) -> dict[BackendServerId, int]:
-        """Return the number of runs on each backend server of a service."""
-        return self._scheduler.count_runs(service)
+    def count_runs(self, service: ServiceId, now: float) -> dict[BackendServerId, int]:
+        """Return the number of runs on each backend server before their deadlines."""
+        return self._scheduler.count_runs(service, now)
 
     @property
     def origins(self) -> StreamOrigins:
--- a/fireflyquay/dispatch/_rollout.py
+++ b/fireflyquay/dispatch/_rollout.py
@@ -117,6 +117,7 @@
     """Hold the backend servers of a service and the runs on them."""
 
     entries: Sequence[BackendEntry]
+    # Those whose clients may still get a response.
     runs: dict[BackendServerId, int]
 
 
@@ -485,8 +486,7 @@
         last = deadline - min(FINAL_MARGIN_SECONDS, FINAL_MARGIN_SHARE * duration)
         if phase is RolloutPhase.SWITCH:
             switched_at = now if self._switched_at is None else self._switched_at
-            latest = min(last, max(end, switched_at + drain))
-            return self._decide_end(switched_at + SETTLE_SECONDS, latest, load, now)
+            return self._decide_end(switched_at + SETTLE_SECONDS, load, now)
         if now < end - drain:
             return phase, ""
         is_last = now >= end - MIN_DRAIN_SECONDS
@@ -498,16 +498,17 @@
         return phase, ""
 
     def _decide_end(
-        self, settled_at: float, latest: float, load: ServiceLoad, now: float
+        self, settled_at: float, load: ServiceLoad, now: float
     ) -> tuple[RolloutPhase, str]:
-        """Return COMPLETED once the runs on old backend servers have ended."""
+        """Return COMPLETED once the runs on old backend servers have ended.
+
+        Old servers stop at once then, so runs outlast the time of the order if need be.
+        """
         old_runs = sum(
             load.runs.get(it.id, 0)
             for it in load.entries
             if it.version != self.order.target
         )
-        if now >= latest:
-            return RolloutPhase.COMPLETED, f"time limit, {old_runs} old runs left"
         if not old_runs and now >= settled_at:
             return RolloutPhase.COMPLETED, "all old runs have ended"
         return RolloutPhase.SWITCH, ""
--- a/fireflyquay/dispatch/_rollouts.py
+++ b/fireflyquay/dispatch/_rollouts.py
@@ -307,7 +307,9 @@
         self._runs.pop(key, None)
 
     def plan(
-        self, now: float, list_runs: Callable[[ServiceId], dict[BackendServerId, int]]
+        self,
+        now: float,
+        count_runs: Callable[[ServiceId, float], dict[BackendServerId, int]],
     ) -> list[RolloutAction]:
         """Return the calls to the store that are due, at most one for each service."""
         unix_ms = now * 1000.0 + self._unix_offset_ms
@@ -322,7 +324,7 @@
             if rollout.is_settled and (rollout.was_completed or not has_target):
                 del self._rollouts[service]
                 continue
-            load = ServiceLoad(entries, list_runs(service))
+            load = ServiceLoad(entries, count_runs(service, now))
             before = rollout.belief
             action = rollout.plan(load, now, unix_ms)
             if rollout.belief != before:
--- a/fireflyquay/dispatch/_scheduler.py
+++ b/fireflyquay/dispatch/_scheduler.py
@@ -461,12 +461,12 @@
         state = self._states.get(service)
         return 0 if state is None else len(state.queue)
 
-    def count_runs(self, service: ServiceId) -> dict[BackendServerId, int]:
-        """Return the number of runs on each backend server of a service."""
+    def count_runs(self, service: ServiceId, now: float) -> dict[BackendServerId, int]:
+        """Return the number of runs on each backend server before their deadlines."""
         state = self._states.get(service)
         if state is None:
             return {}
-        return {it: len(load.runs) for it, load in state.loads.items()}
+        return {it: load.count_useful_runs(now) for it, load in state.loads.items()}
 
     def count_in_flight(self, account: ClientAccountId) -> int:
         """Return the number of waiting and running requests of a client account."""
--- a/fireflyquay/dispatch/tests/test_rollouts.py
+++ b/fireflyquay/dispatch/tests/test_rollouts.py
@@ -8,6 +8,7 @@
 
 from fireflyquay.dispatch import (
     ProgressPart,
+    ReserveExposure,
     RolloutPhase,
     RolloutProgress,
     Rollouts,
@@ -288,7 +289,7 @@
     assert rollouts.may_grant(old, 0.0)
     assert rollouts.may_grant(new, 0.0)
     assert not rollouts.has_unknown_versions
-    assert rollouts.plan(0.0, lambda service: {}) == []
+    assert rollouts.plan(0.0, lambda service, now: {}) == []
 
 
 def test_new_version_waits_for_a_read_of_the_orders_that_is_sent_later():
@@ -348,7 +349,7 @@
     rollouts, old, new = make_rollouts()
     progress = start_trial(rollouts, old, new)
     assert not rollouts.may_grant(new, 0.3)
-    [action] = rollouts.plan(0.3, lambda service: {})
+    [action] = rollouts.plan(0.3, lambda service, now: {})
     assert action.progress.reserved > progress.reserved
     # The write may not have been executed.
     assert not rollouts.may_grant(new, 0.4)
@@ -362,7 +363,7 @@
     # Another coordinator may have found it bad.
     rollouts, old, new = make_rollouts()
     start_trial(rollouts, old, new)
-    [action] = rollouts.plan(0.3, lambda service: {})
+    [action] = rollouts.plan(0.3, lambda service, now: {})
     rollouts.apply_progress(SERVICE, action.progress, 8, 0, 0.4, 0.4)
     assert rollouts.may_grant(new, 0.5)
     assert not rollouts.may_grant(new, 0.4 + BOUNDS.rollback / 2)
@@ -373,7 +374,7 @@
     progress = start_trial(rollouts, old, new)
     verdict = RolloutProgress(NEW, RolloutPhase.ROLLED_BACK, progress.started_ms)
     rollouts.apply_progress(SERVICE, verdict, 9, 0, 0.4, 0.4)
-    [action] = rollouts.plan(0.5, lambda service: {})
+    [action] = rollouts.plan(0.5, lambda service, now: {})
     assert isinstance(action, WriteStatus)
     assert action.state is RolloutState.ROLLED_BACK
     assert not rollouts.may_grant(new, 0.5)
@@ -412,7 +413,7 @@
 def test_withdrawn_target_gets_nothing_before_that_is_written():
     rollouts, old, new = make_rollouts()
     start_trial(rollouts, old, new)
-    [action] = rollouts.plan(0.3, lambda service: {})
+    [action] = rollouts.plan(0.3, lambda service, now: {})
     rollouts.apply_progress(SERVICE, action.progress, 8, 0, 0.4, 0.4)
     assert rollouts.may_grant(new, 0.4)
     read_orders(rollouts, [], 0.5)
@@ -620,7 +621,41 @@
     scheduler.set_backends([new])
     rollouts.set_backends([old, new])
     assert scheduler.submit(make_request(1), 0.1) == []
-    assert scheduler.count_runs(SERVICE) == {new.id: 0}
+    assert scheduler.count_runs(SERVICE, 0.1) == {new.id: 0}
     read_orders(rollouts, [], 0.2)
     scheduler.advance(0.3)
-    assert scheduler.count_runs(SERVICE) == {new.id: 1}
+    assert scheduler.count_runs(SERVICE, 0.3) == {new.id: 1}
+
+
+@pytest.mark.parametrize("duration", [20.0, 30.0, 60.0])
+def test_switch_completes_only_once_all_old_runs_have_ended(duration):
+    # Guards against review/15 (LOST): the time of the order ended runs, as old servers
+    # stop at once when it is completed.
+    rollouts, old, new = make_rollouts()
+    rollouts.set_backends([old, new])
+    order = make_order(
+        duration_seconds=duration, state=RolloutState.ACTIVE, stated_target=NEW
+    )
+    read_orders(rollouts, [order], 0.0)
+    progress = RolloutProgress(NEW, RolloutPhase.SWITCH, int(1e12))
+    rollouts.apply_progress(SERVICE, progress, 7, 0, 0.0, 0.0)
+    phases = set()
+    for step in range(int(duration) + 10):
+        now, old_runs = float(step), int(step < duration + 5)
+        rollouts.apply_progress(SERVICE, progress, 8 + step, 0, now, now)
+        counts = {old.id: old_runs}
+        for action in rollouts.plan(now, lambda *_, counts=counts: counts):
+            if isinstance(action, ReserveExposure):
+                progress = action.progress
+        phases.add((progress.phase, old_runs))
+    assert phases == {(RolloutPhase.SWITCH, 1), (RolloutPhase.COMPLETED, 0)}
+
+
+def test_run_whose_deadline_has_passed_holds_up_no_switch():
+    scheduler = start_trial_of_scheduler()
+    [grant] = scheduler.submit(make_request(100, is_retry=True), 0.4)
+    late = make_request(101, is_retry=True, seconds_to_deadline=5.0)
+    [late_grant] = scheduler.submit(late, 0.4)
+    assert {grant.backend, late_grant.backend} == {"old-0"}
+    counts = [scheduler.count_runs(SERVICE, now)["old-0"] for now in (1.0, 6.0, 16.0)]
+    assert counts == [2, 1, 0]
--- a/fireflyquay/gateway/_rollout_keeper.py
+++ b/fireflyquay/gateway/_rollout_keeper.py
@@ -41,7 +41,7 @@
         self,
         source: FleetSource,
         rollouts: Rollouts,
-        count_runs: Callable[[ServiceId], dict[BackendServerId, int]],
+        count_runs: Callable[[ServiceId, float], dict[BackendServerId, int]],
         clock: AgeClock,
         coordinates: Callable[[], bool],
         errors: UnexpectedErrors | None = None,
--- a/fireflyquay/gateway/tests/test_rollout_keeper.py
+++ b/fireflyquay/gateway/tests/test_rollout_keeper.py
@@ -117,7 +117,7 @@
     rollouts = Rollouts(own, bounds)
     rollouts.set_backends([OLD])
     keeper = RolloutKeeper(
-        source, rollouts, lambda service: {}, LoopClock(), lambda: coordinates
+        source, rollouts, lambda service, now: {}, LoopClock(), lambda: coordinates
     )
     return rollouts, asyncio.create_task(keeper.keep())
 
