Count the memory of a request's head for as long as it is handled

Cause: the account of memory counts what is buffered. A head that has been parsed left the buffer and was counted as nothing, though it takes 0.73 MB for as long as the request lasts (15,376 bytes; 282 for each header beyond its text). 3,500 query parameters take 0.31 MB.

Now the parsed head counts from its parts and its text until the exchange is over, on each listener, so memory counts as short in time: stalled connections give way, and new requests are refused.

--- a/fireflyquay/links/_http_connection.py
+++ b/fireflyquay/links/_http_connection.py
@@ -30,6 +30,11 @@
 
 LOG = logbook.Logger("http")
 
+# Text of a head is held this often: as received, as items, and decoded.
+HEAD_COPIES = 3
+# Memory of the objects that a header and a query parameter are parsed into.
+HEADER_BYTES = 300
+PARAMETER_BYTES = 100
 # A body is held this often while it is read or sent on.
 BODY_COPIES = 2
 # Memory that is reserved at a time for a body without a stated length.
@@ -90,6 +95,15 @@
     return path, dict(pairs)
 
 
+def _estimate_head_memory(head: h11.Request, parameter_count: int) -> int:
+    """Return the bytes that a request's head takes for as long as it is handled."""
+    raw_items = head.headers.raw_items()
+    text_bytes = len(head.target)
+    text_bytes += sum(len(name) + len(value) for name, value in raw_items)
+    objects_bytes = len(raw_items) * HEADER_BYTES + parameter_count * PARAMETER_BYTES
+    return text_bytes * HEAD_COPIES + objects_bytes
+
+
 class ServerConnection(GuardedConnection):
     """Read the requests of one connection in turn and run the handler for each."""
 
@@ -112,6 +126,8 @@
         self._share = EventShare(guard.turns)
         # Response of the exchange in progress, if its handler runs.
         self._responder: HttpResponder | None = None
+        # Memory of the head of the request in progress.
+        self._head_bytes = 0
         # Bytes of the body in progress.
         self._body_bytes = 0
         # Bytes reserved for the body of the request in progress.
@@ -146,7 +162,11 @@
         body_bytes = max(self._body_bytes, self._held_bytes) * BODY_COPIES
         responder = self._responder
         return MemoryUse(
-            CONNECTION_BYTES + buffered_bytes + input_bytes + body_bytes,
+            CONNECTION_BYTES
+            + buffered_bytes
+            + input_bytes
+            + self._head_bytes
+            + body_bytes,
             self._reader.received_bytes,
             self.count_unsent_bytes(),
             responder is not None and not responder.finished,
@@ -187,11 +207,11 @@
         """Serve requests until either side closes the connection."""
         try:
             while await self._serve_request():
-                self._release_body()
+                self._release_request()
                 if self._has_next_request:
                     # Others are served before what this client sent ahead.
                     await self._guard.turns.take()
-            self._release_body()
+            self._release_request()
             await self._close()
         except (OSError, CallerDisconnectedError):
             self.abort()
@@ -202,7 +222,7 @@
             self._guard.errors.record("HTTP connection", error)
             self.abort()
         finally:
-            self._release_body()
+            self._release_request()
             self._guard.remove(self._holder)
 
     async def _serve_request(self) -> bool:
@@ -251,6 +271,8 @@
             return None
         path, query = _parse_target(head.target)
         headers = join_headers(list(head.headers))
+        self._head_bytes = _estimate_head_memory(head, len(query))
+        self._guard.update(self._holder)
         try:
             async with asyncio.timeout(self._limits.body_timeout):
                 body = await self._read_body(headers)
@@ -310,6 +332,10 @@
         self._guard.update(self._holder)
         return True
 
+    def _release_request(self) -> None:
+        self._head_bytes = 0
+        self._release_body()
+
     def _release_body(self) -> None:
         self._body_memory.release(self._held_bytes)
         self._held_bytes = self._body_bytes = 0
