Ask for the open socket of a connection in one place

Five places asked for the socket and whether it is closed, each in its own words; they share find_open_socket now. count_useful_runs says what it counts: count_runs_before_deadline.

--- a/fireflyquay/dispatch/_backend_load.py
+++ b/fireflyquay/dispatch/_backend_load.py
@@ -255,7 +255,7 @@
         """Return the number of active runs of a client account."""
         return sum(run.request.account == account for run in self.runs.values())
 
-    def count_useful_runs(self, now: float) -> int:
+    def count_runs_before_deadline(self, now: float) -> int:
         """Return the number of active runs whose deadlines have not passed."""
         return sum(
             now <= run.granted_at + run.request.seconds_to_deadline
--- a/fireflyquay/dispatch/_scheduler.py
+++ b/fireflyquay/dispatch/_scheduler.py
@@ -466,7 +466,9 @@
         state = self._states.get(service)
         if state is None:
             return {}
-        return {it: load.count_useful_runs(now) for it, load in state.loads.items()}
+        return {
+            it: load.count_runs_before_deadline(now) for it, load in state.loads.items()
+        }
 
     def count_in_flight(self, account: ClientAccountId) -> int:
         """Return the number of waiting and running requests of a client account."""
--- a/fireflyquay/links/_connection_reset.py
+++ b/fireflyquay/links/_connection_reset.py
@@ -6,13 +6,15 @@
 import socket
 import struct
 
+from ._sockets import find_open_socket
+
 _LINGER = struct.Struct("ii")
 
 
 def set_reset_on_close(writer: asyncio.StreamWriter, is_reset: bool) -> None:
     """Set whether closing resets the connection; the end of the process closes it."""
-    sock = writer.get_extra_info("socket")
-    if sock is not None and sock.fileno() >= 0:
+    sock = find_open_socket(writer)
+    if sock is not None:
         linger = _LINGER.pack(int(is_reset), 0)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
--- a/fireflyquay/links/_graceful_close.py
+++ b/fireflyquay/links/_graceful_close.py
@@ -11,7 +11,11 @@
 
 from ._connection_reset import set_reset_on_close
 from ._http_message import MAX_READ_BYTES
-from ._sockets import enable_dead_peer_detection, is_closed, tolerate_closed_window
+from ._sockets import (
+    enable_dead_peer_detection,
+    find_open_socket,
+    tolerate_closed_window,
+)
 
 _COUNT = struct.Struct("i")
 # Interval between checks whether the peer has acknowledged what was sent.
@@ -32,8 +36,8 @@
     Without an answer of the kernel, only those of the write buffer count.
     """
     buffered_bytes = writer.transport.get_write_buffer_size()
-    sock = writer.get_extra_info("socket")
-    if sock is None or is_closed(writer):
+    sock = find_open_socket(writer)
+    if sock is None:
         return buffered_bytes
     try:
         answer = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(_COUNT.size))
@@ -56,7 +60,7 @@
             wait = asyncio.timeout(min(max_stall_seconds, STALL_SECONDS))
             async with wait:
                 await writer.drain()
-            if is_closed(writer):
+            if find_open_socket(writer) is None:
                 # asyncio reports no error to those who wait when it was aborted.
                 raise ConnectionResetError("the connection was aborted")
             if has_stalled:
@@ -150,8 +154,8 @@
 
 def _check_connection(writer: asyncio.StreamWriter) -> None:
     """Raise OSError if the connection was lost, which only a read would notice."""
-    sock = writer.get_extra_info("socket")
-    if sock is None or is_closed(writer):
+    sock = find_open_socket(writer)
+    if sock is None:
         return
     error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
     if error:
--- a/fireflyquay/links/_sockets.py
+++ b/fireflyquay/links/_sockets.py
@@ -21,18 +21,15 @@
 _SEGMENT_COUNT = struct.Struct("=I")
 
 
-def is_closed(writer: asyncio.StreamWriter) -> bool:
-    """Return whether the socket of a connection is closed, as after its loss."""
+def find_open_socket(writer: asyncio.StreamWriter) -> socket.socket | None:
+    """Return the socket of a connection; None if it has none or was lost."""
     sock = writer.get_extra_info("socket")
-    return sock is not None and sock.fileno() < 0
+    return None if sock is None or sock.fileno() < 0 else sock
 
 
 def _find_tcp_socket(writer: asyncio.StreamWriter) -> socket.socket | None:
-    """Return the socket of an open TCP connection."""
-    sock = writer.get_extra_info("socket")
-    if sock is None or is_closed(writer):
-        return None
-    if sock.family not in (socket.AF_INET, socket.AF_INET6):
+    sock = find_open_socket(writer)
+    if sock is None or sock.family not in (socket.AF_INET, socket.AF_INET6):
         return None
     return sock
 
