--- a/fireflyquay/dispatch/tests/test_coordinator.py
+++ b/fireflyquay/dispatch/tests/test_coordinator.py
@@ -351,20 +351,30 @@
     assert [decision.backend for decision in decisions] == ["short-gaps"] * 5
 
 
-def test_failing_backend_is_avoided_and_retried_later():
+def list_chosen(names, count, period, end_run):
+    """Run plain requests one by one; return the backend server of each.
+
+    ``end_run`` gets the backend server and the time of a grant, and returns the seconds
+    of the run and the fields of its end.
+    """
     coordinator = make_coordinator()
-    coordinator.set_backends(
-        [make_backend_entry("bad", 10), make_backend_entry("good", 10)]
-    )
+    coordinator.set_backends([make_backend_entry(name, 10) for name in names])
     chosen = []
-    for number in range(120):
-        now = number * 0.1
+    for number in range(count):
+        now = number * period
         [grant] = coordinator.submit(make_request(number, prompt_tokens=0), now)
-        failed = grant.backend == "bad" and now < 6.0
-        coordinator.handle_message(
-            OWN_VM, RunEnded(number, grant.backend, 0, 0.0, failed), now + 0.05
-        )
+        seconds, fields = end_run(grant.backend, now)
+        ended = RunEnded(number, grant.backend, 0, 0.0, **fields)
+        coordinator.handle_message(OWN_VM, ended, now + seconds)
         chosen.append(grant.backend)
+    return chosen
+
+
+def test_failing_backend_is_avoided_and_retried_later():
+    def end_run(backend, now):
+        return 0.05, {"failed": backend == "bad" and now < 6.0}
+
+    chosen = list_chosen(["bad", "good"], 120, 0.1, end_run)
     assert chosen[20:60].count("bad") <= 10
     assert "bad" in chosen[60:]
 
@@ -457,18 +467,11 @@
 
 def test_server_that_declines_seems_no_faster():
     # Guards against taking the time to a refusal for that of a run.
-    coordinator = make_coordinator()
-    coordinator.set_backends(
-        [make_backend_entry("declines", 10), make_backend_entry("runs", 10)]
-    )
-    chosen = []
-    for number in range(60):
-        now = number * 0.2
-        [grant] = coordinator.submit(make_request(number, prompt_tokens=0), now)
-        has_run = grant.backend == "runs"
-        ended = RunEnded(number, grant.backend, 0, 0.0, False, has_run=has_run)
-        coordinator.handle_message(OWN_VM, ended, now + (0.05 if has_run else 0.001))
-        chosen.append(grant.backend)
+    def end_run(backend, now):
+        has_run = backend == "runs"
+        return 0.05 if has_run else 0.001, {"failed": False, "has_run": has_run}
+
+    chosen = list_chosen(["declines", "runs"], 60, 0.2, end_run)
     assert chosen[20:].count("declines") <= 20
 
 
